--- /dev/null
+++ b/include/balsamwheel/coordination.h
@@ -0,0 +1,20 @@
+// Public header of the coordination library: pure state machines that decide
+// who owns a key, who may run a request, and how much a target bears. They
+// perform no I/O; time, randomness and replies are passed in.
+#pragma once
+
+#include "balsamwheel/detail/coordination/coordinator.h"
+#include "balsamwheel/detail/core/hash.h"
+#include "balsamwheel/detail/core/ids.h"
+#include "balsamwheel/detail/core/outcome.h"
+#include "balsamwheel/detail/core/time.h"
+#include "balsamwheel/detail/load/admission.h"
+#include "balsamwheel/detail/load/picker.h"
+#include "balsamwheel/detail/load/retry_budget.h"
+#include "balsamwheel/detail/manifest/document.h"
+#include "balsamwheel/detail/manifest/model.h"
+#include "balsamwheel/detail/node/effects.h"
+#include "balsamwheel/detail/node/node.h"
+#include "balsamwheel/detail/platform/table.h"
+#include "balsamwheel/detail/wire/control.h"
+#include "balsamwheel/detail/wire/request.h"
--- /dev/null
+++ b/include/balsamwheel/detail/core/outcome.h
@@ -0,0 +1,47 @@
+// What a caller is told about a request.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace balsamwheel {
+
+/// The machine-readable result of a request.
+enum class Outcome : std::uint8_t {
+  /// The target ran the request and its whole answer follows.
+  Done,
+  /// No target received any part of the request.
+  NotRun,
+  /// The request may or may not have run.
+  Unknown,
+  /// No target received any part of it; worth retrying after the given time.
+  Wait,
+};
+
+/// Why a request was not run or its outcome is unknown.
+enum class Reason : std::uint8_t {
+  None,
+  NotOwner,
+  NoOwner,
+  LeaseExpired,
+  Overloaded,
+  DeadlinePassed,
+  DomainOut,
+  Draining,
+  UnknownService,
+  BadRequest,
+  TargetFailed,
+  PeerLost,
+  HandoverPending,
+  AlreadyRan,
+  MemoryLost,
+  Cancelled,
+};
+
+/// Returns the name used in answers to callers, e.g. "not_run".
+std::string_view toString(Outcome Value);
+
+/// Returns the name used in answers to callers, e.g. "not_owner".
+std::string_view toString(Reason Value);
+
+} // namespace balsamwheel
--- /dev/null
+++ b/include/balsamwheel/detail/wire/control.h
@@ -0,0 +1,137 @@
+// Control messages between daemons: membership, leases, the map, handover.
+#pragma once
+
+#include "balsamwheel/detail/core/ids.h"
+#include "balsamwheel/detail/core/time.h"
+#include "balsamwheel/detail/platform/table.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace balsamwheel {
+
+/// A member's sign of life, sent to the leader of its group. It is also the
+/// request to be admitted when the session is not yet in the group's row.
+struct Heartbeat {
+  std::uint32_t m_Group = 0;
+  SessionId m_Session;
+  /// Grows by one with each heartbeat of the session.
+  std::uint64_t m_Sequence = 0;
+  ConfigVersion m_ConfigApplied;
+  std::uint64_t m_MapSeen = 0;
+  /// JSON of the member's own entry in the row; only when it changed.
+  std::string m_Entry;
+};
+
+/// Tells a member which of its heartbeats stands in the table.
+struct HeartbeatAck {
+  std::uint32_t m_Group = 0;
+  SessionId m_Session;
+  std::uint64_t m_SequenceCommitted = 0;
+  RowVersion m_GroupRow;
+  /// Version of the head row that the leader read last.
+  RowVersion m_Head;
+  bool m_Expelled = false;
+};
+
+/// Asks a witness for a short extension while the table cannot be reached.
+struct ExtendRequest {
+  SessionId m_Session;
+  std::uint64_t m_Sequence = 0;
+  std::uint32_t m_Group = 0;
+  RowVersion m_GroupRow;
+  ConfigVersion m_ConfigApplied;
+  std::uint64_t m_MapSeen = 0;
+};
+
+struct ExtendReply {
+  SessionId m_Session;
+  SessionId m_Witness;
+  std::uint64_t m_Sequence = 0;
+  bool m_Granted = false;
+};
+
+/// Asks a witness to extend \c m_Subject no more, as of a version of the row.
+struct PromiseRequest {
+  SessionId m_Subject;
+  std::uint32_t m_Group = 0;
+  RowVersion m_GroupRow;
+};
+
+struct PromiseReply {
+  SessionId m_Subject;
+  SessionId m_Witness;
+  std::uint32_t m_Group = 0;
+  RowVersion m_GroupRow;
+  bool m_Promised = false;
+};
+
+/// Asks for the rows that changed since a version of the head row.
+struct ChangesRequest {
+  RowVersion m_Head;
+};
+
+/// Rows of the table as some daemon read them. Idempotent: a receiver keeps
+/// the higher version of each.
+struct Changes {
+  RowVersion m_Head;
+  std::vector<Row> m_Rows;
+};
+
+/// The former owner stopped admitting requests for these shards.
+struct Yield {
+  struct Item {
+    ShardRef m_Shard;
+    /// Epoch of the new assignment.
+    Epoch m_Epoch;
+    /// Keys with orders still running at the former owner.
+    std::vector<KeyHash> m_InFlight;
+  };
+  SessionId m_From;
+  SessionId m_To;
+  std::vector<Item> m_Items;
+};
+
+/// The new owner asks again, or confirms what it received.
+struct YieldRequest {
+  SessionId m_From;
+  std::vector<ShardRef> m_Shards;
+};
+
+struct YieldAck {
+  SessionId m_From;
+  std::vector<ShardRef> m_Shards;
+};
+
+/// The former owner finished its last order for a key it had listed.
+struct KeyFinished {
+  SessionId m_From;
+  ShardRef m_Shard;
+  Epoch m_Epoch;
+  KeyHash m_Key;
+};
+
+/// Owners tell the planner what they settled and what load they carry.
+struct OwnerReport {
+  struct Load {
+    ShardRef m_Shard;
+    /// Requests a second, smoothed.
+    double m_Rate = 0;
+  };
+  SessionId m_From;
+  /// Shards taken over completely: the former owner has no part left.
+  std::vector<std::pair<ShardRef, Epoch>> m_Settled;
+  /// The shards with the most load.
+  std::vector<Load> m_Hottest;
+  /// Requests a second over all shards.
+  double m_TotalRate = 0;
+};
+
+using ControlMessage =
+    std::variant<Heartbeat, HeartbeatAck, ExtendRequest, ExtendReply,
+                 PromiseRequest, PromiseReply, ChangesRequest, Changes, Yield,
+                 YieldRequest, YieldAck, KeyFinished, OwnerReport>;
+
+} // namespace balsamwheel
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Builds everything: scripts/build.sh [BUILD_DIR [CMAKE_OPTION...]]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD=${1:-build}
+shift || true
+cmake -S . -B "$BUILD" -G Ninja "$@" >/dev/null
+ninja -C "$BUILD" -j "${JOBS:-$(nproc)}" --quiet
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-packages.sh
+scripts/build.sh build
+ctest --test-dir build --output-on-failure -j "${JOBS:-$(nproc)}"
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,3 @@
+// Entry point of the unit tests.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
