--- a/include/balsamwheel/coordination.h
+++ b/include/balsamwheel/coordination.h
@@ -17,4 +17,5 @@
 #include "balsamwheel/detail/node/node.h"
 #include "balsamwheel/detail/platform/table.h"
 #include "balsamwheel/detail/wire/control.h"
+#include "balsamwheel/detail/wire/peer.h"
 #include "balsamwheel/detail/wire/request.h"
