Name the safety rules and bind promises to a sequence

Cause: mutation checks need each rule at one place, and a promise bound to a row version dies with every renewal of the other members in that row. Conclusion: additive; no code used these messages yet.

--- a/include/balsamwheel/coordination.h
+++ b/include/balsamwheel/coordination.h
@@ -7,6 +7,7 @@
 #include "balsamwheel/detail/core/hash.h"
 #include "balsamwheel/detail/core/ids.h"
 #include "balsamwheel/detail/core/outcome.h"
+#include "balsamwheel/detail/core/safety_rules.h"
 #include "balsamwheel/detail/core/time.h"
 #include "balsamwheel/detail/load/admission.h"
 #include "balsamwheel/detail/load/picker.h"
--- a/include/balsamwheel/detail/wire/control.h
+++ b/include/balsamwheel/detail/wire/control.h
@@ -40,6 +40,8 @@
 struct ExtendRequest {
   SessionId m_Session;
   std::uint64_t m_Sequence = 0;
+  /// The last sequence that the session knows to stand in the table.
+  std::uint64_t m_SequenceCommitted = 0;
   std::uint32_t m_Group = 0;
   RowVersion m_GroupRow;
   ConfigVersion m_ConfigApplied;
@@ -53,16 +55,21 @@
   bool m_Granted = false;
 };
 
-/// Asks a witness to extend \c m_Subject no more, as of a version of the row.
+/// Asks a witness to extend \c m_Subject no more while no sequence above
+/// \c m_Sequence of it stands in the table.
 struct PromiseRequest {
   SessionId m_Subject;
+  std::uint64_t m_Sequence = 0;
   std::uint32_t m_Group = 0;
   RowVersion m_GroupRow;
 };
 
+/// A promise. \c m_Promised is true once no extension by the witness is
+/// outstanding; until then the witness only grants no further one.
 struct PromiseReply {
   SessionId m_Subject;
   SessionId m_Witness;
+  std::uint64_t m_Sequence = 0;
   std::uint32_t m_Group = 0;
   RowVersion m_GroupRow;
   bool m_Promised = false;
