--- /dev/null
+++ b/src/coordination/context.cpp
@@ -0,0 +1,50 @@
+// What the parts of one coordinator share.
+#include "balsamwheel/detail/coordination/context.h"
+
+#include "balsamwheel/detail/core/hash.h"
+
+#include <algorithm>
+
+namespace balsamwheel {
+
+CoordinationContext::CoordinationContext(CoordinatorOptions Options,
+                                         std::uint64_t Seed)
+    : m_Options(std::move(Options)),
+      m_Random(Seed, hashKey(m_Options.m_Instance.value()).value()),
+      m_Session(newSession()), m_Table(m_Effects) {}
+
+void CoordinationContext::send(const PeerAddress &To, ControlMessage Message) {
+  if (To != m_Options.m_Peer)
+    m_Effects.push_back(SendControl{To, std::move(Message)});
+}
+
+void CoordinationContext::sendTo(SessionId To, ControlMessage Message) {
+  if (const Member *Found = m_View.findMember(To))
+    send(Found->m_Peer, std::move(Message));
+}
+
+void CoordinationContext::merge(const std::vector<Row> &Rows) {
+  ClusterView::Change Next = m_View.merge(Rows);
+  m_Changed.m_Any = m_Changed.m_Any || Next.m_Any;
+  m_Changed.m_Members = m_Changed.m_Members || Next.m_Members;
+  m_Changed.m_Config = m_Changed.m_Config || Next.m_Config;
+  std::ranges::move(Next.m_MapRows, std::back_inserter(m_Changed.m_MapRows));
+}
+
+SessionId CoordinationContext::newSession() {
+  std::uint64_t Value = 0;
+  while (Value == 0)
+    Value = m_Random();
+  return SessionId(Value);
+}
+
+WriteId CoordinationContext::newWriteId() {
+  return WriteId(newSession().value());
+}
+
+Duration CoordinationContext::jitter(Duration Bound) {
+  const auto Count = static_cast<std::uint64_t>(Bound.count());
+  return Duration(static_cast<Duration::rep>(m_Random() % Count));
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/coordination/group_leader.cpp
@@ -0,0 +1,393 @@
+// Writes a group's row.
+#include "balsamwheel/detail/coordination/group_leader.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace balsamwheel {
+
+namespace {
+
+/// Heartbeats that come within this time share a write.
+constexpr Duration BatchDelay = std::chrono::milliseconds(60);
+/// Least time between two writes of the row.
+constexpr Duration LeastFlushGap = std::chrono::milliseconds(240);
+constexpr Duration RetryDelay = std::chrono::milliseconds(200);
+constexpr Duration ConflictJitter = std::chrono::milliseconds(40);
+constexpr Duration JudgePeriod = std::chrono::milliseconds(100);
+/// Witnesses extend a lease at most so long past its last commit.
+constexpr Duration ExtensionLimit = std::chrono::hours(1);
+/// Every so many polls of the head row the next group is looked at.
+constexpr std::uint32_t PollsPerWatch = 4;
+/// Members beyond the group size that concurrent joins may add.
+constexpr std::size_t GroupOverflow = 4;
+
+ExpulsionJudge::Options judgeOptions(const CoordinatorOptions &Options) {
+  const CoordinationTiming &Timing = Options.m_Timing;
+  return {.m_Wait = Timing.m_Lease + Timing.m_LeaseMargin,
+          .m_ExtensionLimit =
+              ExtensionLimit + Timing.m_Lease + Timing.m_LeaseMargin,
+          .m_Suspect = Timing.m_HeartbeatPeriod + Timing.m_AckTimeout,
+          .m_UseWitnesses = Options.m_UseWitnesses};
+}
+
+} // namespace
+
+GroupLeader::GroupLeader(CoordinationContext &Context, HeadPoller &Poller,
+                         Acknowledge OnAck, AskWitness OnAsk)
+    : m_Context(&Context), m_Poller(&Poller), m_Acknowledge(std::move(OnAck)),
+      m_AskWitness(std::move(OnAsk)), m_Judge(judgeOptions(Context.m_Options)) {
+}
+
+void GroupLeader::setGroup(std::uint32_t Group) {
+  m_Group = Group;
+  m_Pending.clear();
+  m_FlushAt = Never;
+  m_LedAt = TimePoint{};
+  m_PollAt = Never;
+  m_JudgeAt = Never;
+}
+
+GroupRow GroupLeader::currentRow(std::uint32_t Group) const {
+  if (const GroupRow *Known = m_Context->m_View.findGroup(Group))
+    return *Known;
+  GroupRow Result;
+  Result.m_Group = Group;
+  return Result;
+}
+
+bool GroupLeader::isLeader(TimePoint Now) const {
+  return m_LedAt != TimePoint{} &&
+         Now - m_LedAt <= 2 * m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
+}
+
+void GroupLeader::onHeartbeat(const Heartbeat &Message, const PeerAddress &From,
+                              TimePoint Now) {
+  if (Message.m_Group != m_Group)
+    return;
+  m_Judge.observe(Message.m_Session, Message.m_Sequence, Now);
+  const auto [Found, New] = m_Pending.try_emplace(Message.m_Session);
+  Pending &Kept = Found->second;
+  if (New || Message.m_Sequence >= Kept.m_Heartbeat.m_Sequence) {
+    std::string Entry = std::move(Kept.m_Heartbeat.m_Entry);
+    Kept = {.m_Heartbeat = Message, .m_From = From};
+    if (Message.m_Entry.empty())
+      Kept.m_Heartbeat.m_Entry = std::move(Entry);
+  }
+  if (m_FlushAt == Never)
+    m_FlushAt = std::max(Now + BatchDelay, m_LastFlush + LeastFlushGap);
+}
+
+void GroupLeader::onPromiseReply(const PromiseReply &Reply) {
+  if (Reply.m_Promised)
+    m_Judge.onPromise(Reply.m_Subject, Reply.m_Sequence, Reply.m_Witness);
+}
+
+void GroupLeader::flush(TimePoint Now) {
+  m_FlushAt = Never;
+  if (m_Writing) {
+    m_FlushAt = Now + BatchDelay;
+    return;
+  }
+  if (Now - m_Poller->freshAt() <= m_Context->m_Options.m_Timing.m_Lease / 2) {
+    flushWithFreshView(Now);
+    return;
+  }
+  m_Writing = true;
+  m_Poller->poll(Now, {groupRowKey(m_Group)}, [this](bool Ok, TimePoint Later) {
+    m_Writing = false;
+    if (Ok)
+      flushWithFreshView(Later);
+    else
+      m_FlushAt = Later + RetryDelay + m_Context->jitter(RetryDelay);
+  });
+}
+
+void GroupLeader::flushWithFreshView(TimePoint Now) {
+  GroupRow Row = currentRow(m_Group);
+  observe(Row, Now);
+  const bool HadWork = !m_Pending.empty() || m_RemoveSelf;
+  bool Structural = applyHeartbeats(Row);
+  Structural = expelSilent(Row, Now) || Structural;
+  if (m_RemoveSelf) {
+    Structural = Structural || Row.find(m_Context->m_Session);
+    Row.remove(m_Context->m_Session);
+  }
+  if (HadWork || Structural)
+    commitRow(std::move(Row), Structural, Now);
+}
+
+bool GroupLeader::applyHeartbeats(GroupRow &Row) {
+  bool Structural = false;
+  for (auto Next = m_Pending.begin(); Next != m_Pending.end();) {
+    const Pending &Value = Next->second;
+    const SessionId Session = Value.m_Heartbeat.m_Session;
+    const bool Known = Row.find(Session) != nullptr;
+    const bool Admissible =
+        !Value.m_Heartbeat.m_Entry.empty() && !Row.wasExpelled(Session) &&
+        Row.m_Members.size() < m_Context->m_Options.m_GroupSize + GroupOverflow;
+    if (!Known && !Admissible) {
+      HeartbeatAck Refusal;
+      Refusal.m_Group = m_Group;
+      Refusal.m_Session = Session;
+      Refusal.m_GroupRow = Row.m_Version;
+      Refusal.m_Expelled = true;
+      m_Refusals.push_back({Value.m_From, Refusal});
+      Next = m_Pending.erase(Next);
+      continue;
+    }
+    Structural = applyOne(Row, Value) || Structural;
+    ++Next;
+  }
+  return Structural;
+}
+
+bool GroupLeader::applyOne(GroupRow &Row, const Pending &Value) {
+  const Heartbeat &Beat = Value.m_Heartbeat;
+  std::optional<Member> Entry;
+  if (!Beat.m_Entry.empty())
+    Entry = parseEntry(Beat.m_Entry);
+  GroupMember *Known = Row.find(Beat.m_Session);
+  bool Structural = false;
+  if (!Known) {
+    if (!Entry || Entry->m_Session != Beat.m_Session)
+      return false;
+    Row.m_Members.push_back(
+        {.m_Member = *Entry, .m_Sequence = 0, .m_Witnesses = {}});
+    Known = &Row.m_Members.back();
+    Structural = true;
+  } else if (Beat.m_Sequence <= Known->m_Sequence) {
+    return false;
+  } else if (Entry && toEntry(*Entry) != toEntry(Known->m_Member)) {
+    Entry->m_ConfigApplied = Known->m_Member.m_ConfigApplied;
+    Known->m_Member = *Entry;
+    Structural = true;
+  }
+  Known->m_Sequence = Beat.m_Sequence;
+  Known->m_Member.m_ConfigApplied =
+      std::max(Known->m_Member.m_ConfigApplied, Beat.m_ConfigApplied);
+  return Structural;
+}
+
+bool GroupLeader::isReplaced(const GroupRow &Row, SessionId Witness) const {
+  const GroupMember *Known = Row.find(Witness);
+  if (!Known)
+    return true;
+  for (const auto &[Number, Group] : m_Context->m_View.groups())
+    for (const GroupMember &Other : Group.m_Members)
+      if (Other.m_Member.m_Session != Witness &&
+          Other.m_Member.m_Peer == Known->m_Member.m_Peer)
+        return true;
+  return false;
+}
+
+bool GroupLeader::expelSilent(GroupRow &Row, TimePoint Now) {
+  std::vector<SessionId> Silent;
+  for (const GroupMember &Subject : Row.m_Members) {
+    const SessionId Session = Subject.m_Member.m_Session;
+    if (Session != m_Context->m_Session &&
+        m_Judge.mayExpel(Subject, Now, [this, &Row](SessionId Witness) {
+          return isReplaced(Row, Witness);
+        }))
+      Silent.push_back(Session);
+  }
+  for (SessionId Session : Silent) {
+    Row.remove(Session);
+    m_Pending.erase(Session);
+  }
+  return !Silent.empty();
+}
+
+void GroupLeader::commitRow(GroupRow Next, bool Structural, TimePoint Now) {
+  const RowKey Key = groupRowKey(Next.m_Group);
+  if (Structural) {
+    ++Next.m_Counter;
+    assignWitnesses(Next);
+  }
+  Transaction Commit;
+  Commit.m_Id = m_Context->newWriteId();
+  Commit.m_Conditions.push_back({Key, Next.m_Version});
+  Commit.m_Writes.push_back({Key, toValue(Next, Commit.m_Id)});
+  if (Structural)
+    appendHeadBump(Commit, m_Context->m_View.head(), {{Key, Next.m_Counter}});
+  m_Writing = true;
+  m_Context->m_Table.commit(std::move(Commit), Now,
+                            [this, Structural](CommitResult Result,
+                                               const std::vector<Row> &Rows,
+                                               TimePoint Later) {
+                              m_Writing = false;
+                              onCommitted(Result, Rows, Structural, Later);
+                            });
+}
+
+void GroupLeader::onCommitted(CommitResult Result, const std::vector<Row> &Rows,
+                              bool Structural, TimePoint Now) {
+  if (Result == CommitResult::Unavailable) {
+    m_FlushAt = Now + RetryDelay + m_Context->jitter(RetryDelay);
+    return;
+  }
+  if (Result == CommitResult::Refused) {
+    m_Poller->poll(Now, {groupRowKey(m_Group)}, [this](bool, TimePoint Later) {
+      m_FlushAt = Later + m_Context->jitter(ConflictJitter);
+    });
+    return;
+  }
+  m_Context->merge(Rows);
+  m_LastFlush = Now;
+  if (Structural)
+    m_Poller->noteFresh(Now);
+  if (!isLeader(Now)) {
+    m_PollAt = Now;
+    m_JudgeAt = Now;
+  }
+  m_LedAt = Now;
+  observe(currentRow(m_Group), Now);
+  acknowledgeAll(Now);
+  dropServed(currentRow(m_Group));
+  if (!m_Pending.empty())
+    m_FlushAt = Now + LeastFlushGap;
+  if (m_RemoveSelf && m_Removed) {
+    m_RemoveSelf = false;
+    std::exchange(m_Removed, nullptr)(true);
+  }
+}
+
+void GroupLeader::acknowledgeAll(TimePoint Now) {
+  for (auto &[To, Refusal] : std::exchange(m_Refusals, {}))
+    m_Acknowledge(To, Refusal, Now);
+  if (Now - m_Poller->freshAt() > m_Context->m_Options.m_Timing.m_Lease)
+    return;
+  const GroupRow Row = currentRow(m_Group);
+  for (const GroupMember &Value : Row.m_Members) {
+    HeartbeatAck Ack;
+    Ack.m_Group = m_Group;
+    Ack.m_Session = Value.m_Member.m_Session;
+    Ack.m_SequenceCommitted = Value.m_Sequence;
+    Ack.m_GroupRow = Row.m_Version;
+    Ack.m_Head = m_Context->m_View.completeHead();
+    m_Acknowledge(Value.m_Member.m_Peer, Ack, Now);
+  }
+}
+
+void GroupLeader::dropServed(const GroupRow &Row) {
+  std::erase_if(m_Pending, [&Row](const auto &Item) {
+    const GroupMember *Known = Row.find(Item.first);
+    return Known && Known->m_Sequence >= Item.second.m_Heartbeat.m_Sequence;
+  });
+}
+
+void GroupLeader::observe(const GroupRow &Row, TimePoint Now) {
+  for (const GroupMember &Value : Row.m_Members)
+    m_Judge.observe(Value.m_Member.m_Session, Value.m_Sequence, Now);
+}
+
+void GroupLeader::askWitnesses(const GroupRow &Row, TimePoint Now) {
+  if (!m_Context->m_Options.m_UseWitnesses)
+    return;
+  for (const GroupMember &Subject : Row.m_Members) {
+    if (Subject.m_Member.m_Session == m_Context->m_Session ||
+        !m_Judge.isSuspect(Subject, Now))
+      continue;
+    PromiseRequest Request;
+    Request.m_Subject = Subject.m_Member.m_Session;
+    Request.m_Sequence = Subject.m_Sequence;
+    Request.m_Group = Row.m_Group;
+    Request.m_GroupRow = Row.m_Version;
+    for (SessionId Witness : Subject.m_Witnesses)
+      m_AskWitness(Witness, Request, Now);
+  }
+}
+
+void GroupLeader::onViewChanged(TimePoint Now) {
+  const RowVersion Complete = m_Context->m_View.completeHead();
+  if (isLeader(Now) && m_Pushed < Complete)
+    pushChanges();
+  m_Pushed = Complete;
+  dropServed(currentRow(m_Group));
+}
+
+void GroupLeader::pushChanges() {
+  Changes Message;
+  Message.m_Head = m_Context->m_View.completeHead();
+  Message.m_Rows = m_Context->m_View.rowsSince(m_Pushed);
+  for (const GroupMember &Value : currentRow(m_Group).m_Members)
+    m_Context->send(Value.m_Member.m_Peer, Message);
+}
+
+void GroupLeader::pollHead(TimePoint Now) {
+  m_PollAt = Never;
+  if (!isLeader(Now))
+    return;
+  m_PollAt = Now + m_Context->m_Options.m_Timing.m_HeadPollPeriod;
+  if (m_Poller->isBusy())
+    return;
+  if (++m_Polls % PollsPerWatch == 0 && nextGroup()) {
+    watchNextGroup(Now);
+    return;
+  }
+  m_Poller->poll(Now, {}, [](bool, TimePoint) {});
+}
+
+std::optional<std::uint32_t> GroupLeader::nextGroup() const {
+  const auto &Groups = m_Context->m_View.groups();
+  const auto HasMembers = [](const auto &Item) {
+    return !Item.second.m_Members.empty();
+  };
+  auto Next =
+      std::find_if(Groups.upper_bound(m_Group), Groups.end(), HasMembers);
+  if (Next == Groups.end())
+    Next = std::find_if(Groups.begin(), Groups.end(), HasMembers);
+  if (Next == Groups.end() || Next->first == m_Group)
+    return std::nullopt;
+  return Next->first;
+}
+
+void GroupLeader::watchNextGroup(TimePoint Now) {
+  const std::uint32_t Group = *nextGroup();
+  m_Poller->poll(
+      Now, {groupRowKey(Group)}, [this, Group](bool Ok, TimePoint Later) {
+        if (!Ok || m_Writing)
+          return;
+        GroupRow Row = currentRow(Group);
+        if (Row.m_Version != m_WatchedVersion) {
+          m_WatchedVersion = Row.m_Version;
+          m_WatchedSince = Later;
+        }
+        observe(Row, Later);
+        const CoordinationTiming &Timing = m_Context->m_Options.m_Timing;
+        if (Later - m_WatchedSince < Timing.m_Lease + Timing.m_LeaseMargin)
+          return;
+        askWitnesses(Row, Later);
+        if (expelSilent(Row, Later))
+          commitRow(std::move(Row), true, Later);
+      });
+}
+
+void GroupLeader::removeSelf(TimePoint Now, std::function<void(bool)> Done) {
+  m_RemoveSelf = true;
+  m_Removed = std::move(Done);
+  m_Pending.erase(m_Context->m_Session);
+  m_FlushAt = Now;
+}
+
+void GroupLeader::onTick(TimePoint Now) {
+  if (Now >= m_JudgeAt) {
+    m_JudgeAt = isLeader(Now) ? Now + JudgePeriod : Never;
+    GroupRow Row = currentRow(m_Group);
+    observe(Row, Now);
+    askWitnesses(Row, Now);
+    if (m_FlushAt == Never && !m_Writing && expelSilent(Row, Now))
+      m_FlushAt = Now;
+  }
+  if (Now >= m_PollAt)
+    pollHead(Now);
+  if (Now >= m_FlushAt)
+    flush(Now);
+}
+
+TimePoint GroupLeader::nextWake() const {
+  return std::min({m_FlushAt, m_PollAt, m_JudgeAt});
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,424 @@
+// This session's place in a group.
+#include "balsamwheel/detail/coordination/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamwheel {
+
+namespace {
+
+constexpr Duration ReadRetryDelay = std::chrono::milliseconds(150);
+/// The next heartbeat comes so long before the leader's next write.
+constexpr Duration BeatLead = std::chrono::milliseconds(60);
+constexpr Duration BeatJitter = std::chrono::milliseconds(40);
+/// Extension is asked for when less than this share of the lease is left.
+constexpr double ExtensionShare = 0.45;
+constexpr Duration ExtensionRetry = std::chrono::milliseconds(250);
+constexpr Duration ExtensionLimit = std::chrono::hours(1);
+/// Other members that get a heartbeat before this session writes itself.
+constexpr std::size_t MostRelays = 2;
+/// While witnesses extend the lease, own writes are tried once in so many
+/// heartbeats.
+constexpr std::uint64_t SelfWriteInterval = 8;
+/// Leaving the group is given up after this time.
+constexpr Duration LeaveTimeout = std::chrono::seconds(2);
+constexpr std::size_t MostGroupDoublings = 6;
+
+Duration grantTime(const CoordinationTiming &Timing) {
+  return Timing.m_Lease + Timing.m_LeaseMargin;
+}
+
+} // namespace
+
+Membership::Membership(CoordinationContext &Context)
+    : m_Context(&Context), m_Poller(Context),
+      m_Leader(
+          Context, m_Poller,
+          [this](const PeerAddress &To, const HeartbeatAck &Ack,
+                 TimePoint Now) {
+            if (To == m_Context->m_Options.m_Peer)
+              onAck(Ack, To, Now);
+            else
+              m_Context->send(To, Ack);
+          },
+          [this](SessionId Witness, const PromiseRequest &Request,
+                 TimePoint Now) {
+            if (Witness == m_Context->m_Session)
+              m_Leader.onPromiseReply(answerPromise(Request, Now));
+            else
+              m_Context->sendTo(Witness, Request);
+          }),
+      m_Lease(Context.m_Options.m_Timing.m_Lease, ExtensionLimit),
+      m_Witness(grantTime(Context.m_Options.m_Timing)) {
+  const CoordinatorOptions &Options = Context.m_Options;
+  m_Self.m_Session = Context.m_Session;
+  m_Self.m_Instance = Options.m_Instance;
+  m_Self.m_Domain = Options.m_Domain;
+  m_Self.m_Region = Options.m_Region;
+  m_Self.m_Peer = Options.m_Peer;
+  m_Self.m_CallerAddress = Options.m_CallerAddress;
+  m_Entry = toEntry(m_Self);
+}
+
+void Membership::start(TimePoint Now) { readTable(Now); }
+
+void Membership::readTable(TimePoint Now) {
+  m_State = State::Reading;
+  m_RetryAt = Never;
+  m_Poller.readAll(Now, [this](bool Ok, TimePoint Later) {
+    if (m_State != State::Reading)
+      return;
+    if (Ok)
+      beginJoin(Later);
+    else
+      m_RetryAt = Later + ReadRetryDelay + m_Context->jitter(ReadRetryDelay);
+  });
+}
+
+void Membership::beginJoin(TimePoint Now) {
+  m_State = State::Joining;
+  m_Group = chooseGroup();
+  m_Leader.setGroup(m_Group);
+  ++m_JoinRounds;
+  beat(Now);
+}
+
+std::uint32_t Membership::chooseGroup() const {
+  const auto &Groups = m_Context->m_View.groups();
+  const GroupRow *Best = nullptr;
+  std::pair<std::size_t, std::uint32_t> BestScore;
+  std::uint32_t Next = 0;
+  for (const auto &[Number, Group] : Groups) {
+    Next = std::max(Next, Number + 1);
+    std::size_t SameDomain = 0;
+    for (const GroupMember &Value : Group.m_Members) {
+      if (Value.m_Member.m_Peer == m_Self.m_Peer && m_JoinRounds == 0)
+        return Number;
+      SameDomain += Value.m_Member.m_Domain == m_Self.m_Domain ? 1 : 0;
+    }
+    const std::pair Score(SameDomain, Number);
+    if (Group.m_Members.size() >= m_Context->m_Options.m_GroupSize ||
+        (Best && BestScore <= Score))
+      continue;
+    Best = &Group;
+    BestScore = Score;
+  }
+  if (Best)
+    return Best->m_Group;
+  const std::size_t Doublings = std::min(m_JoinRounds, MostGroupDoublings);
+  const auto Spread = static_cast<std::uint64_t>(1) << Doublings;
+  return Next + static_cast<std::uint32_t>(m_Context->m_Random() % Spread);
+}
+
+void Membership::restart(TimePoint Now) {
+  const bool WasJoined = m_State == State::Joined;
+  m_Lease = LeaseHolder(m_Context->m_Options.m_Timing.m_Lease, ExtensionLimit);
+  m_Witness = Witness(grantTime(m_Context->m_Options.m_Timing));
+  m_Context->m_Session = m_Context->newSession();
+  m_Self.m_Session = m_Context->m_Session;
+  m_Entry = toEntry(m_Self);
+  m_EntrySequence = 1;
+  m_AckedRow = RowVersion();
+  m_HeadNamed = RowVersion();
+  m_Deferred.reset();
+  m_BeatAt = m_NextAttemptAt = m_ExtendAt = Never;
+  if (WasJoined)
+    m_JoinRounds = 0;
+  if (m_OnNewSession)
+    m_OnNewSession();
+  readTable(Now);
+}
+
+void Membership::beat(TimePoint Now) {
+  m_Lease.startRenewal(Now);
+  m_LastBeat = Now;
+  m_BeatAt = Now + m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
+  m_Attempt = 0;
+  sendBeat(Now);
+}
+
+std::vector<SessionId> Membership::beatOrder() const {
+  const SessionId Self = m_Context->m_Session;
+  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
+  std::vector<SessionId> Result;
+  if (Group) {
+    if (Group->find(m_Preferred))
+      Result.push_back(m_Preferred);
+    for (SessionId Session : leaderOrder(*Group))
+      if (Session != m_Preferred)
+        Result.push_back(Session);
+  }
+  const auto Own = std::ranges::find(Result, Self);
+  Result.erase(Own, Result.end());
+  if (Result.size() > MostRelays)
+    Result.resize(MostRelays);
+  const bool Spare = m_Lease.extended() && !Result.empty() &&
+                     m_Lease.sequence() % SelfWriteInterval != 0;
+  if (!Spare)
+    Result.push_back(Self);
+  return Result;
+}
+
+void Membership::sendBeat(TimePoint Now) {
+  const std::vector<SessionId> Order = beatOrder();
+  m_NextAttemptAt = Never;
+  if (m_Attempt >= Order.size())
+    return;
+  const SessionId To = Order[m_Attempt++];
+  Heartbeat Message;
+  Message.m_Group = m_Group;
+  Message.m_Session = m_Context->m_Session;
+  Message.m_Sequence = m_Lease.sequence();
+  Message.m_ConfigApplied = m_Context->m_View.configVersion();
+  Message.m_MapSeen = m_Context->m_View.completeHead().value();
+  if (m_EntrySequence > m_Lease.committed())
+    Message.m_Entry = m_Entry;
+  if (To == m_Context->m_Session)
+    m_Leader.onHeartbeat(Message, m_Context->m_Options.m_Peer, Now);
+  else
+    m_Context->sendTo(To, Message);
+  m_NextAttemptAt = Now + m_Context->m_Options.m_Timing.m_AckTimeout;
+}
+
+void Membership::onHeartbeat(const Heartbeat &Message, const PeerAddress &From,
+                             TimePoint Now) {
+  if (m_State == State::Joined)
+    m_Leader.onHeartbeat(Message, From, Now);
+}
+
+bool Membership::isUpToDate(RowVersion Head, TimePoint Now) const {
+  // A held lease proves that nothing was taken from this session, so it may
+  // lag by one acknowledgement.
+  const RowVersion Needed = m_Lease.holds(Now) ? m_HeadNamed : Head;
+  return m_Context->m_View.completeHead() >= Needed;
+}
+
+void Membership::onAck(const HeartbeatAck &Message, const PeerAddress &From,
+                       TimePoint Now) {
+  const bool Member = m_State == State::Joining || m_State == State::Joined;
+  if (!Member || Message.m_Group != m_Group ||
+      Message.m_Session != m_Context->m_Session)
+    return;
+  if (Message.m_Expelled) {
+    if (m_State == State::Joining || Message.m_GroupRow > m_AckedRow)
+      restart(Now);
+    return;
+  }
+  if (Message.m_SequenceCommitted > m_Lease.committed())
+    applyAck(Message, From, Now);
+  const Duration Period = m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
+  const TimePoint InPhase =
+      Now + Period - BeatLead + m_Context->jitter(BeatJitter);
+  m_BeatAt = std::min(InPhase, m_LastBeat + Period * 3 / 2);
+  if (Message.m_SequenceCommitted >= m_Lease.sequence())
+    m_NextAttemptAt = Never;
+}
+
+void Membership::applyAck(const HeartbeatAck &Message, const PeerAddress &From,
+                          TimePoint Now) {
+  m_State = State::Joined;
+  m_AckedRow = std::max(m_AckedRow, Message.m_GroupRow);
+  if (const GroupRow *Group = m_Context->m_View.findGroup(m_Group))
+    for (const GroupMember &Value : Group->m_Members)
+      if (Value.m_Member.m_Peer == From)
+        m_Preferred = Value.m_Member.m_Session;
+  const bool Behind = m_Context->m_View.completeHead() < Message.m_Head;
+  const bool WasBehind = m_Context->m_View.completeHead() < m_HeadNamed;
+  if (isUpToDate(Message.m_Head, Now)) {
+    m_Lease.onCommitted(Message.m_SequenceCommitted);
+    m_Deferred.reset();
+  } else {
+    m_Deferred = Message;
+  }
+  if (Behind && (WasBehind || m_Deferred))
+    m_Context->send(From, ChangesRequest{m_Context->m_View.completeHead()});
+  m_HeadNamed = std::max(m_HeadNamed, Message.m_Head);
+  scheduleExtension();
+}
+
+void Membership::scheduleExtension() {
+  const CoordinationTiming &Timing = m_Context->m_Options.m_Timing;
+  const auto Left =
+      std::chrono::duration_cast<Duration>(Timing.m_Lease * ExtensionShare);
+  m_ExtendAt =
+      m_Context->m_Options.m_UseWitnesses ? m_Lease.end() - Left : Never;
+}
+
+void Membership::askExtension(TimePoint Now) {
+  scheduleExtension();
+  if (m_State != State::Joined || m_ExtendAt > Now)
+    return;
+  m_ExtendAt = Now + ExtensionRetry;
+  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
+  const GroupMember *Own = Group ? Group->find(m_Context->m_Session) : nullptr;
+  if (!Own)
+    return;
+  if (Now - m_LastBeat >= ExtensionRetry)
+    beat(Now);
+  ExtendRequest Request;
+  Request.m_Session = m_Context->m_Session;
+  Request.m_Sequence = m_Lease.sequence();
+  Request.m_SequenceCommitted = m_Lease.committed();
+  Request.m_Group = m_Group;
+  Request.m_GroupRow = m_AckedRow;
+  Request.m_ConfigApplied = m_Context->m_View.configVersion();
+  Request.m_MapSeen = m_Context->m_View.completeHead().value();
+  for (SessionId Witness : Own->m_Witnesses)
+    m_Context->sendTo(Witness, Request);
+}
+
+void Membership::onExtendRequest(const ExtendRequest &Message, TimePoint Now) {
+  const GroupRow *Group = m_Context->m_View.findGroup(Message.m_Group);
+  const GroupMember *Subject = Group ? Group->find(Message.m_Session) : nullptr;
+  if (!Subject)
+    return;
+  const RowVersion Seen(Message.m_MapSeen);
+  const bool Behind = Seen < m_Context->m_View.completeHead();
+  if (Behind)
+    m_Context->send(Subject->m_Member.m_Peer,
+                    Changes{m_Context->m_View.completeHead(),
+                            m_Context->m_View.rowsSince(Seen)});
+  const bool Named =
+      std::ranges::count(Subject->m_Witnesses, m_Context->m_Session) > 0;
+  const bool MayGrant =
+      m_State == State::Joined && m_Lease.holds(Now) && Named && !Behind;
+  ExtendReply Reply;
+  Reply.m_Session = Message.m_Session;
+  Reply.m_Witness = m_Context->m_Session;
+  Reply.m_Sequence = Message.m_Sequence;
+  Reply.m_Granted =
+      MayGrant &&
+      m_Witness.grant(Message.m_Session, Message.m_SequenceCommitted, Now);
+  m_Context->send(Subject->m_Member.m_Peer, Reply);
+}
+
+void Membership::onExtendReply(const ExtendReply &Message, TimePoint Now) {
+  if (m_State != State::Joined || !Message.m_Granted ||
+      Message.m_Session != m_Context->m_Session)
+    return;
+  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
+  const GroupMember *Own = Group ? Group->find(m_Context->m_Session) : nullptr;
+  if (!Own)
+    return;
+  m_Lease.onGrant(Message.m_Sequence, Message.m_Witness, Own->m_Witnesses);
+  if (m_Lease.holds(Now))
+    scheduleExtension();
+}
+
+PromiseReply Membership::answerPromise(const PromiseRequest &Message,
+                                       TimePoint Now) {
+  PromiseReply Reply;
+  Reply.m_Subject = Message.m_Subject;
+  Reply.m_Witness = m_Context->m_Session;
+  Reply.m_Sequence = Message.m_Sequence;
+  Reply.m_Group = Message.m_Group;
+  Reply.m_GroupRow = Message.m_GroupRow;
+  Reply.m_Promised =
+      Message.m_Sequence != 0 &&
+      m_Witness.promise(Message.m_Subject, Message.m_Sequence, Now);
+  return Reply;
+}
+
+void Membership::onPromiseRequest(const PromiseRequest &Message,
+                                  const PeerAddress &From, TimePoint Now) {
+  m_Context->send(From, answerPromise(Message, Now));
+}
+
+void Membership::onPromiseReply(const PromiseReply &Message) {
+  m_Leader.onPromiseReply(Message);
+}
+
+void Membership::onChangesRequest(const ChangesRequest &Message,
+                                  const PeerAddress &From) {
+  m_Context->send(From, Changes{m_Context->m_View.completeHead(),
+                                m_Context->m_View.rowsSince(Message.m_Head)});
+}
+
+void Membership::noteWitnessed(TimePoint Now) {
+  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
+  if (!Group)
+    return;
+  for (const GroupMember &Value : Group->m_Members)
+    if (std::ranges::count(Value.m_Witnesses, m_Context->m_Session))
+      m_Witness.onNamed(Value.m_Member.m_Session, Now);
+  for (SessionId Gone : Group->m_Expelled)
+    m_Witness.forget(Gone);
+}
+
+void Membership::onViewChanged(TimePoint Now) {
+  m_Leader.onViewChanged(Now);
+  if (m_State != State::Joined)
+    return;
+  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
+  if (Group && Group->m_Version > m_AckedRow &&
+      !Group->find(m_Context->m_Session)) {
+    restart(Now);
+    return;
+  }
+  noteWitnessed(Now);
+  if (m_Deferred && isUpToDate(m_Deferred->m_Head, Now)) {
+    m_Lease.onCommitted(m_Deferred->m_SequenceCommitted);
+    m_Deferred.reset();
+    scheduleExtension();
+  }
+}
+
+void Membership::entryChanged(TimePoint Now) {
+  m_Entry = toEntry(m_Self);
+  m_EntrySequence = m_Lease.sequence() + 1;
+  if (m_State == State::Joined || m_State == State::Joining)
+    beat(Now);
+}
+
+void Membership::setTarget(const ServiceName &Service, std::uint32_t Slots,
+                           TimePoint Now) {
+  if (m_Self.m_Service == Service && m_Self.m_Slots == Slots)
+    return;
+  m_Self.m_Service = Service;
+  m_Self.m_Slots = Slots;
+  entryChanged(Now);
+}
+
+void Membership::setLeaving(bool Leaving, TimePoint Now) {
+  if (m_Self.m_Leaving == Leaving)
+    return;
+  m_Self.m_Leaving = Leaving;
+  entryChanged(Now);
+}
+
+void Membership::leave(TimePoint Now) {
+  if (m_State == State::Leaving || m_State == State::Left)
+    return;
+  const bool InRow = m_State == State::Joined || m_State == State::Joining;
+  m_Lease.drop();
+  m_State = InRow ? State::Leaving : State::Left;
+  m_BeatAt = m_NextAttemptAt = m_ExtendAt = Never;
+  m_RetryAt = Now + LeaveTimeout;
+  if (InRow)
+    m_Leader.removeSelf(Now, [this](bool) { m_State = State::Left; });
+}
+
+void Membership::onTick(TimePoint Now) {
+  if (Now >= m_RetryAt) {
+    m_RetryAt = Never;
+    if (m_State == State::Reading)
+      readTable(Now);
+    else if (m_State == State::Leaving)
+      m_State = State::Left;
+  }
+  if (Now >= m_BeatAt)
+    beat(Now);
+  if (Now >= m_NextAttemptAt)
+    sendBeat(Now);
+  if (Now >= m_ExtendAt)
+    askExtension(Now);
+  m_Leader.onTick(Now);
+}
+
+TimePoint Membership::nextWake() const {
+  return std::min(
+      {m_RetryAt, m_BeatAt, m_NextAttemptAt, m_ExtendAt, m_Leader.nextWake()});
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/coordination/placement.cpp
@@ -0,0 +1,110 @@
+// Rendezvous hashing with bounded counts.
+#include "balsamwheel/detail/coordination/placement.h"
+
+#include "balsamwheel/detail/core/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamwheel {
+
+namespace {
+
+/// A count may differ by this share before shards are moved for it.
+constexpr double CountTolerance = 0.25;
+
+} // namespace
+
+Placement::Placement(std::vector<PlacementCandidate> Candidates,
+                     std::uint32_t ShardCount) {
+  double Total = 0;
+  for (const PlacementCandidate &Candidate : Candidates)
+    Total += std::max(Candidate.m_Weight, 1U);
+  for (const PlacementCandidate &Candidate : Candidates) {
+    const double Share = ShardCount * std::max(Candidate.m_Weight, 1U) / Total;
+    m_Index[Candidate.m_Session] = m_Slots.size();
+    m_Slots.push_back(
+        {.m_Candidate = Candidate,
+         .m_Share = Share,
+         .m_Bound = static_cast<std::uint32_t>(std::ceil(Share - 1e-9)),
+         .m_Count = 0});
+  }
+}
+
+void Placement::add(SessionId Owner) {
+  const auto Found = m_Index.find(Owner);
+  if (Found != m_Index.end())
+    ++m_Slots[Found->second].m_Count;
+}
+
+void Placement::remove(SessionId Owner) {
+  const auto Found = m_Index.find(Owner);
+  if (Found != m_Index.end() && m_Slots[Found->second].m_Count > 0)
+    --m_Slots[Found->second].m_Count;
+}
+
+std::optional<SessionId> Placement::choose(std::uint64_t ShardHash) const {
+  const Slot *Best = nullptr;
+  std::uint64_t BestScore = 0;
+  for (const Slot &Candidate : m_Slots) {
+    if (Candidate.m_Count >= Candidate.m_Bound)
+      continue;
+    const std::uint64_t Score =
+        mixHash(ShardHash, Candidate.m_Candidate.m_Hash);
+    if (Best && Score <= BestScore)
+      continue;
+    Best = &Candidate;
+    BestScore = Score;
+  }
+  if (Best)
+    return Best->m_Candidate.m_Session;
+  if (m_Slots.empty())
+    return std::nullopt;
+  const auto Least = std::ranges::min_element(
+      m_Slots, {}, [](const Slot &S) { return S.m_Count / S.m_Share; });
+  return Least->m_Candidate.m_Session;
+}
+
+const Placement::Slot *Placement::find(SessionId Session) const {
+  const auto Found = m_Index.find(Session);
+  return Found == m_Index.end() ? nullptr : &m_Slots[Found->second];
+}
+
+bool Placement::contains(SessionId Session) const {
+  return m_Index.contains(Session);
+}
+
+std::uint32_t Placement::count(SessionId Session) const {
+  const Slot *Found = find(Session);
+  return Found ? Found->m_Count : 0;
+}
+
+double Placement::share(SessionId Session) const {
+  const Slot *Found = find(Session);
+  return Found ? Found->m_Share : 0;
+}
+
+bool Placement::isUnbalanced() const {
+  return std::ranges::any_of(m_Slots, [](const Slot &Candidate) {
+    const double Low = std::floor(Candidate.m_Share * (1 - CountTolerance));
+    const double High = std::ceil(Candidate.m_Share * (1 + CountTolerance));
+    return Candidate.m_Count < Low || Candidate.m_Count > High;
+  });
+}
+
+bool Placement::someoneLacks() const {
+  return std::ranges::any_of(m_Slots, [](const Slot &Candidate) {
+    return Candidate.m_Count < std::floor(Candidate.m_Share);
+  });
+}
+
+bool Placement::hasSurplus(SessionId Session) const {
+  const Slot *Found = find(Session);
+  if (!Found)
+    return false;
+  if (Found->m_Count > Found->m_Bound)
+    return true;
+  return Found->m_Count > std::floor(Found->m_Share) && someoneLacks();
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/coordination/planner.cpp
@@ -0,0 +1,232 @@
+// One step of changes to the ownership map.
+#include "balsamwheel/detail/coordination/planner.h"
+
+#include "balsamwheel/detail/coordination/placement.h"
+#include "balsamwheel/detail/core/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace balsamwheel {
+
+namespace {
+
+/// Moves off leaving owners in one round: half of what is left, but at least
+/// this many.
+constexpr std::size_t LeastEvictions = 8;
+/// Moves that balance counts in one round, as a share of the service's
+/// shards, and at least.
+constexpr double BalanceShare = 0.04;
+constexpr std::size_t LeastBalanceMoves = 2;
+
+/// Plans one service.
+class ServicePlan {
+public:
+  ServicePlan(const PlanRequest &Request, const Service &Config, Plan &Result)
+      : m_Request(Request), m_View(*Request.m_View), m_Service(Config),
+        m_Result(Result), m_ShardCount(m_View.shardCount(Config.m_Name) != 0
+                                           ? m_View.shardCount(Config.m_Name)
+                                           : Config.m_Shards),
+        m_Placement(candidates(), m_ShardCount) {
+    loadRows();
+  }
+
+  void run() {
+    if (m_ShardCount == 0)
+      return;
+    clearSettled();
+    assignHeirs();
+    moveForLoad();
+    evictLeaving();
+    balanceCounts();
+    storeRows();
+  }
+
+private:
+  std::vector<PlacementCandidate> candidates() const {
+    std::vector<PlacementCandidate> Result;
+    for (const auto &[Number, Group] : m_View.groups())
+      for (const GroupMember &Entry : Group.m_Members) {
+        const Member &Value = Entry.m_Member;
+        if (Value.m_Service != m_Service.m_Name || m_View.isLeaving(Value))
+          continue;
+        Result.push_back({.m_Session = Value.m_Session,
+                          .m_Hash = hashKey(Value.m_Instance.value()).value(),
+                          .m_Weight = Value.m_Slots});
+      }
+    return Result;
+  }
+
+  void loadRows() {
+    const std::vector<MapRow> &Known = m_View.map(m_Service.m_Name);
+    for (std::uint32_t Part = 0; Part < mapRowCount(m_ShardCount); ++Part) {
+      const bool Exists =
+          Part < Known.size() && Known[Part].m_Version.value() != 0;
+      m_Rows.push_back(Exists
+                           ? Known[Part]
+                           : makeMapRow(m_Service.m_Name, Part, m_ShardCount));
+    }
+    for (const MapRow &Row : m_Rows)
+      for (const ShardEntry &Entry : Row.m_Entries)
+        m_Placement.add(Entry.m_Owner);
+  }
+
+  ShardEntry &entry(std::uint32_t Shard) {
+    return m_Rows[Shard / ShardsPerRow].m_Entries[Shard % ShardsPerRow];
+  }
+
+  ShardRef ref(std::uint32_t Shard) const {
+    return {m_Service.m_Name, ShardIndex(Shard)};
+  }
+
+  std::uint64_t shardHash(std::uint32_t Shard) const {
+    return mixHash(hashKey(m_Service.m_Name.value()).value(), Shard);
+  }
+
+  bool hasLiveFormer(const ShardEntry &Entry) const {
+    return Entry.m_Former.value() != 0 && m_View.isLive(Entry.m_Former);
+  }
+
+  void touch(std::uint32_t Shard) { m_Touched.insert(Shard / ShardsPerRow); }
+
+  void clearSettled() {
+    for (const auto &[Shard, Settled] : *m_Request.m_Settled) {
+      if (Shard.m_Service != m_Service.m_Name ||
+          Shard.m_Shard.value() >= m_ShardCount)
+        continue;
+      ShardEntry &Entry = entry(Shard.m_Shard.value());
+      if (Entry.m_Epoch != Settled || Entry.m_Former.value() == 0)
+        continue;
+      Entry.m_Former = SessionId();
+      touch(Shard.m_Shard.value());
+    }
+  }
+
+  /// Gives a shard to another owner. The former one is kept while it lives.
+  void assign(std::uint32_t Shard, SessionId Owner) {
+    ShardEntry &Entry = entry(Shard);
+    SessionId Former = Entry.m_Former;
+    if (m_View.isLive(Entry.m_Owner))
+      Former = Entry.m_Owner;
+    if (!m_View.isLive(Former) || Former == Owner)
+      Former = SessionId();
+    m_Placement.remove(Entry.m_Owner);
+    m_Placement.add(Owner);
+    Entry = {.m_Owner = Owner,
+             .m_Epoch = Epoch(Entry.m_Epoch.value() + 1),
+             .m_Former = Former};
+    touch(Shard);
+    ++m_Result.m_Moves;
+  }
+
+  void assignHeirs() {
+    if (m_Placement.empty())
+      return;
+    for (std::uint32_t Shard = 0; Shard < m_ShardCount; ++Shard)
+      if (!m_View.isLive(entry(Shard).m_Owner))
+        assign(Shard, *m_Placement.choose(shardHash(Shard)));
+  }
+
+  bool isMovable(std::uint32_t Shard) {
+    return m_View.isLive(entry(Shard).m_Owner) && !hasLiveFormer(entry(Shard));
+  }
+
+  void moveForLoad() {
+    for (const LoadMove &Move : m_Request.m_LoadMoves) {
+      const std::uint32_t Shard = Move.m_Shard.m_Shard.value();
+      if (Move.m_Shard.m_Service != m_Service.m_Name || Shard >= m_ShardCount)
+        continue;
+      if (entry(Shard).m_Owner == Move.m_From && isMovable(Shard) &&
+          m_Placement.contains(Move.m_To))
+        assign(Shard, Move.m_To);
+    }
+  }
+
+  void evictLeaving() {
+    if (m_Placement.empty())
+      return;
+    std::vector<std::uint32_t> Leaving;
+    bool Waiting = false;
+    for (std::uint32_t Shard = 0; Shard < m_ShardCount; ++Shard) {
+      if (m_Placement.contains(entry(Shard).m_Owner))
+        continue;
+      if (isMovable(Shard))
+        Leaving.push_back(Shard);
+      else
+        Waiting = true;
+    }
+    m_Evicting = Waiting || !Leaving.empty();
+    m_Result.m_MoreLater = m_Result.m_MoreLater || m_Evicting;
+    if (!m_Request.m_Paced)
+      return;
+    const std::size_t Round = std::max(LeastEvictions, Leaving.size() / 2);
+    Leaving.resize(std::min(Leaving.size(), Round));
+    for (std::uint32_t Shard : Leaving)
+      assign(Shard, *m_Placement.choose(shardHash(Shard)));
+  }
+
+  std::size_t unsettledCount() {
+    std::size_t Result = 0;
+    for (std::uint32_t Shard = 0; Shard < m_ShardCount; ++Shard)
+      if (hasLiveFormer(entry(Shard)))
+        ++Result;
+    return Result;
+  }
+
+  void balanceCounts() {
+    const std::size_t Unsettled = unsettledCount();
+    // A balancing that began goes on until every count is at its share.
+    if (m_Evicting || (Unsettled == 0 && !m_Placement.isUnbalanced()))
+      return;
+    m_Result.m_MoreLater = true;
+    const std::size_t Round =
+        std::max(LeastBalanceMoves,
+                 static_cast<std::size_t>(m_ShardCount * BalanceShare));
+    if (!m_Request.m_Paced || Unsettled >= Round)
+      return;
+    std::size_t Left = Round - Unsettled;
+    for (std::uint32_t Shard = 0; Shard < m_ShardCount && Left > 0; ++Shard) {
+      const SessionId Owner = entry(Shard).m_Owner;
+      if (!isMovable(Shard) || !m_Placement.hasSurplus(Owner))
+        continue;
+      const std::optional<SessionId> To = m_Placement.choose(shardHash(Shard));
+      if (!To || *To == Owner)
+        continue;
+      assign(Shard, *To);
+      --Left;
+    }
+  }
+
+  void storeRows() {
+    for (std::uint32_t Part = 0; Part < m_Rows.size(); ++Part) {
+      const bool New = m_Rows[Part].m_Version.value() == 0;
+      if (m_Touched.contains(Part) || (New && !m_Placement.empty()))
+        m_Result.m_Rows.push_back(std::move(m_Rows[Part]));
+    }
+  }
+
+  const PlanRequest &m_Request;
+  const ClusterView &m_View;
+  const Service &m_Service;
+  Plan &m_Result;
+  std::uint32_t m_ShardCount;
+  Placement m_Placement;
+  std::vector<MapRow> m_Rows;
+  std::set<std::uint32_t> m_Touched;
+  bool m_Evicting = false;
+};
+
+} // namespace
+
+Plan planNextStep(const PlanRequest &Request) {
+  Plan Result;
+  const std::shared_ptr<const Config> Current = Request.m_View->config();
+  if (!Current)
+    return Result;
+  for (const Service &Candidate : Current->m_Manifest.m_Services)
+    if (Candidate.m_DividedByKey)
+      ServicePlan(Request, Candidate, Result).run();
+  return Result;
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/coordination/table_client.cpp
@@ -0,0 +1,121 @@
+// Tickets, and the settling of commits whose answer was lost.
+#include "balsamwheel/detail/coordination/table_client.h"
+
+#include "balsamwheel/detail/coordination/head_row.h"
+#include "balsamwheel/detail/core/safety_rules.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamwheel {
+
+namespace {
+
+/// A request without any reply for so long has none.
+constexpr Duration ReplyTimeout = std::chrono::seconds(5);
+
+const Row *findRow(const std::vector<Row> &Rows, const RowKey &Key) {
+  const auto Found = std::ranges::find(Rows, Key, &Row::m_Key);
+  return Found == Rows.end() ? nullptr : &*Found;
+}
+
+/// The rows that a commit wrote, with the versions that the table gave them.
+std::vector<Row> writtenRows(const Transaction &Commit,
+                             const std::vector<Row> &Versions) {
+  std::vector<Row> Result;
+  for (const RowWrite &Write : Commit.m_Writes) {
+    const Row *Version = findRow(Versions, Write.m_Key);
+    if (Version && Write.m_Value)
+      Result.push_back({Write.m_Key, Version->m_Version, *Write.m_Value});
+  }
+  return Result;
+}
+
+} // namespace
+
+void TableClient::read(TableRead Read, TimePoint Now, ReadDone Done) {
+  const TableTicket Ticket(++m_LastTicket);
+  m_Reads[Ticket] = {.m_Done = std::move(Done), .m_Sent = Now};
+  m_Effects->push_back(ReadTable{Ticket, std::move(Read)});
+}
+
+void TableClient::commit(Transaction Commit, TimePoint Now, CommitDone Done) {
+  const TableTicket Ticket(++m_LastTicket);
+  m_Effects->push_back(CommitTable{Ticket, Commit});
+  m_Commits[Ticket] = {
+      .m_Commit = std::move(Commit), .m_Done = std::move(Done), .m_Sent = Now};
+}
+
+void TableClient::onReply(TableTicket Ticket, const TableReply &Reply,
+                          TimePoint Now) {
+  if (auto Read = m_Reads.extract(Ticket)) {
+    const bool Ok = Reply.m_Status == TableStatus::Ok;
+    Read.mapped().m_Done(Ok ? &Reply.m_Rows : nullptr, Now);
+  } else if (auto Commit = m_Commits.extract(Ticket)) {
+    finishCommit(std::move(Commit.mapped()), Reply, Now);
+  }
+}
+
+void TableClient::finishCommit(PendingCommit Pending, const TableReply &Reply,
+                               TimePoint Now) {
+  switch (Reply.m_Status) {
+  case TableStatus::Ok:
+    Pending.m_Done(CommitResult::Applied,
+                   writtenRows(Pending.m_Commit, Reply.m_Rows), Now);
+    return;
+  case TableStatus::Conflict:
+    Pending.m_Done(CommitResult::Refused, {}, Now);
+    return;
+  case TableStatus::Unavailable:
+    Pending.m_Done(CommitResult::Unavailable, {}, Now);
+    return;
+  case TableStatus::Ambiguous:
+    settle(std::move(Pending), Now);
+    return;
+  }
+}
+
+void TableClient::settle(PendingCommit Pending, TimePoint Now) {
+  if (!enforced<Rule::WriteIdSettling>()) {
+    std::vector<Row> Guessed;
+    for (const RowCondition &Condition : Pending.m_Commit.m_Conditions)
+      Guessed.push_back(
+          {Condition.m_Key, RowVersion(Condition.m_Version.value() + 1), ""});
+    Pending.m_Done(CommitResult::Applied,
+                   writtenRows(Pending.m_Commit, Guessed), Now);
+    return;
+  }
+  TableRead Again;
+  for (const RowWrite &Write : Pending.m_Commit.m_Writes)
+    Again.m_Keys.push_back(Write.m_Key);
+  read(std::move(Again), Now,
+       [Pending = std::move(Pending)](const std::vector<Row> *Rows,
+                                      TimePoint Later) {
+         if (!Rows) {
+           Pending.m_Done(CommitResult::Unavailable, {}, Later);
+           return;
+         }
+         const bool Applied =
+             std::ranges::any_of(*Rows, [&Pending](const Row &Found) {
+               return writeIdOf(Found.m_Value) == Pending.m_Commit.m_Id;
+             });
+         if (!Applied)
+           Pending.m_Done(CommitResult::Refused, {}, Later);
+         else
+           Pending.m_Done(CommitResult::Applied, *Rows, Later);
+       });
+}
+
+void TableClient::expire(TimePoint Now) {
+  const auto IsLost = [Now](const auto &Item) {
+    return Now - Item.second.m_Sent > ReplyTimeout;
+  };
+  for (auto Lost = std::ranges::find_if(m_Reads, IsLost); Lost != m_Reads.end();
+       Lost = std::ranges::find_if(m_Reads, IsLost))
+    m_Reads.extract(Lost).mapped().m_Done(nullptr, Now);
+  for (auto Lost = std::ranges::find_if(m_Commits, IsLost);
+       Lost != m_Commits.end(); Lost = std::ranges::find_if(m_Commits, IsLost))
+    settle(std::move(m_Commits.extract(Lost).mapped()), Now);
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/tests/coordinator_cluster.h
@@ -0,0 +1,255 @@
+// Several coordinators over an in-memory table and a delayed message queue,
+// driven by a simulated clock.
+#pragma once
+
+#include "balsamwheel/coordination.h"
+#include "balsamwheel/detail/coordination/head_row.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace balsamwheel::testing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Rows with versions, and conditional transactions over them.
+class MemoryTable {
+public:
+  TableReply read(const TableRead &Read) const {
+    TableReply Reply{TableStatus::Ok, {}};
+    for (const RowKey &Key : Read.m_Keys)
+      Reply.m_Rows.push_back(get(Key));
+    for (const std::string &Prefix : Read.m_Prefixes)
+      for (const auto &[Key, Stored] : m_Rows)
+        if (Key.starts_with(Prefix))
+          Reply.m_Rows.push_back(Stored);
+    return Reply;
+  }
+
+  TableReply commit(const Transaction &Commit) {
+    TableReply Reply{TableStatus::Ok, {}};
+    for (const RowCondition &Condition : Commit.m_Conditions)
+      if (get(Condition.m_Key).m_Version != Condition.m_Version)
+        return {TableStatus::Conflict, {get(Condition.m_Key)}};
+    for (const RowWrite &Write : Commit.m_Writes) {
+      Row &Stored = m_Rows[Write.m_Key.value()];
+      const RowVersion Next(++m_LastVersion);
+      Stored = {Write.m_Key, Next, Write.m_Value.value_or("")};
+      Reply.m_Rows.push_back({Write.m_Key, Next, ""});
+      if (!Write.m_Value)
+        m_Rows.erase(Write.m_Key.value());
+    }
+    ++m_Writes;
+    return Reply;
+  }
+
+  Row get(const RowKey &Key) const {
+    const auto Found = m_Rows.find(Key.value());
+    return Found == m_Rows.end() ? Row{Key, RowVersion(), ""} : Found->second;
+  }
+
+  std::map<std::string, Row> m_Rows;
+  std::uint64_t m_LastVersion = 0;
+  std::size_t m_Writes = 0;
+};
+
+inline Config makeKeyedConfig(std::uint64_t Version, std::uint32_t Shards) {
+  Config Result;
+  Result.m_Version = ConfigVersion(Version);
+  Result.m_Manifest.m_Deployment = "test";
+  for (const char *Name : {"a", "b", "c"})
+    Result.m_Manifest.m_Domains.push_back({DomainName(Name), RegionName("r")});
+  Service Keyed;
+  Keyed.m_Name = ServiceName("orders");
+  Keyed.m_DividedByKey = true;
+  Keyed.m_Shards = Shards;
+  Keyed.m_Classes.resize(1);
+  Keyed.m_Classes[0].m_Name = ClassName("place");
+  Result.m_Manifest.m_Services = {Keyed};
+  return Result;
+}
+
+class Cluster {
+public:
+  struct Daemon {
+    std::unique_ptr<Coordinator> m_Coordinator;
+    PeerAddress m_Peer;
+    bool m_Paused = false;
+    bool m_Dead = false;
+    /// Cannot reach the table.
+    bool m_NoTable = false;
+    /// Cannot reach other daemons.
+    bool m_NoPeers = false;
+    std::vector<std::function<void()>> m_Inbox;
+  };
+
+  explicit Cluster(std::uint32_t Shards) {
+    const Config First = makeKeyedConfig(1, Shards);
+    commitConfig(First);
+  }
+
+  void commitConfig(const Config &Next) {
+    const Row Current = m_Table.get(ConfigHeadRow);
+    const Config Base = configFromRow(Current).value_or(Config{});
+    Transaction Commit =
+        makeConfigCommit(Current, Base, Next, WriteId(m_Table.m_LastVersion));
+    appendHeadBump(Commit, *parseHeadRow(m_Table.get(HeadRowKey)),
+                   {{ConfigHeadRow, Next.m_Version.value()}});
+    m_Table.commit(Commit);
+  }
+
+  std::size_t add(const std::string &Domain, CoordinatorOptions Options = {}) {
+    const std::size_t Index = m_Daemons.size();
+    Daemon &Added = m_Daemons.emplace_back();
+    Added.m_Peer = PeerAddress("10.0.0." + std::to_string(Index) + ":1");
+    Options.m_Instance = InstanceName("i" + std::to_string(Index));
+    Options.m_Domain = DomainName(Domain);
+    Options.m_Region = RegionName("r");
+    Options.m_Peer = Added.m_Peer;
+    Added.m_Coordinator =
+        std::make_unique<Coordinator>(Options, m_Seed + ++m_Starts);
+    Added.m_Coordinator->start(m_Now);
+    Added.m_Coordinator->onTargetReady(ServiceName("orders"), 10, m_Now);
+    collect(Index);
+    return Index;
+  }
+
+  void run(Duration Time) {
+    const TimePoint End = m_Now + Time;
+    while (m_Now < End) {
+      m_Now += milliseconds(1);
+      step();
+    }
+  }
+
+  Coordinator &at(std::size_t Index) { return *m_Daemons[Index].m_Coordinator; }
+
+  /// Sessions that may send an order for a key now.
+  std::vector<std::size_t> permitted(KeyHash Key) const {
+    std::vector<std::size_t> Result;
+    for (std::size_t Index = 0; Index < m_Daemons.size(); ++Index) {
+      const Daemon &Value = m_Daemons[Index];
+      if (Value.m_Dead || Value.m_Paused)
+        continue;
+      const Permit Answer =
+          Value.m_Coordinator->permit(ServiceName("orders"), Key, m_Now);
+      if (Answer.m_Granted)
+        Result.push_back(Index);
+    }
+    return Result;
+  }
+
+  /// Shards that some daemon may serve now.
+  std::size_t served(std::uint32_t Shards) const {
+    std::size_t Result = 0;
+    for (std::uint32_t Shard = 0; Shard < Shards; ++Shard)
+      Result += permitted(KeyHash(Shard)).empty() ? 0 : 1;
+    return Result;
+  }
+
+  std::vector<Daemon> m_Daemons;
+  MemoryTable m_Table;
+  TimePoint m_Now{seconds(100)};
+  std::uint64_t m_Seed = 1;
+  std::uint64_t m_Starts = 0;
+  Duration m_TableDelay = milliseconds(2);
+  bool m_TableDown = false;
+  /// Replies of this many commits are lost after they were applied.
+  std::size_t m_LoseAnswers = 0;
+  /// Most daemons that could serve one shard at the same time.
+  std::size_t m_MostOwners = 0;
+  /// Shards checked in each step; 0 for none.
+  std::uint32_t m_CheckShards = 0;
+
+private:
+  void step() {
+    while (!m_Queue.empty() && m_Queue.begin()->first <= m_Now) {
+      auto Next = m_Queue.extract(m_Queue.begin());
+      Next.mapped()();
+    }
+    for (std::size_t Index = 0; Index < m_Daemons.size(); ++Index)
+      drive(Index);
+    for (std::uint32_t Shard = 0; Shard < m_CheckShards; ++Shard)
+      m_MostOwners = std::max(m_MostOwners, permitted(KeyHash(Shard)).size());
+  }
+
+  void drive(std::size_t Index) {
+    Daemon &Value = m_Daemons[Index];
+    if (Value.m_Dead || Value.m_Paused)
+      return;
+    for (const auto &Event : std::exchange(Value.m_Inbox, {}))
+      Event();
+    if (Value.m_Coordinator->nextWake() <= m_Now)
+      Value.m_Coordinator->onTick(m_Now);
+    collect(Index);
+  }
+
+  void collect(std::size_t Index) {
+    for (Effect &Next : m_Daemons[Index].m_Coordinator->takeEffects()) {
+      if (auto *Send = std::get_if<SendControl>(&Next))
+        deliver(Index, std::move(*Send));
+      else if (auto *Read = std::get_if<ReadTable>(&Next))
+        answerRead(Index, std::move(*Read));
+      else if (auto *Commit = std::get_if<CommitTable>(&Next))
+        answerCommit(Index, std::move(*Commit));
+    }
+  }
+
+  void deliver(std::size_t From, SendControl Send) {
+    for (std::size_t To = 0; To < m_Daemons.size(); ++To) {
+      if (m_Daemons[To].m_Peer != Send.m_To || m_Daemons[To].m_Dead)
+        continue;
+      later(milliseconds(1), [this, From, To, Message = Send.m_Message] {
+        if (m_Daemons[From].m_NoPeers || m_Daemons[To].m_NoPeers)
+          return;
+        m_Daemons[To].m_Inbox.push_back([this, From, To, Message] {
+          at(To).onMessage(Message, m_Daemons[From].m_Peer, m_Now);
+        });
+      });
+    }
+  }
+
+  void answerRead(std::size_t Index, ReadTable Read) {
+    later(m_TableDelay / 2, [this, Index, Read] {
+      TableReply Reply;
+      if (!m_TableDown && !m_Daemons[Index].m_NoTable)
+        Reply = m_Table.read(Read.m_Read);
+      reply(Index, Read.m_Ticket, std::move(Reply));
+    });
+  }
+
+  void answerCommit(std::size_t Index, CommitTable Commit) {
+    later(m_TableDelay / 2, [this, Index, Commit] {
+      TableReply Reply;
+      if (!m_TableDown && !m_Daemons[Index].m_NoTable) {
+        Reply = m_Table.commit(Commit.m_Transaction);
+        if (m_LoseAnswers > 0) {
+          --m_LoseAnswers;
+          Reply = {TableStatus::Ambiguous, {}};
+        }
+      }
+      reply(Index, Commit.m_Ticket, std::move(Reply));
+    });
+  }
+
+  void reply(std::size_t Index, TableTicket Ticket, TableReply Reply) {
+    later(m_TableDelay / 2, [this, Index, Ticket, Reply] {
+      m_Daemons[Index].m_Inbox.push_back([this, Index, Ticket, Reply] {
+        at(Index).onTableReply(Ticket, Reply, m_Now);
+      });
+    });
+  }
+
+  void later(Duration Delay, std::function<void()> Event) {
+    m_Queue.emplace(m_Now + Delay, std::move(Event));
+  }
+
+  std::multimap<TimePoint, std::function<void()>> m_Queue;
+};
+
+} // namespace balsamwheel::testing
