Ask for promises only when the group's row is known to be the newest

Cause: several members stayed writers of the row, and each asked promises against members that renewed through another; a promise bars extension, so a table outage stopped all service. Change: a writer asks right after its own commit; preference for a writer other than the first in order lasts 5 s.

--- a/include/balsamwheel/detail/coordination/membership.h
+++ b/include/balsamwheel/detail/coordination/membership.h
@@ -65,13 +65,14 @@
   void restart(TimePoint Now);
   void beat(TimePoint Now);
   void sendBeat(TimePoint Now);
-  std::vector<SessionId> beatOrder() const;
+  std::vector<SessionId> beatOrder(TimePoint Now) const;
   void askExtension(TimePoint Now);
   void noteWitnessed(TimePoint Now);
   void entryChanged(TimePoint Now);
   PromiseReply answerPromise(const PromiseRequest &Message, TimePoint Now);
   void applyAck(const HeartbeatAck &Message, const PeerAddress &From,
                 TimePoint Now);
+  void prefer(const PeerAddress &Writer, TimePoint Now);
   void scheduleExtension();
   bool isUpToDate(RowVersion Head, TimePoint Now) const;
 
@@ -94,8 +95,9 @@
   TimePoint m_ExtendAt = Never;
   std::size_t m_Attempt = 0;
   std::size_t m_JoinRounds = 0;
-  /// The member whose acknowledgement came last.
+  /// Goes first in the order of writers for a while.
   SessionId m_Preferred;
+  TimePoint m_PreferUntil{};
   /// Row version of the last acknowledged commit.
   RowVersion m_AckedRow;
   /// Head version that the previous acknowledgement named.
--- a/src/coordination/group_leader.cpp
+++ b/src/coordination/group_leader.cpp
@@ -243,6 +243,9 @@
   }
   m_LedAt = Now;
   observe(currentRow(m_Group), Now);
+  // Only now is the row known to be the newest: a promise that is asked for a
+  // live member would bar its extension.
+  askWitnesses(currentRow(m_Group), Now);
   acknowledgeAll(Now);
   dropServed(currentRow(m_Group));
   if (!m_Pending.empty())
@@ -376,7 +379,6 @@
     m_JudgeAt = isLeader(Now) ? Now + JudgePeriod : Never;
     GroupRow Row = currentRow(m_Group);
     observe(Row, Now);
-    askWitnesses(Row, Now);
     if (m_FlushAt == Never && !m_Writing && expelSilent(Row, Now))
       m_FlushAt = Now;
   }
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -21,6 +21,8 @@
 /// While witnesses extend the lease, own writes are tried once in so many
 /// heartbeats.
 constexpr std::uint64_t SelfWriteInterval = 8;
+/// A member that wrote while earlier ones in order failed goes first so long.
+constexpr Duration PreferenceTime = std::chrono::seconds(5);
 /// Leaving the group is given up after this time.
 constexpr Duration LeaveTimeout = std::chrono::seconds(2);
 constexpr std::size_t MostGroupDoublings = 6;
@@ -138,16 +140,15 @@
   sendBeat(Now);
 }
 
-std::vector<SessionId> Membership::beatOrder() const {
+std::vector<SessionId> Membership::beatOrder(TimePoint Now) const {
   const SessionId Self = m_Context->m_Session;
   const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
   std::vector<SessionId> Result;
   if (Group) {
-    if (Group->find(m_Preferred))
-      Result.push_back(m_Preferred);
-    for (SessionId Session : leaderOrder(*Group))
-      if (Session != m_Preferred)
-        Result.push_back(Session);
+    Result = leaderOrder(*Group);
+    const auto Preferred = std::ranges::find(Result, m_Preferred);
+    if (Now < m_PreferUntil && Preferred != Result.end())
+      std::rotate(Result.begin(), Preferred, std::next(Preferred));
   }
   const auto Own = std::ranges::find(Result, Self);
   Result.erase(Own, Result.end());
@@ -161,7 +162,7 @@
 }
 
 void Membership::sendBeat(TimePoint Now) {
-  const std::vector<SessionId> Order = beatOrder();
+  const std::vector<SessionId> Order = beatOrder(Now);
   m_NextAttemptAt = Never;
   if (m_Attempt >= Order.size())
     return;
@@ -219,10 +220,8 @@
                           TimePoint Now) {
   m_State = State::Joined;
   m_AckedRow = std::max(m_AckedRow, Message.m_GroupRow);
-  if (const GroupRow *Group = m_Context->m_View.findGroup(m_Group))
-    for (const GroupMember &Value : Group->m_Members)
-      if (Value.m_Member.m_Peer == From)
-        m_Preferred = Value.m_Member.m_Session;
+  if (m_Attempt > 1)
+    prefer(From, Now);
   const bool Behind = m_Context->m_View.completeHead() < Message.m_Head;
   const bool WasBehind = m_Context->m_View.completeHead() < m_HeadNamed;
   if (isUpToDate(Message.m_Head, Now)) {
@@ -237,6 +236,16 @@
   scheduleExtension();
 }
 
+void Membership::prefer(const PeerAddress &Writer, TimePoint Now) {
+  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
+  if (!Group)
+    return;
+  for (const GroupMember &Value : Group->m_Members)
+    if (Value.m_Member.m_Peer == Writer)
+      m_Preferred = Value.m_Member.m_Session;
+  m_PreferUntil = Now + PreferenceTime;
+}
+
 void Membership::scheduleExtension() {
   const CoordinationTiming &Timing = m_Context->m_Options.m_Timing;
   const auto Left =
--- a/tests/coordinator_cluster.h
+++ b/tests/coordinator_cluster.h
@@ -79,6 +79,9 @@
   struct Daemon {
     std::unique_ptr<Coordinator> m_Coordinator;
     PeerAddress m_Peer;
+    DomainName m_Domain;
+    /// Replies to an earlier run are dropped.
+    std::uint64_t m_Run = 0;
     bool m_Paused = false;
     bool m_Dead = false;
     /// Cannot reach the table.
@@ -107,16 +110,46 @@
     const std::size_t Index = m_Daemons.size();
     Daemon &Added = m_Daemons.emplace_back();
     Added.m_Peer = PeerAddress("10.0.0." + std::to_string(Index) + ":1");
+    Added.m_Domain = DomainName(Domain);
+    restart(Index, std::move(Options));
+    return Index;
+  }
+
+  /// Starts a new run of a daemon in the slot of an earlier one.
+  void restart(std::size_t Index, CoordinatorOptions Options = {}) {
+    Daemon &Value = m_Daemons[Index];
     Options.m_Instance = InstanceName("i" + std::to_string(Index));
-    Options.m_Domain = DomainName(Domain);
+    Options.m_Domain = Value.m_Domain;
     Options.m_Region = RegionName("r");
-    Options.m_Peer = Added.m_Peer;
-    Added.m_Coordinator =
+    Options.m_Peer = Value.m_Peer;
+    Value.m_Inbox.clear();
+    Value.m_Dead = Value.m_Paused = false;
+    ++Value.m_Run;
+    Value.m_Coordinator =
         std::make_unique<Coordinator>(Options, m_Seed + ++m_Starts);
-    Added.m_Coordinator->start(m_Now);
-    Added.m_Coordinator->onTargetReady(ServiceName("orders"), 10, m_Now);
+    Value.m_Coordinator->start(m_Now);
+    Value.m_Coordinator->onTargetReady(ServiceName("orders"), 10, m_Now);
     collect(Index);
-    return Index;
+  }
+
+  /// Runs until every shard is served.
+  ///
+  /// \returns how long that took, at most \p Limit.
+  Duration runUntilServed(std::uint32_t Shards, Duration Limit) {
+    const TimePoint Begin = m_Now;
+    while (m_Now - Begin < Limit && served(Shards) < Shards)
+      run(milliseconds(10));
+    return m_Now - Begin;
+  }
+
+  /// Runs and counts how many shards are unserved, summed over milliseconds.
+  Duration unservedDuring(std::uint32_t Shards, Duration Time) {
+    Duration Result{0};
+    for (const TimePoint End = m_Now + Time; m_Now < End;) {
+      run(milliseconds(10));
+      Result += milliseconds(10) * (Shards - served(Shards));
+    }
+    return Result;
   }
 
   void run(Duration Time) {
@@ -165,6 +198,7 @@
   std::size_t m_MostOwners = 0;
   /// Shards checked in each step; 0 for none.
   std::uint32_t m_CheckShards = 0;
+  std::function<void(std::size_t, const SendControl &)> m_Trace;
 
 private:
   void step() {
@@ -201,6 +235,8 @@
   }
 
   void deliver(std::size_t From, SendControl Send) {
+    if (m_Trace)
+      m_Trace(From, Send);
     for (std::size_t To = 0; To < m_Daemons.size(); ++To) {
       if (m_Daemons[To].m_Peer != Send.m_To || m_Daemons[To].m_Dead)
         continue;
@@ -215,16 +251,18 @@
   }
 
   void answerRead(std::size_t Index, ReadTable Read) {
-    later(m_TableDelay / 2, [this, Index, Read] {
+    const std::uint64_t Run = m_Daemons[Index].m_Run;
+    later(m_TableDelay / 2, [this, Index, Read, Run] {
       TableReply Reply;
       if (!m_TableDown && !m_Daemons[Index].m_NoTable)
         Reply = m_Table.read(Read.m_Read);
-      reply(Index, Read.m_Ticket, std::move(Reply));
+      reply(Index, Run, Read.m_Ticket, std::move(Reply));
     });
   }
 
   void answerCommit(std::size_t Index, CommitTable Commit) {
-    later(m_TableDelay / 2, [this, Index, Commit] {
+    const std::uint64_t Run = m_Daemons[Index].m_Run;
+    later(m_TableDelay / 2, [this, Index, Commit, Run] {
       TableReply Reply;
       if (!m_TableDown && !m_Daemons[Index].m_NoTable) {
         Reply = m_Table.commit(Commit.m_Transaction);
@@ -233,12 +271,15 @@
           Reply = {TableStatus::Ambiguous, {}};
         }
       }
-      reply(Index, Commit.m_Ticket, std::move(Reply));
+      reply(Index, Run, Commit.m_Ticket, std::move(Reply));
     });
   }
 
-  void reply(std::size_t Index, TableTicket Ticket, TableReply Reply) {
-    later(m_TableDelay / 2, [this, Index, Ticket, Reply] {
+  void reply(std::size_t Index, std::uint64_t Run, TableTicket Ticket,
+             TableReply Reply) {
+    later(m_TableDelay / 2, [this, Index, Ticket, Reply, Run] {
+      if (m_Daemons[Index].m_Run != Run)
+        return;
       m_Daemons[Index].m_Inbox.push_back([this, Index, Ticket, Reply] {
         at(Index).onTableReply(Ticket, Reply, m_Now);
       });
