--- a/include/balsamwheel/detail/coordination/group_leader.h
+++ b/include/balsamwheel/detail/coordination/group_leader.h
@@ -46,6 +46,9 @@
   };
 
   GroupRow currentRow(std::uint32_t Group) const;
+  bool isWriterFor(SessionId Session) const;
+  /// Grows with each failure of the table in a row.
+  Duration retryDelay();
   void flush(TimePoint Now);
   void flushWithFreshView(TimePoint Now);
   /// \returns whether more than sequences changed.
@@ -74,6 +77,7 @@
   /// Heartbeats that do not stand in the table yet.
   std::unordered_map<SessionId, Pending> m_Pending;
   std::vector<std::pair<PeerAddress, HeartbeatAck>> m_Refusals;
+  std::uint32_t m_Failures = 0;
   bool m_Writing = false;
   bool m_RemoveSelf = false;
   std::function<void(bool Ok)> m_Removed;
--- a/include/balsamwheel/detail/coordination/membership.h
+++ b/include/balsamwheel/detail/coordination/membership.h
@@ -65,6 +65,9 @@
   void restart(TimePoint Now);
   void beat(TimePoint Now);
   void sendBeat(TimePoint Now);
+  void broadcastBeat();
+  Heartbeat makeBeat() const;
+  /// Who writes the row: members in turn, this session last.
   std::vector<SessionId> beatOrder(TimePoint Now) const;
   void askExtension(TimePoint Now);
   void noteWitnessed(TimePoint Now);
@@ -90,6 +93,7 @@
   TimePoint m_RetryAt = Never;
   TimePoint m_BeatAt = Never;
   TimePoint m_LastBeat{};
+  std::uint64_t m_Beats = 0;
   /// When the current heartbeat goes to the next member.
   TimePoint m_NextAttemptAt = Never;
   TimePoint m_ExtendAt = Never;
--- a/src/coordination/group_leader.cpp
+++ b/src/coordination/group_leader.cpp
@@ -14,6 +14,8 @@
 /// Least time between two writes of the row.
 constexpr Duration LeastFlushGap = std::chrono::milliseconds(240);
 constexpr Duration RetryDelay = std::chrono::milliseconds(200);
+/// So many members, first in order, write the row for others.
+constexpr std::ptrdiff_t MostWriters = 4;
 constexpr Duration ConflictJitter = std::chrono::milliseconds(40);
 constexpr Duration JudgePeriod = std::chrono::milliseconds(100);
 /// Witnesses extend a lease at most so long past its last commit.
@@ -75,10 +77,24 @@
     if (Message.m_Entry.empty())
       Kept.m_Heartbeat.m_Entry = std::move(Entry);
   }
-  if (m_FlushAt == Never)
+  if (m_FlushAt == Never && isWriterFor(Message.m_Session))
     m_FlushAt = std::max(Now + BatchDelay, m_LastFlush + LeastFlushGap);
 }
 
+bool GroupLeader::isWriterFor(SessionId Session) const {
+  if (Session == m_Context->m_Session)
+    return true;
+  const std::vector<SessionId> Order = leaderOrder(currentRow(m_Group));
+  const auto Own = std::ranges::find(Order, m_Context->m_Session);
+  return std::distance(Order.begin(), Own) < MostWriters;
+}
+
+Duration GroupLeader::retryDelay() {
+  const Duration Delay = RetryDelay * (1U << std::min(m_Failures, 2U));
+  ++m_Failures;
+  return Delay + m_Context->jitter(RetryDelay);
+}
+
 void GroupLeader::onPromiseReply(const PromiseReply &Reply) {
   if (Reply.m_Promised)
     m_Judge.onPromise(Reply.m_Subject, Reply.m_Sequence, Reply.m_Witness);
@@ -100,7 +116,7 @@
     if (Ok)
       flushWithFreshView(Later);
     else
-      m_FlushAt = Later + RetryDelay + m_Context->jitter(RetryDelay);
+      m_FlushAt = Later + retryDelay();
   });
 }
 
@@ -224,9 +240,10 @@
 void GroupLeader::onCommitted(CommitResult Result, const std::vector<Row> &Rows,
                               bool Structural, TimePoint Now) {
   if (Result == CommitResult::Unavailable) {
-    m_FlushAt = Now + RetryDelay + m_Context->jitter(RetryDelay);
+    m_FlushAt = Now + retryDelay();
     return;
   }
+  m_Failures = 0;
   if (Result == CommitResult::Refused) {
     m_Poller->poll(Now, {groupRowKey(m_Group)}, [this](bool, TimePoint Later) {
       m_FlushAt = Later + m_Context->jitter(ConflictJitter);
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -134,9 +134,13 @@
 
 void Membership::beat(TimePoint Now) {
   m_Lease.startRenewal(Now);
+  ++m_Beats;
   m_LastBeat = Now;
   m_BeatAt = Now + m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
   m_Attempt = 0;
+  // While the table is out of reach, whoever reaches it first renews all.
+  if (m_Lease.extended())
+    broadcastBeat();
   sendBeat(Now);
 }
 
@@ -150,31 +154,46 @@
     if (Now < m_PreferUntil && Preferred != Result.end())
       std::rotate(Result.begin(), Preferred, std::next(Preferred));
   }
-  const auto Own = std::ranges::find(Result, Self);
-  Result.erase(Own, Result.end());
+  const bool First = !Result.empty() && Result.front() == Self;
+  std::erase(Result, Self);
   if (Result.size() > MostRelays)
     Result.resize(MostRelays);
-  const bool Spare = m_Lease.extended() && !Result.empty() &&
-                     m_Lease.sequence() % SelfWriteInterval != 0;
-  if (!Spare)
+  if (First)
+    Result.insert(Result.begin(), Self);
+  const bool Spare =
+      m_Lease.extended() && !Result.empty() && m_Beats % SelfWriteInterval != 0;
+  if (!First && !Spare)
     Result.push_back(Self);
   return Result;
 }
 
+Heartbeat Membership::makeBeat() const {
+  Heartbeat Result;
+  Result.m_Group = m_Group;
+  Result.m_Session = m_Context->m_Session;
+  Result.m_Sequence = m_Lease.sequence();
+  Result.m_ConfigApplied = m_Context->m_View.configVersion();
+  Result.m_MapSeen = m_Context->m_View.completeHead().value();
+  if (m_EntrySequence > m_Lease.committed())
+    Result.m_Entry = m_Entry;
+  return Result;
+}
+
+void Membership::broadcastBeat() {
+  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
+  if (!Group)
+    return;
+  for (const GroupMember &Value : Group->m_Members)
+    m_Context->send(Value.m_Member.m_Peer, makeBeat());
+}
+
 void Membership::sendBeat(TimePoint Now) {
   const std::vector<SessionId> Order = beatOrder(Now);
   m_NextAttemptAt = Never;
   if (m_Attempt >= Order.size())
     return;
   const SessionId To = Order[m_Attempt++];
-  Heartbeat Message;
-  Message.m_Group = m_Group;
-  Message.m_Session = m_Context->m_Session;
-  Message.m_Sequence = m_Lease.sequence();
-  Message.m_ConfigApplied = m_Context->m_View.configVersion();
-  Message.m_MapSeen = m_Context->m_View.completeHead().value();
-  if (m_EntrySequence > m_Lease.committed())
-    Message.m_Entry = m_Entry;
+  const Heartbeat Message = makeBeat();
   if (To == m_Context->m_Session)
     m_Leader.onHeartbeat(Message, m_Context->m_Options.m_Peer, Now);
   else
@@ -263,8 +282,7 @@
   const GroupMember *Own = Group ? Group->find(m_Context->m_Session) : nullptr;
   if (!Own)
     return;
-  if (Now - m_LastBeat >= ExtensionRetry)
-    beat(Now);
+  m_Lease.startRenewal(Now);
   ExtendRequest Request;
   Request.m_Session = m_Context->m_Session;
   Request.m_Sequence = m_Lease.sequence();
