Carry messages between daemons over TCP with FlatBuffers

Cause: the daemons need a transport before any path can run. Change: the schema, committed generated code, a codec that verifies frames before use and caps their size, and one ACE epoll reactor thread with capped, reused connections.

--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Regenerates the committed FlatBuffers code (needs flatbuffers-compiler).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+flatc --cpp --scoped-enums -o src/adapters/peer_tcp schema/peer.fbs
+sed -i '1i // clang-format off' src/adapters/peer_tcp/peer_generated.h
--- /dev/null
+++ b/src/adapters/peer_tcp/connection.h
@@ -0,0 +1,81 @@
+// One TCP connection between two daemons: framing, reading and writing.
+#pragma once
+
+#include "adapters/peer_tcp/codec.h"
+
+#include <ace/Event_Handler.h>
+#include <ace/SOCK_Stream.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace balsamwheel::peer_tcp {
+
+class Connection;
+
+/// What a connection tells its owner. Called on the reactor's thread; a
+/// connection may be closed, not destroyed, inside.
+class ConnectionOwner {
+public:
+  virtual ~ConnectionOwner() = default;
+  virtual void onMessage(Connection &Source, WireMessage Message) = 0;
+  virtual void onClosed(Connection &Closed) = 0;
+};
+
+enum class ConnectionState : std::uint8_t { Connecting, Open, Closed };
+
+/// Reads whole frames and writes queued ones without blocking.
+///
+/// Invariants: frames are decoded in the order of their bytes; after close()
+/// neither the reactor nor the owner hears of the connection again.
+class Connection final : public ACE_Event_Handler {
+public:
+  Connection(ConnectionOwner &Owner, ACE_Reactor &Reactor,
+             ConnectionState State);
+  ~Connection() override;
+
+  ACE_SOCK_Stream &stream() { return m_Stream; }
+  ConnectionState state() const { return m_State; }
+
+  /// Registers with the reactor; false when it refuses.
+  bool open();
+  /// Queues one frame.
+  void queue(const std::vector<std::uint8_t> &Frame);
+  /// Writes what the socket takes.
+  void flush();
+  void close();
+  std::size_t queuedBytes() const { return m_Out.size() - m_OutSent; }
+
+  /// Listening address of the peer; empty until it said Hello.
+  const PeerAddress &peer() const { return m_Peer; }
+  void setPeer(PeerAddress Peer) { m_Peer = std::move(Peer); }
+
+  std::uint64_t lastUsed() const { return m_LastUsed; }
+  void touch(std::uint64_t Stamp) { m_LastUsed = Stamp; }
+
+  ACE_HANDLE get_handle() const override { return m_Stream.get_handle(); }
+  int handle_input(ACE_HANDLE Handle) override;
+  int handle_output(ACE_HANDLE Handle) override;
+
+private:
+  bool finishConnect();
+  bool readAvailable();
+  bool takeFrames();
+  void wantOutput(bool Wanted);
+
+  ConnectionOwner &m_Owner;
+  ACE_Reactor &m_Reactor;
+  ACE_SOCK_Stream m_Stream;
+  ConnectionState m_State;
+  bool m_WantsOutput = false;
+  PeerAddress m_Peer;
+  std::uint64_t m_LastUsed = 0;
+  std::vector<std::uint8_t> m_In;
+  std::vector<std::uint8_t> m_Out;
+  /// Bytes at the front of m_Out that the socket took already.
+  std::size_t m_OutSent = 0;
+};
+
+} // namespace balsamwheel::peer_tcp
--- /dev/null
+++ b/src/adapters/peer_tcp/tcp_transport.cpp
@@ -0,0 +1,288 @@
+// The reactor thread: accepts, connects, and passes messages on.
+#include "adapters/peer_tcp/tcp_transport.h"
+
+#include "adapters/peer_tcp/connection.h"
+#include "adapters/peer_tcp/error.h"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/INET_Addr.h>
+#include <ace/Reactor.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Connector.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace balsamwheel::peer_tcp {
+
+namespace {
+
+/// Commands waiting for the reactor; beyond it messages are dropped.
+constexpr std::size_t MaxCommands = 65'536;
+/// Handles beyond the connections: listener, notification, reactor.
+constexpr std::size_t SpareHandles = 64;
+constexpr int ListenBacklog = 1024;
+/// An unanswered connection attempt is given up after this time.
+const ACE_Time_Value ConnectTimeout(1, 0);
+
+/// What other threads ask of the reactor. An empty frame means reset.
+struct Command {
+  PeerAddress m_Peer;
+  std::vector<std::uint8_t> m_Frame;
+};
+
+} // namespace
+
+class TcpTransport::Impl final : public ACE_Event_Handler,
+                                 public ConnectionOwner {
+public:
+  Impl(TcpTransportOptions Options, PeerHandlers Handlers)
+      : m_Options(std::move(Options)), m_Handlers(std::move(Handlers)),
+        m_Reactor(
+            new ACE_Dev_Poll_Reactor(m_Options.m_MaxConnections + SpareHandles),
+            /*delete_implementation=*/true) {}
+
+  ~Impl() override { stop(); }
+
+  std::error_code start() {
+    ACE_INET_Addr Address;
+    if (Address.set(m_Options.m_Listen.value().c_str()) != 0)
+      return TransportError::BadAddress;
+    if (m_Acceptor.open(Address, /*reuse_addr=*/1, PF_INET, ListenBacklog) != 0)
+      return TransportError::ListenFailed;
+    m_Acceptor.enable(ACE_NONBLOCK);
+    if (m_Reactor.register_handler(this, ACE_Event_Handler::ACCEPT_MASK) != 0)
+      return TransportError::ListenFailed;
+    m_Thread = std::thread([this] { run(); });
+    return {};
+  }
+
+  void submit(Command Request) {
+    {
+      const std::lock_guard Lock(m_Mutex);
+      if (m_Commands.size() >= MaxCommands)
+        return;
+      m_Commands.push_back(std::move(Request));
+    }
+    if (!m_Notified.exchange(true))
+      m_Reactor.notify(this, ACE_Event_Handler::EXCEPT_MASK);
+  }
+
+  void stop() {
+    if (m_Stopping.exchange(true))
+      return;
+    m_Reactor.notify(this, ACE_Event_Handler::EXCEPT_MASK);
+    if (m_Thread.joinable())
+      m_Thread.join();
+    m_Acceptor.close();
+  }
+
+  ACE_HANDLE get_handle() const override { return m_Acceptor.get_handle(); }
+
+  int handle_input(ACE_HANDLE /*Handle*/) override {
+    for (;;) {
+      auto Accepted =
+          std::make_unique<Connection>(*this, m_Reactor, ConnectionState::Open);
+      if (m_Acceptor.accept(Accepted->stream()) != 0)
+        return 0;
+      if (m_Connections.size() < m_Options.m_MaxConnections && Accepted->open())
+        adopt(std::move(Accepted));
+    }
+  }
+
+  int handle_exception(ACE_HANDLE /*Handle*/) override {
+    m_Notified.store(false);
+    std::deque<Command> Commands;
+    {
+      const std::lock_guard Lock(m_Mutex);
+      Commands.swap(m_Commands);
+    }
+    std::vector<Connection *> Touched;
+    for (Command &Request : Commands) {
+      if (Request.m_Frame.empty())
+        resetPeer(Request.m_Peer);
+      else
+        sendFrame(Request, Touched);
+    }
+    for (Connection *Target : Touched)
+      Target->flush();
+    return 0;
+  }
+
+  int handle_timeout(const ACE_Time_Value & /*Now*/,
+                     const void *Argument) override {
+    // The connection may be gone; compare its address only.
+    const auto Found = m_Connections.find(
+        static_cast<Connection *>(const_cast<void *>(Argument)));
+    if (Found != m_Connections.end() &&
+        Found->second->state() == ConnectionState::Connecting)
+      Found->second->close();
+    return 0;
+  }
+
+  void onMessage(Connection &Source, WireMessage Message) override {
+    Source.touch(++m_Stamp);
+    if (const Hello *Greeting = std::get_if<Hello>(&Message)) {
+      if (Greeting->m_Version != ProtocolVersion) {
+        Source.close();
+        return;
+      }
+      Source.setPeer(Greeting->m_Listen);
+      m_ByPeer.try_emplace(Greeting->m_Listen, &Source);
+      return;
+    }
+    if (Source.peer().value().empty()) {
+      Source.close();
+      return;
+    }
+    m_Handlers.m_OnMessage(Source.peer(),
+                           std::get<PeerMessage>(std::move(Message)));
+  }
+
+  void onClosed(Connection &Closed) override {
+    const auto ByPeer = m_ByPeer.find(Closed.peer());
+    const bool WasUsed = ByPeer != m_ByPeer.end() && ByPeer->second == &Closed;
+    if (WasUsed)
+      m_ByPeer.erase(ByPeer);
+    const auto Found = m_Connections.find(&Closed);
+    if (Found != m_Connections.end()) {
+      m_Graveyard.push_back(std::move(Found->second));
+      m_Connections.erase(Found);
+    }
+    if (WasUsed && !m_Stopping.load())
+      m_Handlers.m_OnLost(Closed.peer());
+  }
+
+private:
+  void run() {
+    m_Reactor.owner(ACE_OS::thr_self());
+    while (!m_Stopping.load()) {
+      m_Reactor.handle_events();
+      m_Graveyard.clear();
+    }
+    m_Reactor.remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK |
+                                       ACE_Event_Handler::DONT_CALL);
+    m_Reactor.cancel_timer(this);
+    while (!m_Connections.empty())
+      m_Connections.begin()->second->close();
+    m_Graveyard.clear();
+  }
+
+  Connection &adopt(std::unique_ptr<Connection> Added) {
+    Connection &Result = *Added;
+    Result.touch(++m_Stamp);
+    m_Connections.emplace(&Result, std::move(Added));
+    return Result;
+  }
+
+  void sendFrame(const Command &Request, std::vector<Connection *> &Touched) {
+    Connection *Target = findOrConnect(Request.m_Peer);
+    if (Target == nullptr) {
+      m_Handlers.m_OnLost(Request.m_Peer);
+      return;
+    }
+    if (Target->queuedBytes() > m_Options.m_MaxQueuedBytes) {
+      Target->close();
+      return;
+    }
+    Target->touch(++m_Stamp);
+    Target->queue(Request.m_Frame);
+    if (std::find(Touched.begin(), Touched.end(), Target) == Touched.end())
+      Touched.push_back(Target);
+  }
+
+  Connection *findOrConnect(const PeerAddress &Peer) {
+    const auto Found = m_ByPeer.find(Peer);
+    if (Found != m_ByPeer.end())
+      return Found->second;
+    ACE_INET_Addr Address;
+    if (Address.set(Peer.value().c_str()) != 0)
+      return nullptr;
+    if (m_Connections.size() >= m_Options.m_MaxConnections)
+      closeLeastRecentlyUsed();
+    return connect(Peer, Address);
+  }
+
+  Connection *connect(const PeerAddress &Peer, const ACE_INET_Addr &Address) {
+    auto Added = std::make_unique<Connection>(*this, m_Reactor,
+                                              ConnectionState::Connecting);
+    ACE_SOCK_Connector Connector;
+    const int Status =
+        Connector.connect(Added->stream(), Address, &ACE_Time_Value::zero);
+    if (Status != 0 && errno != EWOULDBLOCK && errno != EINPROGRESS)
+      return nullptr;
+    if (!Added->open())
+      return nullptr;
+    Connection &Result = adopt(std::move(Added));
+    Result.setPeer(Peer);
+    Result.queue(encode(Hello{.m_Listen = m_Options.m_Listen}));
+    m_ByPeer[Peer] = &Result;
+    m_Reactor.schedule_timer(this, &Result, ConnectTimeout);
+    return &Result;
+  }
+
+  void closeLeastRecentlyUsed() {
+    const auto Oldest = std::min_element(
+        m_Connections.begin(), m_Connections.end(),
+        [](const auto &Left, const auto &Right) {
+          return Left.second->lastUsed() < Right.second->lastUsed();
+        });
+    if (Oldest != m_Connections.end())
+      Oldest->second->close();
+  }
+
+  void resetPeer(const PeerAddress &Peer) {
+    std::vector<Connection *> Matching;
+    for (const auto &[Candidate, Holder] : m_Connections)
+      if (Candidate->peer() == Peer)
+        Matching.push_back(Candidate);
+    for (Connection *Candidate : Matching)
+      Candidate->close();
+  }
+
+  // Life span: process.
+  const TcpTransportOptions m_Options;
+  const PeerHandlers m_Handlers;
+  ACE_Reactor m_Reactor;
+  ACE_SOCK_Acceptor m_Acceptor;
+  std::thread m_Thread;
+  std::atomic<bool> m_Stopping{false};
+
+  // Shared between the callers of send() and the reactor.
+  std::mutex m_Mutex;
+  std::deque<Command> m_Commands;
+  std::atomic<bool> m_Notified{false};
+
+  // Only the reactor's thread touches these.
+  std::unordered_map<Connection *, std::unique_ptr<Connection>> m_Connections;
+  /// The connection that send() uses for each peer; points into
+  /// m_Connections.
+  std::unordered_map<PeerAddress, Connection *> m_ByPeer;
+  /// Closed connections, destroyed when no handler of theirs is running.
+  std::vector<std::unique_ptr<Connection>> m_Graveyard;
+  std::uint64_t m_Stamp = 0;
+};
+
+TcpTransport::TcpTransport(TcpTransportOptions Options, PeerHandlers Handlers)
+    : m_Impl(std::make_unique<Impl>(std::move(Options), std::move(Handlers))) {}
+
+TcpTransport::~TcpTransport() = default;
+
+std::error_code TcpTransport::start() { return m_Impl->start(); }
+
+void TcpTransport::send(const PeerAddress &To, PeerMessage Message) {
+  m_Impl->submit({.m_Peer = To, .m_Frame = encode(std::move(Message))});
+}
+
+void TcpTransport::reset(const PeerAddress &Peer) {
+  m_Impl->submit({.m_Peer = Peer, .m_Frame = {}});
+}
+
+void TcpTransport::stop() { m_Impl->stop(); }
+
+} // namespace balsamwheel::peer_tcp
