--- /dev/null
+++ b/include/balsamwheel/detail/manifest/problem.h
@@ -0,0 +1,24 @@
+// Faults that a check of a YAML document found.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace balsamwheel {
+
+/// One fault of a document.
+struct Problem {
+  std::string m_File;
+  /// Counted from 1; 0 when no line can be named.
+  int m_Line = 0;
+  /// Path of the field, e.g. "services[2].shards".
+  std::string m_Field;
+  std::string m_Reason;
+
+  bool operator==(const Problem &) const = default;
+};
+
+/// Formats a problem as "file:line: field: reason".
+std::string toString(const Problem &Value);
+
+} // namespace balsamwheel
--- /dev/null
+++ b/include/balsamwheel/detail/manifest/yaml_fields.h
@@ -0,0 +1,81 @@
+// Checked access to YAML documents: every fault is collected with its line
+// and field, and nothing is guessed.
+#pragma once
+
+#include "balsamwheel/detail/core/time.h"
+#include "balsamwheel/detail/manifest/problem.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace balsamwheel {
+
+/// Collects the problems of one document.
+class ProblemLog {
+public:
+  explicit ProblemLog(std::string File) : m_File(std::move(File)) {}
+
+  void add(const YAML::Node &Where, std::string Field, std::string Reason);
+  void addLine(int Line, std::string Field, std::string Reason);
+  const std::vector<Problem> &problems() const { return m_Problems; }
+
+private:
+  std::string m_File;
+  std::vector<Problem> m_Problems;
+};
+
+/// Smallest and largest value of a number, both allowed.
+struct Range {
+  std::uint64_t m_Least = 0;
+  std::uint64_t m_Most = UINT64_MAX;
+};
+
+/// One mapping of a document. Fields that are present but never asked for are
+/// reported by finish().
+class YamlMap {
+public:
+  /// \param Path of the mapping, empty for the whole document.
+  YamlMap(const YAML::Node &Node, std::string Path, ProblemLog &Log);
+
+  bool has(const std::string &Key) const;
+  /// Reads a text that is not empty; none when absent.
+  std::optional<std::string> text(const std::string &Key);
+  std::string requiredText(const std::string &Key);
+  std::optional<std::uint64_t> number(const std::string &Key, Range Allowed);
+  std::optional<bool> flag(const std::string &Key);
+  /// Reads a duration such as "250ms", "2s" or "1m".
+  std::optional<Duration> duration(const std::string &Key, Duration Least,
+                                   Duration Most);
+  /// Reads a list of texts; empty when absent.
+  std::vector<std::string> texts(const std::string &Key);
+  /// Reads one of \p Names and returns its index.
+  std::optional<std::size_t> choice(const std::string &Key,
+                                    const std::vector<std::string> &Names);
+  /// Reads a list of mappings; empty when absent.
+  std::vector<YamlMap> maps(const std::string &Key);
+  /// Reads a nested mapping; none when absent.
+  std::optional<YamlMap> map(const std::string &Key);
+
+  void problem(const std::string &Key, std::string Reason);
+  /// Reports unknown and repeated fields.
+  void finish();
+
+private:
+  YAML::Node find(const std::string &Key);
+  std::string path(const std::string &Key) const;
+
+  YAML::Node m_Node;
+  std::string m_Path;
+  ProblemLog *m_Log;
+  std::set<std::string> m_Asked;
+};
+
+/// Parses a duration such as "250ms"; none when it has another shape.
+std::optional<Duration> parseDuration(const std::string &Text);
+
+} // namespace balsamwheel
