Add the load policies behind their headers

Cause: gate, picker and retry budget had headers only, so nothing could link against them. Change: adaptive concurrency limit with classes and queues in deadline order, choice by observed latency with ejection and a hedge budget, retry token bucket, heavy-hitter sketch and decaying shard rates; the coordination library now also takes src/load and src/node. Conclusion: builds and links; no property test and no measurement yet.

--- a/include/balsamwheel/coordination.h
+++ b/include/balsamwheel/coordination.h
@@ -11,6 +11,8 @@
 #include "balsamwheel/detail/load/admission.h"
 #include "balsamwheel/detail/load/picker.h"
 #include "balsamwheel/detail/load/retry_budget.h"
+#include "balsamwheel/detail/load/shard_rates.h"
+#include "balsamwheel/detail/load/sketch.h"
 #include "balsamwheel/detail/manifest/document.h"
 #include "balsamwheel/detail/manifest/model.h"
 #include "balsamwheel/detail/node/effects.h"
--- a/include/balsamwheel/detail/load/admission.h
+++ b/include/balsamwheel/detail/load/admission.h
@@ -22,6 +22,8 @@
   std::uint32_t m_ReservedInteractive = 2;
   /// Limit right after a cold start.
   std::uint32_t m_ColdSlots = 2;
+  /// Shortest time from m_ColdSlots to m_Slots after a cold start.
+  Duration m_ColdRamp = std::chrono::seconds(12);
   /// False fixes the limit at m_Slots: the baseline.
   bool m_Adaptive = true;
 };
--- /dev/null
+++ b/src/load/class_queues.cpp
@@ -0,0 +1,53 @@
+// Queues in deadline order, one per class.
+#include "load/class_queues.h"
+
+namespace balsamwheel {
+
+void ClassQueues::push(RequestHandle Request, Urgency Class,
+                       TimePoint Deadline) {
+  const Entry Added{.m_Deadline = Deadline,
+                    .m_Sequence = m_NextSequence++,
+                    .m_Request = Request};
+  if (m_Where.try_emplace(Request, Place{Class, Added}).second)
+    queue(Class).insert(Added);
+}
+
+bool ClassQueues::erase(RequestHandle Request) {
+  const auto Found = m_Where.find(Request);
+  if (Found == m_Where.end())
+    return false;
+  queue(Found->second.m_Class).erase(Found->second.m_Entry);
+  m_Where.erase(Found);
+  return true;
+}
+
+std::optional<RequestHandle> ClassQueues::popFirst(Urgency Class) {
+  return takeFront(queue(Class));
+}
+
+std::optional<RequestHandle> ClassQueues::popDueBefore(Urgency Class,
+                                                       TimePoint Limit) {
+  Queue &Waiting = queue(Class);
+  if (Waiting.empty() || Waiting.begin()->m_Deadline >= Limit)
+    return std::nullopt;
+  return takeFront(Waiting);
+}
+
+std::optional<RequestHandle> ClassQueues::takeFront(Queue &Waiting) {
+  if (Waiting.empty())
+    return std::nullopt;
+  const RequestHandle First = Waiting.begin()->m_Request;
+  Waiting.erase(Waiting.begin());
+  m_Where.erase(First);
+  return First;
+}
+
+ClassQueues::Queue &ClassQueues::queue(Urgency Class) {
+  return m_Queues.at(static_cast<std::size_t>(Class));
+}
+
+const ClassQueues::Queue &ClassQueues::queue(Urgency Class) const {
+  return m_Queues.at(static_cast<std::size_t>(Class));
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/load/class_queues.h
@@ -0,0 +1,55 @@
+// The waiting requests of one gate: a queue in deadline order per class.
+#pragma once
+
+#include "balsamwheel/detail/core/ids.h"
+#include "balsamwheel/detail/core/time.h"
+#include "balsamwheel/detail/manifest/model.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace balsamwheel {
+
+/// Not thread-safe. All operations are logarithmic in the queue.
+class ClassQueues {
+public:
+  void push(RequestHandle Request, Urgency Class, TimePoint Deadline);
+  /// Removes a request wherever it waits; false if it does not.
+  bool erase(RequestHandle Request);
+  /// Removes the request of a class that is due first.
+  std::optional<RequestHandle> popFirst(Urgency Class);
+  /// Removes the first request of a class if it is due before \p Limit.
+  std::optional<RequestHandle> popDueBefore(Urgency Class, TimePoint Limit);
+
+  std::size_t size() const { return m_Where.size(); }
+  std::size_t size(Urgency Class) const { return queue(Class).size(); }
+
+private:
+  struct Entry {
+    TimePoint m_Deadline;
+    /// Order of arrival among equal deadlines.
+    std::uint64_t m_Sequence = 0;
+    RequestHandle m_Request;
+
+    auto operator<=>(const Entry &) const = default;
+  };
+  struct Place {
+    Urgency m_Class = Urgency::Bulk;
+    Entry m_Entry;
+  };
+  using Queue = std::set<Entry>;
+
+  Queue &queue(Urgency Class);
+  const Queue &queue(Urgency Class) const;
+  std::optional<RequestHandle> takeFront(Queue &Waiting);
+
+  std::array<Queue, UrgencyCount> m_Queues;
+  // Holds exactly the requests that stand in one of the queues.
+  std::unordered_map<RequestHandle, Place> m_Where;
+  std::uint64_t m_NextSequence = 0;
+};
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/load/concurrency_limit.cpp
@@ -0,0 +1,197 @@
+// The concurrency limit of one target.
+#include "load/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace balsamwheel {
+
+namespace {
+
+/// Shortest time between two rises of the limit.
+constexpr Duration RisePeriod = std::chrono::milliseconds(100);
+/// A limit unused for this long is no longer trusted.
+constexpr Duration IdleReset = std::chrono::seconds(10);
+/// A latency jump this soon after an error means a restart.
+constexpr Duration TroubleMemory = std::chrono::seconds(1);
+constexpr std::uint32_t FailuresOfRestart = 3;
+constexpr std::uint32_t ShedsOfRestart = 3;
+constexpr std::uint32_t MinWindow = 4;
+constexpr std::uint32_t MaxWindow = 16;
+constexpr double ShedFactor = 0.7;
+/// Bounds of the decrease for latency, and the ratio it aims for.
+constexpr double StrongestDecrease = 0.4;
+constexpr double WeakestDecrease = 0.8;
+constexpr double AimedRatio = 1.3;
+/// A ratio that may mean that the target turned cold.
+constexpr double ColdRatio = 3;
+/// Share of the expected relief below which a decrease was futile.
+constexpr double FutileShare = 0.5;
+constexpr std::uint32_t FutileDecreasesToRebase = 2;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(const AdmissionOptions &Options,
+                                   TimePoint Now)
+    : m_Options(Options), m_Limit(std::max(Options.m_Slots, 1U)),
+      m_LastDecrease(Now), m_LastRise(Now), m_LastActivity(Now),
+      m_LastTrouble(Now - TroubleMemory) {
+  m_Options.m_Slots = m_Limit;
+  enterCold(Now);
+}
+
+void ConcurrencyLimit::noteStart(TimePoint Now) {
+  if (m_Options.m_Adaptive && Now - m_LastActivity > IdleReset)
+    m_Limit = std::min(m_Limit, coldLimit());
+  m_LastActivity = Now;
+}
+
+void ConcurrencyLimit::onResult(Urgency Class, const OrderResult &Result,
+                                TimePoint Now) {
+  m_LastActivity = Now;
+  const bool Stale = Now - Result.m_Latency < m_LastDecrease;
+  if (Result.m_Failed || Result.m_Shed)
+    m_LastTrouble = Now;
+  if (!m_Options.m_Adaptive) {
+    if (!Result.m_Failed && !Result.m_Shed)
+      m_Trends.at(static_cast<std::size_t>(Class))
+          .add(Result.m_Latency, MaxWindow);
+    return;
+  }
+  if (Stale)
+    return;
+  if (Result.m_Shed)
+    return onShed(Now);
+  if (Result.m_Failed)
+    return onFailure(Now);
+
+  m_FailuresInRow = 0;
+  m_ShedsInRow = 0;
+  const std::optional<LatencyVerdict> Verdict =
+      m_Trends.at(static_cast<std::size_t>(Class))
+          .add(Result.m_Latency, std::clamp(m_Limit, MinWindow, MaxWindow));
+  if (Verdict)
+    onVerdict(*Verdict, Now);
+}
+
+void ConcurrencyLimit::enterCold(TimePoint Now) {
+  if (!m_Options.m_Adaptive)
+    return;
+  m_Limit = std::min(m_Limit, coldLimit());
+  m_FailuresInRow = 0;
+  m_ShedsInRow = 0;
+  m_DecreaseRatio = 0;
+  m_FutileDecreases = 0;
+  m_LastDecrease = Now;
+  startRamp(m_Limit, Now);
+  restartWindows();
+}
+
+const LatencyTrend &ConcurrencyLimit::trend(Urgency Class) const {
+  return m_Trends.at(static_cast<std::size_t>(Class));
+}
+
+void ConcurrencyLimit::onFailure(TimePoint Now) {
+  if (++m_FailuresInRow >= FailuresOfRestart)
+    enterCold(Now);
+}
+
+void ConcurrencyLimit::onShed(TimePoint Now) {
+  if (++m_ShedsInRow >= ShedsOfRestart)
+    return enterCold(Now);
+  decrease(ShedFactor, Now);
+}
+
+void ConcurrencyLimit::onVerdict(const LatencyVerdict &Verdict, TimePoint Now) {
+  if (Verdict.m_Congested)
+    return onCongested(Verdict, Now);
+  if (!Verdict.m_Healthy)
+    return;
+  m_DecreaseRatio = 0;
+  m_FutileDecreases = 0;
+  raise(Now);
+}
+
+void ConcurrencyLimit::onCongested(const LatencyVerdict &Verdict,
+                                   TimePoint Now) {
+  if (Verdict.m_Ratio > ColdRatio && Now - m_LastTrouble < TroubleMemory)
+    return enterCold(Now);
+  m_FutileDecreases = isFutile(Verdict) ? m_FutileDecreases + 1 : 0;
+  if (m_FutileDecreases >= FutileDecreasesToRebase)
+    return onFutileDecrease();
+
+  const std::uint32_t Before = m_Limit;
+  decrease(std::clamp(AimedRatio / Verdict.m_Ratio, StrongestDecrease,
+                      WeakestDecrease),
+           Now);
+  m_DecreaseRatio = Verdict.m_Ratio;
+  m_DecreasedFrom = Before;
+  if (Verdict.m_Ratio > ColdRatio)
+    startRamp(m_Limit, Now);
+}
+
+// The latency does not stem from the number of orders: the target is slow for
+// another reason, and fewer orders only cost throughput.
+void ConcurrencyLimit::onFutileDecrease() {
+  for (LatencyTrend &Trend : m_Trends)
+    Trend.rebase();
+  m_DecreaseRatio = 0;
+  m_FutileDecreases = 0;
+  m_Ramping = false;
+}
+
+bool ConcurrencyLimit::isFutile(const LatencyVerdict &Verdict) const {
+  if (m_DecreaseRatio == 0)
+    return false;
+  const double Kept =
+      static_cast<double>(m_Limit) / static_cast<double>(m_DecreasedFrom);
+  return Verdict.m_Ratio > m_DecreaseRatio * (1 - FutileShare * (1 - Kept));
+}
+
+void ConcurrencyLimit::raise(TimePoint Now) {
+  if (!m_Saturated || Now - m_LastRise < RisePeriod)
+    return;
+  if (m_Limit >= rampCeiling(Now))
+    return;
+  ++m_Limit;
+  m_LastRise = Now;
+  m_Saturated = false;
+}
+
+void ConcurrencyLimit::decrease(double Factor, TimePoint Now) {
+  m_Limit = std::max(
+      1U, static_cast<std::uint32_t>(static_cast<double>(m_Limit) * Factor));
+  m_LastDecrease = Now;
+  m_LastRise = Now;
+  m_Saturated = false;
+  restartWindows();
+}
+
+void ConcurrencyLimit::startRamp(std::uint32_t From, TimePoint Now) {
+  m_Ramping = true;
+  m_RampFrom = From;
+  m_RampStart = Now;
+  m_LastRise = Now;
+  m_Saturated = false;
+}
+
+std::uint32_t ConcurrencyLimit::rampCeiling(TimePoint Now) const {
+  const Duration Elapsed = Now - m_RampStart;
+  if (!m_Ramping || Elapsed >= m_Options.m_ColdRamp)
+    return m_Options.m_Slots;
+  const double Share = static_cast<double>(Elapsed.count()) /
+                       static_cast<double>(m_Options.m_ColdRamp.count());
+  const std::uint32_t Room = m_Options.m_Slots - m_RampFrom;
+  return m_RampFrom +
+         static_cast<std::uint32_t>(static_cast<double>(Room) * Share);
+}
+
+std::uint32_t ConcurrencyLimit::coldLimit() const {
+  return std::clamp(m_Options.m_ColdSlots, 1U, m_Options.m_Slots);
+}
+
+void ConcurrencyLimit::restartWindows() {
+  for (LatencyTrend &Trend : m_Trends)
+    Trend.restartWindow();
+}
+
+} // namespace balsamwheel
