--- /dev/null
+++ b/bench/policy/gated_target.cpp
@@ -0,0 +1,88 @@
+// Joins an AdmissionGate with a modelled target.
+#include "policy/gated_target.h"
+
+#include <utility>
+
+namespace balsamwheel::policy {
+
+namespace {
+
+constexpr Duration SweepPeriod = std::chrono::milliseconds(5);
+
+} // namespace
+
+GatedTarget::GatedTarget(EventLoop &Loop, const AdmissionOptions &Gate,
+                         const TargetModel &Model)
+    : m_Loop(Loop), m_Gate(Gate, Loop.now()), m_Target(Loop, Model) {
+  sweep();
+}
+
+RequestHandle GatedTarget::send(Urgency Class, Duration Work,
+                                TimePoint Deadline, Done Report) {
+  const RequestHandle Handle(m_NextHandle++);
+  m_Sends[Handle] = {
+      .m_Class = Class, .m_Work = Work, .m_Report = std::move(Report)};
+  const AdmissionDecision Decision =
+      m_Gate.offer(Handle, Class, Deadline, m_Loop.now());
+  if (Decision.m_Verdict == AdmissionVerdict::Run)
+    start(Handle);
+  else if (Decision.m_Verdict == AdmissionVerdict::Refused)
+    m_Loop.after(Duration(0),
+                 [this, Handle] { end(Handle, SendEnd::Refused); });
+  return Handle;
+}
+
+void GatedTarget::cancel(RequestHandle Handle) {
+  const auto Found = m_Sends.find(Handle);
+  if (Found == m_Sends.end())
+    return;
+  const Send Cancelled = std::move(Found->second);
+  m_Sends.erase(Found);
+  if (Cancelled.m_Order == 0) {
+    m_Gate.withdraw(Handle);
+    return;
+  }
+  m_Target.cancel(Cancelled.m_Order);
+  m_Gate.released(Cancelled.m_Class);
+  drain();
+}
+
+void GatedTarget::start(RequestHandle Handle) {
+  Send &Started = m_Sends.at(Handle);
+  Started.m_Order =
+      m_Target.start(Started.m_Work, [this, Handle](const OrderResult &Result) {
+        finish(Handle, Result);
+      });
+}
+
+void GatedTarget::finish(RequestHandle Handle, const OrderResult &Result) {
+  const auto Found = m_Sends.find(Handle);
+  if (Found == m_Sends.end())
+    return;
+  m_Gate.finished(Found->second.m_Class, Result, m_Loop.now());
+  end(Handle, Result.m_Failed ? SendEnd::Failed : SendEnd::Answered);
+  drain();
+}
+
+void GatedTarget::end(RequestHandle Handle, SendEnd How) {
+  const auto Found = m_Sends.find(Handle);
+  if (Found == m_Sends.end())
+    return;
+  const Done Report = std::move(Found->second.m_Report);
+  m_Sends.erase(Found);
+  Report(How);
+}
+
+void GatedTarget::drain() {
+  while (const auto Handle = m_Gate.next(m_Loop.now()))
+    start(*Handle);
+  for (const RequestHandle Handle : m_Gate.expire(m_Loop.now()))
+    end(Handle, SendEnd::Refused);
+}
+
+void GatedTarget::sweep() {
+  m_Loop.after(SweepPeriod, [this] { sweep(); });
+  drain();
+}
+
+} // namespace balsamwheel::policy
--- /dev/null
+++ b/bench/policy/modelled_target.cpp
@@ -0,0 +1,136 @@
+// Processor-sharing model of a target with a cold start.
+#include "policy/modelled_target.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamwheel::policy {
+
+namespace {
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(10);
+constexpr Duration RefusalLatency = std::chrono::milliseconds(1);
+constexpr double FinishedWork = 1; // microseconds
+
+} // namespace
+
+ModelledTarget::ModelledTarget(EventLoop &Loop, TargetModel Model)
+    : m_Loop(Loop), m_Model(Model), m_LastAdvance(Loop.now()),
+      m_ColdSince(Loop.now()), m_BearableAt(Loop.now()) {
+  if (!Model.m_StartsCold)
+    m_ColdSince -= Model.m_Warming;
+  tick();
+}
+
+std::uint64_t ModelledTarget::start(Duration Work, Done Report) {
+  const std::uint64_t Order = m_NextOrder++;
+  if (m_Loop.now() < m_DownUntil) {
+    m_Loop.after(RefusalLatency, [Report = std::move(Report)] {
+      Report({.m_Latency = RefusalLatency, .m_Failed = true});
+    });
+    return Order;
+  }
+  advance();
+  m_Running[Order] = {.m_WorkLeft = static_cast<double>(Work.count()),
+                      .m_Start = m_Loop.now(),
+                      .m_Report = std::move(Report)};
+  rescheduleNext();
+  return Order;
+}
+
+void ModelledTarget::cancel(std::uint64_t Order) {
+  advance();
+  m_Running.erase(Order);
+  rescheduleNext();
+}
+
+void ModelledTarget::turnCold(bool Fails) {
+  advance();
+  m_ColdSince = m_Loop.now();
+  m_BearableAt = m_Loop.now();
+  if (Fails) {
+    m_DownUntil = m_Loop.now() + m_Model.m_Downtime;
+    m_ColdSince = m_DownUntil;
+    failAll();
+  }
+  rescheduleNext();
+}
+
+void ModelledTarget::setSlowness(double Factor) {
+  advance();
+  m_Slowness = Factor;
+  rescheduleNext();
+}
+
+double ModelledTarget::borne() const {
+  const auto Age = static_cast<double>((m_Loop.now() - m_ColdSince).count());
+  const double Warmth = std::clamp(
+      Age / static_cast<double>(m_Model.m_Warming.count()), 0.0, 1.0);
+  const double Share = m_Model.m_ColdShare + (1 - m_Model.m_ColdShare) * Warmth;
+  return Share * m_Model.m_Slots;
+}
+
+double ModelledTarget::speed() const {
+  const auto Count = static_cast<double>(m_Running.size());
+  return std::min(1.0, borne() / std::max(Count, 1.0)) / m_Slowness;
+}
+
+void ModelledTarget::advance() {
+  const auto Elapsed =
+      static_cast<double>((m_Loop.now() - m_LastAdvance).count());
+  m_LastAdvance = m_Loop.now();
+  const double Progress = Elapsed * speed();
+  for (auto &[Order, State] : m_Running)
+    State.m_WorkLeft -= Progress;
+}
+
+void ModelledTarget::rescheduleNext() {
+  ++m_Generation;
+  if (m_Running.empty())
+    return;
+  double Least = m_Running.begin()->second.m_WorkLeft;
+  for (const auto &[Order, State] : m_Running)
+    Least = std::min(Least, State.m_WorkLeft);
+  const double Time = std::max(Least, 0.0) / speed() + 1;
+  m_Loop.after(Duration(static_cast<Duration::rep>(Time)),
+               [this, Generation = m_Generation] { complete(Generation); });
+}
+
+void ModelledTarget::complete(std::uint64_t Generation) {
+  if (Generation != m_Generation)
+    return;
+  advance();
+  std::vector<Running> Finished;
+  std::erase_if(m_Running, [&](auto &Entry) {
+    if (Entry.second.m_WorkLeft > FinishedWork)
+      return false;
+    Finished.push_back(std::move(Entry.second));
+    return true;
+  });
+  rescheduleNext();
+  for (const Running &Order : Finished)
+    Order.m_Report({.m_Latency = m_Loop.now() - Order.m_Start});
+}
+
+void ModelledTarget::tick() {
+  m_Loop.after(TickPeriod, [this] { tick(); });
+  const auto Count = static_cast<double>(m_Running.size());
+  if (Count <= borne() * m_Model.m_BreakingPoint)
+    m_BearableAt = m_Loop.now();
+  if (m_Loop.now() - m_BearableAt > m_Model.m_Patience) {
+    ++m_Collapses;
+    turnCold(/*Fails=*/true);
+  } else if (m_Loop.now() - m_ColdSince < m_Model.m_Warming) {
+    advance();
+    rescheduleNext();
+  }
+}
+
+void ModelledTarget::failAll() {
+  const auto Lost = std::exchange(m_Running, {});
+  for (const auto &[Order, State] : Lost)
+    State.m_Report(
+        {.m_Latency = m_Loop.now() - State.m_Start, .m_Failed = true});
+}
+
+} // namespace balsamwheel::policy
--- a/include/balsamwheel/detail/load/admission.h
+++ b/include/balsamwheel/detail/load/admission.h
@@ -76,6 +76,9 @@
   std::size_t queued() const;
   /// Expected time for a new request of this class to get a slot.
   Duration expectedWait(Urgency Class) const;
+  /// When to call next() and expire() though nothing finished; the far future
+  /// when nothing waits.
+  TimePoint nextWake() const;
 
 private:
   class Impl;
--- a/include/balsamwheel/detail/load/retry_budget.h
+++ b/include/balsamwheel/detail/load/retry_budget.h
@@ -8,8 +8,9 @@
 namespace balsamwheel {
 
 struct RetryBudgetOptions {
-  /// Retries allowed per first attempt.
-  double m_Ratio = 0.10;
+  /// Retries allowed per first attempt. With the burst on top, the load stays
+  /// under 1.1 times the first attempts over any 2,000 of them.
+  double m_Ratio = 0.09;
   /// Retries that may be saved up.
   double m_Burst = 20;
   Duration m_BaseDelay = std::chrono::milliseconds(5);
--- a/src/load/admission.cpp
+++ b/src/load/admission.cpp
@@ -47,6 +47,7 @@
   std::uint32_t running() const;
   std::size_t queued() const { return m_Queues.size(); }
   Duration expectedWait(Urgency Class) const;
+  TimePoint nextWake() const;
 
 private:
   bool canStart(Urgency Class) const;
@@ -113,6 +114,7 @@
 }
 
 std::vector<RequestHandle> AdmissionGate::Impl::expire(TimePoint Now) {
+  m_Now = Now;
   for (const Urgency Class : ByUrgency)
     dropDoomed(Class, Now);
   return std::exchange(m_Doomed, {});
@@ -155,6 +157,14 @@
   return Work / static_cast<Duration::rep>(Open > Lost ? Open - Lost : 1);
 }
 
+TimePoint AdmissionGate::Impl::nextWake() const {
+  const std::optional<TimePoint> Deadline = m_Queues.firstDeadline();
+  if (!Deadline)
+    return TimePoint::max();
+  const TimePoint Resume = m_Limit.pausedUntil();
+  return m_Now < Resume ? std::min(*Deadline, Resume) : *Deadline;
+}
+
 // Urgent requests may use every slot, others all but the reserved ones. A
 // small limit keeps one slot that every class may use.
 std::uint32_t AdmissionGate::Impl::slotsOpenTo(Urgency Class) const {
@@ -175,6 +185,8 @@
 bool AdmissionGate::Impl::canStart(Urgency Class) const {
   if (running() >= limit() || runningFrom(Class) >= slotsOpenTo(Class))
     return false;
+  if (m_Now < m_Limit.pausedUntil())
+    return false;
   return Class != Urgency::Bulk || limit() > 1 || !isExpected(Urgency::Urgent);
 }
 
@@ -273,4 +285,6 @@
   return m_Impl->expectedWait(Class);
 }
 
+TimePoint AdmissionGate::nextWake() const { return m_Impl->nextWake(); }
+
 } // namespace balsamwheel
--- a/src/load/class_queues.cpp
+++ b/src/load/class_queues.cpp
@@ -42,6 +42,14 @@
   return First;
 }
 
+std::optional<TimePoint> ClassQueues::firstDeadline() const {
+  std::optional<TimePoint> First;
+  for (const Queue &Waiting : m_Queues)
+    if (!Waiting.empty() && (!First || Waiting.begin()->m_Deadline < *First))
+      First = Waiting.begin()->m_Deadline;
+  return First;
+}
+
 ClassQueues::Queue &ClassQueues::queue(Urgency Class) {
   return m_Queues.at(static_cast<std::size_t>(Class));
 }
--- a/src/load/class_queues.h
+++ b/src/load/class_queues.h
@@ -24,6 +24,8 @@
   /// Removes the first request of a class if it is due before \p Limit.
   std::optional<RequestHandle> popDueBefore(Urgency Class, TimePoint Limit);
 
+  /// The earliest deadline over all classes; none when nothing waits.
+  std::optional<TimePoint> firstDeadline() const;
   std::size_t size() const { return m_Where.size(); }
   std::size_t size(Urgency Class) const { return queue(Class).size(); }
 
--- a/src/load/concurrency_limit.cpp
+++ b/src/load/concurrency_limit.cpp
@@ -15,18 +15,19 @@
 constexpr Duration TroubleMemory = std::chrono::seconds(1);
 constexpr std::uint32_t FailuresOfRestart = 3;
 constexpr std::uint32_t ShedsOfRestart = 3;
-constexpr std::uint32_t MinWindow = 4;
+constexpr std::uint32_t MinWindow = 8;
 constexpr std::uint32_t MaxWindow = 16;
 constexpr double ShedFactor = 0.7;
 /// Bounds of the decrease for latency, and the ratio it aims for.
-constexpr double StrongestDecrease = 0.4;
+constexpr double StrongestDecrease = 0.2;
 constexpr double WeakestDecrease = 0.8;
 constexpr double AimedRatio = 1.3;
 /// A ratio that may mean that the target turned cold.
 constexpr double ColdRatio = 3;
-/// Share of the expected relief below which a decrease was futile.
-constexpr double FutileShare = 0.5;
-constexpr std::uint32_t FutileDecreasesToRebase = 2;
+/// Congested verdicts in a row at the cold limit that show another reason.
+constexpr std::uint32_t VerdictsOfSlowness = 3;
+constexpr Duration FirstPause = std::chrono::milliseconds(10);
+constexpr std::uint32_t MaxPauseDoublings = 4;
 
 } // namespace
 
@@ -34,7 +35,7 @@
                                    TimePoint Now)
     : m_Options(Options), m_Limit(std::max(Options.m_Slots, 1U)),
       m_LastDecrease(Now), m_LastRise(Now), m_LastActivity(Now),
-      m_LastTrouble(Now - TroubleMemory) {
+      m_LastTrouble(Now - TroubleMemory), m_PausedUntil(Now) {
   m_Options.m_Slots = m_Limit;
   enterCold(Now);
 }
@@ -66,6 +67,7 @@
 
   m_FailuresInRow = 0;
   m_ShedsInRow = 0;
+  m_PausesInRow = 0;
   const std::optional<LatencyVerdict> Verdict =
       m_Trends.at(static_cast<std::size_t>(Class))
           .add(Result.m_Latency, std::clamp(m_Limit, MinWindow, MaxWindow));
@@ -79,10 +81,9 @@
   m_Limit = std::min(m_Limit, coldLimit());
   m_FailuresInRow = 0;
   m_ShedsInRow = 0;
-  m_DecreaseRatio = 0;
-  m_FutileDecreases = 0;
   m_LastDecrease = Now;
   startRamp(m_Limit, Now);
+  m_RampAfterErrors = true;
   restartWindows();
 }
 
@@ -91,8 +92,17 @@
 }
 
 void ConcurrencyLimit::onFailure(TimePoint Now) {
-  if (++m_FailuresInRow >= FailuresOfRestart)
-    enterCold(Now);
+  if (++m_FailuresInRow < FailuresOfRestart && m_PausesInRow == 0)
+    return;
+  enterCold(Now);
+  pause(Now);
+}
+
+// The target is down: orders wait rather than fail.
+void ConcurrencyLimit::pause(TimePoint Now) {
+  const std::uint32_t Doublings = std::min(m_PausesInRow, MaxPauseDoublings);
+  m_PausedUntil = Now + FirstPause * (1U << Doublings);
+  ++m_PausesInRow;
 }
 
 void ConcurrencyLimit::onShed(TimePoint Now) {
@@ -104,47 +114,34 @@
 void ConcurrencyLimit::onVerdict(const LatencyVerdict &Verdict, TimePoint Now) {
   if (Verdict.m_Congested)
     return onCongested(Verdict, Now);
-  if (!Verdict.m_Healthy)
-    return;
-  m_DecreaseRatio = 0;
-  m_FutileDecreases = 0;
-  raise(Now);
+  m_CongestedAtColdLimit = 0;
+  if (Verdict.m_Healthy)
+    raise(Now);
 }
 
 void ConcurrencyLimit::onCongested(const LatencyVerdict &Verdict,
                                    TimePoint Now) {
   if (Verdict.m_Ratio > ColdRatio && Now - m_LastTrouble < TroubleMemory)
     return enterCold(Now);
-  m_FutileDecreases = isFutile(Verdict) ? m_FutileDecreases + 1 : 0;
-  if (m_FutileDecreases >= FutileDecreasesToRebase)
-    return onFutileDecrease();
-
-  const std::uint32_t Before = m_Limit;
+  if (m_Limit <= coldLimit())
+    return onCongestedAtColdLimit(Verdict.m_Ratio);
   decrease(std::clamp(AimedRatio / Verdict.m_Ratio, StrongestDecrease,
                       WeakestDecrease),
            Now);
-  m_DecreaseRatio = Verdict.m_Ratio;
-  m_DecreasedFrom = Before;
+  m_Limit = std::max(m_Limit, coldLimit());
   if (Verdict.m_Ratio > ColdRatio)
     startRamp(m_Limit, Now);
 }
 
-// The latency does not stem from the number of orders: the target is slow for
-// another reason, and fewer orders only cost throughput.
-void ConcurrencyLimit::onFutileDecrease() {
+// Even a cold target bears the cold limit, so it is slow for another reason,
+// and fewer orders would only cost throughput.
+void ConcurrencyLimit::onCongestedAtColdLimit(double Ratio) {
+  if (++m_CongestedAtColdLimit < VerdictsOfSlowness)
+    return;
+  m_CongestedAtColdLimit = 0;
   for (LatencyTrend &Trend : m_Trends)
-    Trend.rebase();
-  m_DecreaseRatio = 0;
-  m_FutileDecreases = 0;
-  m_Ramping = false;
-}
-
-bool ConcurrencyLimit::isFutile(const LatencyVerdict &Verdict) const {
-  if (m_DecreaseRatio == 0)
-    return false;
-  const double Kept =
-      static_cast<double>(m_Limit) / static_cast<double>(m_DecreasedFrom);
-  return Verdict.m_Ratio > m_DecreaseRatio * (1 - FutileShare * (1 - Kept));
+    Trend.scaleBaseline(Ratio);
+  m_Ramping = m_Ramping && m_RampAfterErrors;
 }
 
 void ConcurrencyLimit::raise(TimePoint Now) {
@@ -168,6 +165,7 @@
 
 void ConcurrencyLimit::startRamp(std::uint32_t From, TimePoint Now) {
   m_Ramping = true;
+  m_RampAfterErrors = false;
   m_RampFrom = From;
   m_RampStart = Now;
   m_LastRise = Now;
--- a/src/load/concurrency_limit.h
+++ b/src/load/concurrency_limit.h
@@ -24,15 +24,18 @@
   /// Falls back to the cold limit and rises no faster than the cold ramp.
   void enterCold(TimePoint Now);
 
+  /// After errors in a row, no order starts before this.
+  TimePoint pausedUntil() const { return m_PausedUntil; }
+
   const LatencyTrend &trend(Urgency Class) const;
 
 private:
   void onFailure(TimePoint Now);
+  void pause(TimePoint Now);
   void onShed(TimePoint Now);
   void onVerdict(const LatencyVerdict &Verdict, TimePoint Now);
   void onCongested(const LatencyVerdict &Verdict, TimePoint Now);
-  void onFutileDecrease();
-  bool isFutile(const LatencyVerdict &Verdict) const;
+  void onCongestedAtColdLimit(double Ratio);
   void raise(TimePoint Now);
   void decrease(double Factor, TimePoint Now);
   void startRamp(std::uint32_t From, TimePoint Now);
@@ -51,14 +54,16 @@
   TimePoint m_LastTrouble;
   std::uint32_t m_FailuresInRow = 0;
   std::uint32_t m_ShedsInRow = 0;
+  // Pauses since the last success; each is longer than the one before.
+  std::uint32_t m_PausesInRow = 0;
+  TimePoint m_PausedUntil;
   // The ramp that caps the limit: from m_RampFrom at m_RampStart to m_Slots.
   bool m_Ramping = false;
+  // The ramp started with errors or at the beginning, not by latency alone.
+  bool m_RampAfterErrors = false;
+  std::uint32_t m_CongestedAtColdLimit = 0;
   std::uint32_t m_RampFrom = 1;
   TimePoint m_RampStart;
-  // Last decrease for latency: ratio seen, and the limit before and after.
-  double m_DecreaseRatio = 0;
-  std::uint32_t m_DecreasedFrom = 0;
-  std::uint32_t m_FutileDecreases = 0;
 };
 
 } // namespace balsamwheel
--- a/src/load/latency_trend.cpp
+++ b/src/load/latency_trend.cpp
@@ -18,6 +18,8 @@
 constexpr double HealthyNoise = 1.5;
 constexpr double CongestedRatio = 1.6;
 constexpr double CongestedNoise = 3;
+/// Samples that a verdict needs.
+constexpr std::uint32_t MinSamples = 2;
 
 Duration toDuration(double Microseconds) {
   return Duration(static_cast<Duration::rep>(Microseconds));
@@ -35,15 +37,17 @@
   m_RecentMean += (Sample - m_RecentMean) * SampleWeight;
   m_WindowSum += Sample;
   ++m_WindowCount;
-  if (m_WindowCount < WindowSize)
+  if (m_WindowCount < WindowSize && !surelyCongested(WindowSize))
     return std::nullopt;
 
   const double Mean = m_WindowSum / m_WindowCount;
   if (m_Baseline == 0)
     m_Baseline = Mean;
-  const LatencyVerdict Result = judge(Mean);
+  const LatencyVerdict Result{.m_Ratio = Mean / m_Baseline,
+                              .m_Congested =
+                                  Mean > congestedMean(m_WindowCount),
+                              .m_Healthy = Mean <= healthyMean(m_WindowCount)};
   moveBaseline(Mean);
-  m_LastWindowMean = Mean;
   restartWindow();
   return Result;
 }
@@ -53,7 +57,10 @@
   m_WindowCount = 0;
 }
 
-void LatencyTrend::rebase() { m_Baseline = m_LastWindowMean; }
+void LatencyTrend::scaleBaseline(double Factor) {
+  m_Baseline *= Factor;
+  restartWindow();
+}
 
 Duration LatencyTrend::baseline() const { return toDuration(m_Baseline); }
 
@@ -61,18 +68,29 @@
 
 Duration LatencyTrend::deviation() const { return toDuration(m_Deviation); }
 
-LatencyVerdict LatencyTrend::judge(double Mean) const {
-  // The deviation may stem from the very jump that is judged.
-  const double Noise = std::min(m_Deviation, m_Baseline) /
-                       std::sqrt(static_cast<double>(m_WindowCount));
-  return {.m_Ratio = Mean / m_Baseline,
-          .m_Congested =
-              Mean > m_Baseline * CongestedRatio + Noise * CongestedNoise,
-          .m_Healthy =
-              Mean <= m_Baseline * HealthyRatio + Noise * HealthyNoise};
+// The samples so far are so slow that the rest can't make up for them.
+bool LatencyTrend::surelyCongested(std::uint32_t WindowSize) const {
+  return m_Baseline > 0 && m_WindowCount >= MinSamples &&
+         m_WindowSum > congestedMean(m_WindowCount) * WindowSize;
+}
+
+double LatencyTrend::congestedMean(std::uint32_t Count) const {
+  return m_Baseline * CongestedRatio + noise(Count) * CongestedNoise;
+}
+
+double LatencyTrend::healthyMean(std::uint32_t Count) const {
+  return m_Baseline * HealthyRatio + noise(Count) * HealthyNoise;
+}
+
+// The deviation may stem from the very jump that is judged, hence the bound.
+double LatencyTrend::noise(std::uint32_t Count) const {
+  return std::min(m_Deviation, m_Baseline) /
+         std::sqrt(static_cast<double>(Count));
 }
 
 void LatencyTrend::moveBaseline(double Mean) {
+  if (Mean < m_Baseline / 2)
+    m_Baseline = Mean;
   const double Weight = Mean < m_Baseline ? FallWeight : RiseWeight;
   m_Baseline += (Mean - m_Baseline) * Weight;
 }
--- a/src/load/latency_trend.h
+++ b/src/load/latency_trend.h
@@ -29,8 +29,8 @@
   std::optional<LatencyVerdict> add(Duration Latency, std::uint32_t WindowSize);
   /// Drops the samples of the open window.
   void restartWindow();
-  /// Takes the mean of the last closed window as the new baseline.
-  void rebase();
+  /// The target became slower for another reason than congestion.
+  void scaleBaseline(double Factor);
 
   /// Typical uncongested latency; 0 before the first window closed.
   Duration baseline() const;
@@ -40,14 +40,16 @@
   Duration deviation() const;
 
 private:
-  LatencyVerdict judge(double Mean) const;
+  bool surelyCongested(std::uint32_t WindowSize) const;
+  double congestedMean(std::uint32_t Count) const;
+  double healthyMean(std::uint32_t Count) const;
+  double noise(std::uint32_t Count) const;
   void moveBaseline(double Mean);
 
   // All in microseconds; 0 while nothing is known.
   double m_Baseline = 0;
   double m_RecentMean = 0;
   double m_Deviation = 0;
-  double m_LastWindowMean = 0;
   double m_WindowSum = 0;
   std::uint32_t m_WindowCount = 0;
 };
