--- a/include/balsamwheel/detail/wire/request.h
+++ b/include/balsamwheel/detail/wire/request.h
@@ -61,8 +61,15 @@
   HttpRequest m_Http;
   /// Time left until the caller's deadline when the message was sent.
   Duration m_TimeLeft{0};
-  /// Distinguishes forwards of the same request by the same entrance.
+  /// Distinguishes forwards of the same request by the same entrance. The
+  /// upper half names the run of the sender, the lower half counts up.
   std::uint64_t m_Stream = 0;
+  /// The only session that may run it.
+  SessionId m_To;
+  /// Epoch under which the sender believes m_To owns the key.
+  Epoch m_Epoch;
+  /// Stream of the OutcomeQuery that cleared a retry; 0 for a first attempt.
+  std::uint64_t m_Query = 0;
 };
 
 /// The receiver has the request; the answer follows.
@@ -78,6 +85,13 @@
   Duration m_RetryAfter{0};
   /// Who the replier believes owns the key; 0 if it does not know.
   SessionId m_Owner;
+  /// Epoch of m_Owner's assignment, as the replier knows it.
+  Epoch m_Epoch;
+  /// With NotRun to an OutcomeQuery: how long the replier has remembered every
+  /// non-idempotent request it ran for this key.
+  Duration m_MemoryAge{0};
+  /// The live former owner of the key, 0 if none.
+  SessionId m_Former;
   HttpAnswer m_Http;
 };
 
@@ -86,6 +100,10 @@
 struct OutcomeQuery {
   std::uint64_t m_Stream = 0;
   RequestMeta m_Meta;
+  SessionId m_To;
+  /// The forward whose fate is asked. 0 asks for the request id as a whole, to
+  /// clear a retry: earlier attempts are refused from then on.
+  std::uint64_t m_Forward = 0;
 };
 
 /// The entrance no longer wants the answer.
