--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,186 @@
+// Joins the coordinator, the entrance and the executor of one daemon.
+#include "balsamwheel/detail/node/node.h"
+
+#include "balsamwheel/detail/node/context.h"
+#include "balsamwheel/detail/node/entrance.h"
+#include "balsamwheel/detail/node/executor.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace balsamwheel {
+
+/// Routes each event to its part and empties the loopback afterwards.
+class Node::Impl {
+public:
+  Impl(NodeOptions Options, std::uint64_t Seed)
+      : m_Context(Options.m_Coordinator, Seed), m_Executor(m_Context, Options),
+        m_Entrance(m_Context, Options, m_Context.random()) {}
+
+  template <typename Action> void at(TimePoint Now, Action &&Perform) {
+    m_Entrance.noteTime(Now);
+    Perform();
+    drainLoopback(Now);
+  }
+
+  void onTick(TimePoint Now) {
+    at(Now, [&] {
+      m_Context.coordinator().onTick(Now);
+      m_Executor.onTick(Now);
+      drainLoopback(Now);
+      m_Entrance.onTick(Now);
+    });
+  }
+
+  void onRequest(RequestMessage Message, const PeerAddress &From,
+                 TimePoint Now) {
+    std::visit([&](auto &Each) { handle(std::move(Each), From, Now); },
+               Message);
+  }
+
+  TimePoint nextWake() const {
+    return std::min({m_Context.coordinator().nextWake(), m_Executor.nextWake(),
+                     m_Entrance.nextWake()});
+  }
+
+  NodeContext m_Context;
+  Executor m_Executor;
+  Entrance m_Entrance;
+
+private:
+  void handle(ForwardRequest Message, const PeerAddress &From, TimePoint Now) {
+    m_Executor.onForward(std::move(Message), From, Now);
+  }
+  void handle(const ForwardReceipt &Message, const PeerAddress & /*From*/,
+              TimePoint Now) {
+    m_Entrance.onReceipt(Message.m_Stream, Now);
+  }
+  void handle(ForwardReply Message, const PeerAddress & /*From*/,
+              TimePoint Now) {
+    m_Entrance.onReply(std::move(Message), Now);
+  }
+  void handle(const OutcomeQuery &Message, const PeerAddress &From,
+              TimePoint Now) {
+    m_Executor.onQuery(Message, From, Now);
+  }
+  void handle(const ForwardCancel &Message, const PeerAddress &From,
+              TimePoint Now) {
+    m_Executor.onCancel(Message.m_Stream, From, Now);
+  }
+  void handle(const Probe &Message, const PeerAddress &From,
+              TimePoint /*Now*/) {
+    m_Context.send(From, ProbeReply{.m_Nonce = Message.m_Nonce});
+  }
+  void handle(const ProbeReply &Message, const PeerAddress & /*From*/,
+              TimePoint /*Now*/) {
+    m_Entrance.onProbeReply(Message.m_Nonce);
+  }
+
+  void drainLoopback(TimePoint Now) {
+    std::deque<RequestMessage> &Queue = m_Context.loopback();
+    while (!Queue.empty()) {
+      RequestMessage Message = std::move(Queue.front());
+      Queue.pop_front();
+      onRequest(std::move(Message), m_Context.self(), Now);
+    }
+  }
+};
+
+Node::Node(NodeOptions Options, std::uint64_t Seed)
+    : m_Impl(std::make_unique<Impl>(std::move(Options), Seed)) {}
+Node::~Node() = default;
+Node::Node(Node &&) noexcept = default;
+Node &Node::operator=(Node &&) noexcept = default;
+
+void Node::start(TimePoint Now) {
+  m_Impl->at(Now, [&] { m_Impl->m_Context.coordinator().start(Now); });
+}
+
+void Node::onTick(TimePoint Now) { m_Impl->onTick(Now); }
+
+TimePoint Node::nextWake() const { return m_Impl->nextWake(); }
+
+void Node::onCallerRequest(IncomingRequest Request, TimePoint Now) {
+  m_Impl->at(Now, [&] {
+    m_Impl->m_Entrance.onCallerRequest(std::move(Request), Now);
+  });
+}
+
+void Node::onCallerGone(RequestHandle Request, TimePoint Now) {
+  m_Impl->at(Now, [&] { m_Impl->m_Entrance.onCallerGone(Request, Now); });
+}
+
+void Node::onControl(const ControlMessage &Message, const PeerAddress &From,
+                     TimePoint Now) {
+  m_Impl->at(Now, [&] {
+    m_Impl->m_Context.coordinator().onMessage(Message, From, Now);
+  });
+}
+
+void Node::onRequest(RequestMessage Message, const PeerAddress &From,
+                     TimePoint Now) {
+  m_Impl->at(Now, [&] { m_Impl->onRequest(std::move(Message), From, Now); });
+}
+
+void Node::onPeerLost(const PeerAddress &Peer, TimePoint Now) {
+  m_Impl->at(Now, [&] { m_Impl->m_Entrance.onPeerLost(Peer, Now); });
+}
+
+void Node::onTableReply(TableTicket Ticket, const TableReply &Reply,
+                        TimePoint Now) {
+  m_Impl->at(Now, [&] {
+    m_Impl->m_Context.coordinator().onTableReply(Ticket, Reply, Now);
+  });
+}
+
+void Node::onOrderAnswering(OrderId Order, HttpAnswer Head, TimePoint Now) {
+  m_Impl->at(Now,
+             [&] { m_Impl->m_Executor.onAnswering(Order, std::move(Head)); });
+}
+
+void Node::onOrderEnd(OrderReport Report, TimePoint Now) {
+  m_Impl->at(Now,
+             [&] { m_Impl->m_Executor.onOrderEnd(std::move(Report), Now); });
+}
+
+void Node::onTargetReady(const ServiceName &Service, std::uint32_t Slots,
+                         TimePoint Now) {
+  m_Impl->at(Now, [&] {
+    m_Impl->m_Executor.onTargetReady(Service, Slots, Now);
+    m_Impl->m_Context.coordinator().onTargetReady(Service, Slots, Now);
+  });
+}
+
+void Node::onTargetLeaving(TimePoint Now) {
+  m_Impl->at(Now,
+             [&] { m_Impl->m_Context.coordinator().onTargetLeaving(Now); });
+}
+
+void Node::beginShutdown(TimePoint Now) {
+  m_Impl->at(Now, [&] { m_Impl->m_Context.coordinator().beginShutdown(Now); });
+}
+
+bool Node::drained() const {
+  return m_Impl->m_Context.coordinator().drained() &&
+         m_Impl->m_Executor.idle() && m_Impl->m_Entrance.openRequests() == 0;
+}
+
+const Coordinator &Node::coordinator() const {
+  return std::as_const(m_Impl->m_Context).coordinator();
+}
+
+NodeStatus Node::status(TimePoint Now) const {
+  NodeStatus Result;
+  Result.m_Coordinator = coordinator().status(Now);
+  Result.m_Limit = m_Impl->m_Executor.limit();
+  Result.m_Running = m_Impl->m_Executor.running();
+  Result.m_Queued = m_Impl->m_Executor.queued();
+  Result.m_OutcomesKept = m_Impl->m_Executor.outcomesKept();
+  Result.m_RequestsOpen = m_Impl->m_Entrance.openRequests();
+  return Result;
+}
+
+Effects Node::takeEffects() { return m_Impl->m_Context.takeEffects(); }
+
+} // namespace balsamwheel
