Add the stand-ins for platform and targets

The daemons need a transactional table, an object store and targets to run against before the users' own rig comes.

--- /dev/null
+++ b/bench/core/delay_queue.h
@@ -0,0 +1,35 @@
+// Runs functions at given times on one thread.
+#pragma once
+
+#include "balsamwheel/detail/core/time.h"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace balsamwheel::bench {
+
+class DelayQueue {
+public:
+  DelayQueue();
+  ~DelayQueue();
+  DelayQueue(const DelayQueue &) = delete;
+  DelayQueue &operator=(const DelayQueue &) = delete;
+
+  /// Runs \p Work at \p Time, at once when that has passed.
+  void at(TimePoint Time, std::function<void()> Work);
+
+private:
+  void run();
+
+  std::mutex m_Mutex;
+  std::condition_variable m_Changed;
+  std::multimap<TimePoint, std::function<void()>> m_Work;
+  bool m_Stopped = false;
+  /// Last: it uses the members above.
+  std::thread m_Thread;
+};
+
+} // namespace balsamwheel::bench
--- /dev/null
+++ b/bench/core/signals.cpp
@@ -0,0 +1,31 @@
+// Blocks and waits on POSIX signals.
+#include "bench/core/signals.h"
+
+#include <csignal>
+
+namespace balsamwheel::bench {
+
+namespace {
+
+sigset_t endSignals() {
+  sigset_t Set;
+  sigemptyset(&Set);
+  sigaddset(&Set, SIGTERM);
+  sigaddset(&Set, SIGINT);
+  return Set;
+}
+
+} // namespace
+
+SignalWaiter::SignalWaiter() {
+  const sigset_t Set = endSignals();
+  pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+}
+
+void SignalWaiter::waitForEnd() const {
+  const sigset_t Set = endSignals();
+  int Signal = 0;
+  sigwait(&Set, &Signal);
+}
+
+} // namespace balsamwheel::bench
--- /dev/null
+++ b/bench/core/table_store.cpp
@@ -0,0 +1,51 @@
+// Conditional transactions over a map.
+#include "bench/core/table_store.h"
+
+namespace balsamwheel::bench {
+
+Row TableStore::rowOf(const std::string &Key) const {
+  const auto Found = m_Cells.find(Key);
+  if (Found == m_Cells.end() || !Found->second.m_Present)
+    return {.m_Key = RowKey(Key), .m_Version = RowVersion(0), .m_Value = ""};
+  return {.m_Key = RowKey(Key),
+          .m_Version = RowVersion(Found->second.m_Version),
+          .m_Value = Found->second.m_Value};
+}
+
+std::vector<Row> TableStore::read(const TableRead &Read) const {
+  std::vector<Row> Rows;
+  for (const RowKey &Key : Read.m_Keys)
+    Rows.push_back(rowOf(Key.value()));
+  for (const std::string &Prefix : Read.m_Prefixes)
+    for (auto Cell = m_Cells.lower_bound(Prefix);
+         Cell != m_Cells.end() && Cell->first.starts_with(Prefix); ++Cell)
+      if (Cell->second.m_Present)
+        Rows.push_back(rowOf(Cell->first));
+  return Rows;
+}
+
+TableReply TableStore::commit(const Transaction &Transaction) {
+  TableReply Reply;
+  for (const RowCondition &Condition : Transaction.m_Conditions) {
+    Row Current = rowOf(Condition.m_Key.value());
+    if (Current.m_Version != Condition.m_Version)
+      Reply.m_Rows.push_back(std::move(Current));
+  }
+  if (!Reply.m_Rows.empty()) {
+    Reply.m_Status = TableStatus::Conflict;
+    return Reply;
+  }
+  for (const RowWrite &Write : Transaction.m_Writes) {
+    Cell &Target = m_Cells[Write.m_Key.value()];
+    ++Target.m_Version;
+    Target.m_Present = Write.m_Value.has_value();
+    Target.m_Value = Write.m_Value.value_or("");
+    Reply.m_Rows.push_back({.m_Key = Write.m_Key,
+                            .m_Version = RowVersion(Target.m_Version),
+                            .m_Value = ""});
+  }
+  Reply.m_Status = TableStatus::Ok;
+  return Reply;
+}
+
+} // namespace balsamwheel::bench
--- /dev/null
+++ b/bench/core/target_model.cpp
@@ -0,0 +1,171 @@
+// Slots, inner queue, cold start and collapse of the target stand-in.
+#include "bench/core/target_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamwheel::bench {
+
+TargetModel::TargetModel(TargetModelOptions Options, TimePoint Now)
+    : m_Options(Options),
+      m_ColdSince(Options.m_StartsCold ? Now : Now - Options.m_WarmUp) {}
+
+std::uint32_t TargetModel::workingSlots(TimePoint Now) const {
+  const double Age = std::chrono::duration<double>(Now - m_ColdSince).count();
+  const double WarmUp =
+      std::chrono::duration<double>(m_Options.m_WarmUp).count();
+  const double Warmth = std::clamp(Age / WarmUp, 0.0, 1.0);
+  const double Share =
+      m_Options.m_ColdShare + (1 - m_Options.m_ColdShare) * Warmth;
+  return std::max(1U, static_cast<std::uint32_t>(
+                          std::floor(m_Options.m_Slots * Share + 1e-9)));
+}
+
+double TargetModel::load() const {
+  return static_cast<double>(m_Running.size() + m_Waiting.size()) /
+         m_Options.m_Slots;
+}
+
+bool TargetModel::isFenced(const TargetOrder &Order) {
+  if (Order.m_Shard.empty())
+    return false;
+  Epoch &Highest = m_Epochs[{Order.m_Service, Order.m_Shard}];
+  if (Order.m_Epoch < Highest)
+    return m_Options.m_ChecksFences;
+  Highest = Order.m_Epoch;
+  return false;
+}
+
+void TargetModel::grant(const std::string &Service, const std::string &Shard,
+                        Epoch Current) {
+  Epoch &Highest = m_Epochs[{Service, Shard}];
+  Highest = std::max(Highest, Current);
+}
+
+void TargetModel::arrive(std::uint64_t Ticket, TargetOrder Order,
+                         TimePoint Now) {
+  if (restarting(Now))
+    return end(Ticket, TargetEnd::Lost);
+  if (isFenced(Order))
+    return end(Ticket, TargetEnd::Fenced);
+  if (m_Running.size() + m_Waiting.size() >= m_Options.m_MaxInside)
+    return end(Ticket, TargetEnd::Shed);
+  m_Waiting.push_back({Ticket, std::move(Order)});
+  m_MostInside =
+      std::max(m_MostInside,
+               static_cast<std::uint32_t>(m_Running.size() + m_Waiting.size()));
+  startWaiting(Now);
+}
+
+bool TargetModel::cancel(const std::string &RequestId, TimePoint Now) {
+  const auto Queued =
+      std::ranges::find_if(m_Waiting, [&RequestId](const Waiting &Each) {
+        return Each.m_Order.m_RequestId == RequestId;
+      });
+  if (Queued != m_Waiting.end()) {
+    end(Queued->m_Ticket, TargetEnd::Withdrawn);
+    m_Waiting.erase(Queued);
+    return true;
+  }
+  const auto Found =
+      std::ranges::find_if(m_Running, [&RequestId](const auto &Each) {
+        return Each.second.m_Execution.m_RequestId == RequestId;
+      });
+  if (Found == m_Running.end())
+    return false;
+  endRunning(Found, TargetEnd::Aborted, Now);
+  startWaiting(Now);
+  return true;
+}
+
+void TargetModel::startWaiting(TimePoint Now) {
+  while (!m_Waiting.empty() && m_Running.size() < workingSlots(Now)) {
+    Waiting Next = std::move(m_Waiting.front());
+    m_Waiting.pop_front();
+    TargetOrder &Order = Next.m_Order;
+    const Duration Time = std::chrono::duration_cast<Duration>(
+        Order.m_ServiceTime * m_SlowFactor);
+    Execution Begun{.m_RequestId = std::move(Order.m_RequestId),
+                    .m_Service = std::move(Order.m_Service),
+                    .m_Key = std::move(Order.m_Key),
+                    .m_Shard = std::move(Order.m_Shard),
+                    .m_Epoch = Order.m_Epoch,
+                    .m_Start = Now,
+                    .m_End = std::nullopt,
+                    .m_Completed = false};
+    m_Started.emplace_back(Next.m_Ticket, Begun);
+    m_Running.emplace(Next.m_Ticket, Running{std::move(Begun), Now + Time});
+  }
+}
+
+void TargetModel::end(std::uint64_t Ticket, TargetEnd How) {
+  m_Events.push_back(
+      {.m_Ticket = Ticket, .m_End = How, .m_Execution = std::nullopt});
+}
+
+void TargetModel::endRunning(std::map<std::uint64_t, Running>::iterator Order,
+                             TargetEnd How, TimePoint Now) {
+  Execution &Ended = Order->second.m_Execution;
+  Ended.m_End = Now;
+  Ended.m_Completed = How == TargetEnd::Done;
+  m_Events.push_back({.m_Ticket = Order->first,
+                      .m_End = How,
+                      .m_Execution = std::move(Ended)});
+  m_Running.erase(Order);
+}
+
+void TargetModel::finishDue(TimePoint Now) {
+  for (auto Order = m_Running.begin(); Order != m_Running.end();) {
+    const auto Current = Order++;
+    if (Current->second.m_EndsAt <= Now)
+      endRunning(Current, TargetEnd::Done, Now);
+  }
+}
+
+void TargetModel::checkCollapse(TimePoint Now) {
+  const std::uint32_t Working = workingSlots(Now);
+  const auto Inside = static_cast<double>(m_Running.size() + m_Waiting.size());
+  const bool Warm = Working >= m_Options.m_Slots;
+  if (Warm || Inside <= m_Options.m_CollapseFactor * Working) {
+    m_OverloadedSince.reset();
+    return;
+  }
+  if (!m_OverloadedSince)
+    m_OverloadedSince = Now;
+  if (Now - *m_OverloadedSince < m_Options.m_CollapseAfter)
+    return;
+  ++m_Collapses;
+  restart(Now + m_Options.m_RestartTime);
+  dropEverything(Now);
+  m_DownUntil = Now + m_Options.m_RestartTime;
+}
+
+void TargetModel::dropEverything(TimePoint Now) {
+  while (!m_Running.empty())
+    endRunning(m_Running.begin(), TargetEnd::Aborted, Now);
+  for (const Waiting &Each : m_Waiting)
+    end(Each.m_Ticket, TargetEnd::Lost);
+  m_Waiting.clear();
+  m_OverloadedSince.reset();
+}
+
+void TargetModel::becomeCold(TimePoint Now) { m_ColdSince = Now; }
+
+void TargetModel::restart(TimePoint Now) {
+  dropEverything(Now);
+  becomeCold(Now);
+  m_Epochs.clear();
+}
+
+std::vector<TargetEvent> TargetModel::advance(TimePoint Now) {
+  finishDue(Now);
+  startWaiting(Now);
+  checkCollapse(Now);
+  return std::exchange(m_Events, {});
+}
+
+std::vector<std::pair<std::uint64_t, Execution>> TargetModel::takeStarted() {
+  return std::exchange(m_Started, {});
+}
+
+} // namespace balsamwheel::bench
--- /dev/null
+++ b/bench/core/target_stand_in.h
@@ -0,0 +1,81 @@
+// Stand-in for a target: the model behind HTTP, announcing itself.
+#pragma once
+
+#include "bench/core/http_server.h"
+#include "bench/core/journal.h"
+#include "bench/core/target_model.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace balsamwheel::bench {
+
+struct TargetStandInOptions {
+  HttpServerOptions m_Http;
+  TargetModelOptions m_Model;
+  std::string m_Service;
+  /// "host:port" where its daemon takes announcements; empty for none.
+  std::string m_Daemon;
+  std::uint64_t m_Seed = 1;
+  /// Multiplies the service times of every order.
+  double m_TimeScale = 1;
+  /// File that records what ran; empty for none.
+  std::string m_Journal;
+  /// How late the load endpoint is.
+  Duration m_LoadLag = std::chrono::seconds(3);
+};
+
+class TargetStandIn {
+public:
+  explicit TargetStandIn(TargetStandInOptions Options);
+  ~TargetStandIn();
+
+  std::uint16_t port() const { return m_Server->port(); }
+  /// Stops new announcements and tells the daemon that it leaves.
+  void leave();
+
+private:
+  using Reply = std::shared_ptr<Responder>;
+
+  struct Open {
+    Reply m_Answer;
+    std::string m_RequestId;
+    std::size_t m_BodySize = 0;
+  };
+
+  void handle(ServerRequest Request, const Reply &Answer);
+  void handleOrder(const ServerRequest &Request, const Reply &Answer);
+  ServerAnswer cancel(const std::string &RequestId);
+  ServerAnswer grant(const std::string &Body);
+  ServerAnswer setFaults(const std::string &Body);
+  ServerAnswer loadReport();
+  ServerAnswer executions();
+  Duration drawServiceTime(const ServerRequest &Request);
+  void settle(TimePoint Now);
+  void finish(const TargetEvent &Event);
+  void runModel();
+  void announce(bool Leaving);
+  void runAnnouncer();
+
+  TargetStandInOptions m_Options;
+  std::mutex m_Mutex;
+  std::condition_variable m_Changed;
+  TargetModel m_Model;
+  std::mt19937_64 m_Random;
+  std::map<std::uint64_t, Open> m_Open;
+  std::uint64_t m_NextTicket = 1;
+  std::map<std::uint64_t, Execution> m_Executions;
+  Journal m_Journal;
+  /// Loads by time, for reports that come late.
+  std::deque<std::pair<TimePoint, double>> m_LoadHistory;
+  bool m_Frozen = false;
+  bool m_Announces = true;
+  bool m_Stopped = false;
+  std::unique_ptr<HttpServer> m_Server;
+  std::thread m_ModelThread;
+  std::thread m_AnnounceThread;
+};
+
+} // namespace balsamwheel::bench
