--- a/bench/core/target_model.cpp
+++ b/bench/core/target_model.cpp
@@ -50,7 +50,10 @@
     return end(Ticket, TargetEnd::Fenced);
   if (m_Running.size() + m_Waiting.size() >= m_Options.m_MaxInside)
     return end(Ticket, TargetEnd::Shed);
-  m_Waiting.push_back({Ticket, std::move(Order)});
+  const TimePoint Deadline = Order.m_TimeLeft > Duration::zero()
+                                 ? Now + Order.m_TimeLeft
+                                 : TimePoint::max();
+  m_Waiting.push_back({Ticket, std::move(Order), Deadline});
   m_MostInside =
       std::max(m_MostInside,
                static_cast<std::uint32_t>(m_Running.size() + m_Waiting.size()));
@@ -94,7 +97,8 @@
                     .m_End = std::nullopt,
                     .m_Completed = false};
     m_Started.emplace_back(Next.m_Ticket, Begun);
-    m_Running.emplace(Next.m_Ticket, Running{std::move(Begun), Now + Time});
+    m_Running.emplace(Next.m_Ticket,
+                      Running{std::move(Begun), Now + Time, Next.m_Deadline});
   }
 }
 
@@ -117,11 +121,23 @@
 void TargetModel::finishDue(TimePoint Now) {
   for (auto Order = m_Running.begin(); Order != m_Running.end();) {
     const auto Current = Order++;
-    if (Current->second.m_EndsAt <= Now)
+    const TimePoint Deadline = Current->second.m_Deadline;
+    if (Deadline <= Now)
+      endRunning(Current, TargetEnd::Aborted, Deadline);
+    else if (Current->second.m_EndsAt <= Now)
       endRunning(Current, TargetEnd::Done, Now);
   }
 }
 
+void TargetModel::expireWaiting(TimePoint Now) {
+  std::erase_if(m_Waiting, [this, Now](const Waiting &Each) {
+    if (Each.m_Deadline > Now)
+      return false;
+    end(Each.m_Ticket, TargetEnd::Withdrawn);
+    return true;
+  });
+}
+
 void TargetModel::checkCollapse(TimePoint Now) {
   const std::uint32_t Working = workingSlots(Now);
   const auto Inside = static_cast<double>(m_Running.size() + m_Waiting.size());
@@ -159,6 +175,7 @@
 
 std::vector<TargetEvent> TargetModel::advance(TimePoint Now) {
   finishDue(Now);
+  expireWaiting(Now);
   startWaiting(Now);
   checkCollapse(Now);
   return std::exchange(m_Events, {});
--- a/bench/core/target_model.h
+++ b/bench/core/target_model.h
@@ -41,6 +41,8 @@
   std::string m_Shard;
   Epoch m_Epoch;
   Duration m_ServiceTime{0};
+  /// Time allowed since the arrival; 0 for no limit.
+  Duration m_TimeLeft{0};
 };
 
 enum class TargetEnd : std::uint8_t {
@@ -51,7 +53,7 @@
   Fenced,
   /// Withdrawn before it ran.
   Withdrawn,
-  /// Ended while it ran, by a cancellation or a collapse.
+  /// Ended while it ran, by a cancellation, its deadline or a collapse.
   Aborted,
   /// Lost before it ran, in a collapse.
   Lost,
@@ -111,15 +113,18 @@
   struct Waiting {
     std::uint64_t m_Ticket;
     TargetOrder m_Order;
+    TimePoint m_Deadline;
   };
   struct Running {
     Execution m_Execution;
     TimePoint m_EndsAt;
+    TimePoint m_Deadline;
   };
 
   bool isFenced(const TargetOrder &Order);
   void startWaiting(TimePoint Now);
   void finishDue(TimePoint Now);
+  void expireWaiting(TimePoint Now);
   void checkCollapse(TimePoint Now);
   void dropEverything(TimePoint Now);
   void end(std::uint64_t Ticket, TargetEnd How);
--- a/bench/core/target_stand_in.cpp
+++ b/bench/core/target_stand_in.cpp
@@ -138,7 +138,9 @@
                     .m_Key = Request.header("balsamwheel-key"),
                     .m_Shard = Request.header("balsamwheel-shard"),
                     .m_Epoch = Epoch(Request.number("balsamwheel-epoch")),
-                    .m_ServiceTime = drawServiceTime(Request)};
+                    .m_ServiceTime = drawServiceTime(Request),
+                    .m_TimeLeft = std::chrono::milliseconds(
+                        Request.number("balsamwheel-deadline-ms"))};
   const std::uint64_t Ticket = m_NextTicket++;
   m_Open[Ticket] = {.m_Answer = Answer,
                     .m_RequestId = Order.m_RequestId,
--- a/tests/unit-stand-ins.cpp
+++ b/tests/unit-stand-ins.cpp
@@ -130,6 +130,20 @@
   CHECK_FALSE(Events[1].m_Execution->m_Completed);
 }
 
+TEST_CASE("a target that was frozen past a deadline drops the order") {
+  TargetModel Model({.m_Slots = 1}, Start);
+  TargetOrder Order = makeOrder("runs");
+  Order.m_TimeLeft = milliseconds(30);
+  Model.arrive(1, Order, Start);
+  Order.m_RequestId = "waits";
+  Model.arrive(2, Order, Start);
+  const auto Events = Model.advance(Start + seconds(5));
+  REQUIRE(Events.size() == 2);
+  CHECK(Events[0].m_End == TargetEnd::Aborted);
+  CHECK(Events[0].m_Execution->m_End == Start + milliseconds(30));
+  CHECK(Events[1].m_End == TargetEnd::Withdrawn);
+}
+
 TEST_CASE("a payload proves itself whole and its own") {
   rc::check("cut, changed or foreign bodies are noticed", [] {
     const auto Size = *rc::gen::inRange<std::size_t>(1, 3000);
