--- /dev/null
+++ b/src/adapters/caller_http/answer.h
@@ -0,0 +1,50 @@
+// Answers to callers as HTTP responses.
+#pragma once
+
+#include "adapters/caller_http/request_parser.h"
+#include "balsamwheel/detail/node/effects.h"
+#include "runtime/body_pipe.h"
+
+#include <microhttpd.h>
+
+#include <memory>
+#include <string>
+
+namespace balsamwheel::caller_http {
+
+/// Deletes a response of libmicrohttpd.
+struct ResponseDeleter {
+  void operator()(MHD_Response *Response) const {
+    MHD_destroy_response(Response);
+  }
+};
+using ResponsePtr = std::unique_ptr<MHD_Response, ResponseDeleter>;
+
+/// What a caller is told instead of a target's answer.
+struct Problem {
+  std::uint16_t m_Status = 503;
+  Outcome m_Outcome = Outcome::NotRun;
+  Reason m_Reason = Reason::None;
+  std::string m_Detail;
+  RequestId m_Id;
+  Duration m_RetryAfter{0};
+};
+
+/// The status that goes with an outcome other than done.
+std::uint16_t statusOf(Outcome Value, Reason Why);
+
+/// The JSON body of a problem.
+std::string problemBody(const Problem &Value);
+
+/// Builds a response from a problem.
+ResponsePtr makeProblemResponse(const Problem &Value);
+
+/// Builds a response from a target's answer that is here whole.
+ResponsePtr makeWholeResponse(AnswerCaller Answer, const RequestId &Id);
+
+/// Builds a response whose body is read from a pipe as it comes.
+ResponsePtr makeStreamResponse(AnswerCaller Answer, const RequestId &Id,
+                               MHD_Connection *Connection,
+                               runtime::BodyPipePtr Rest);
+
+} // namespace balsamwheel::caller_http
--- /dev/null
+++ b/src/adapters/caller_http/request_parser.cpp
@@ -0,0 +1,246 @@
+// The caller's headers and the rules they must keep.
+#include "adapters/caller_http/request_parser.h"
+
+#include <algorithm>
+#include <charconv>
+#include <strings.h>
+
+namespace balsamwheel::caller_http {
+
+namespace {
+
+constexpr std::uint16_t StatusBadRequest = 400;
+constexpr std::uint16_t StatusNotFound = 404;
+constexpr std::uint16_t StatusTooLarge = 413;
+constexpr std::uint16_t StatusUnavailable = 503;
+constexpr Duration NoConfigRetry = std::chrono::milliseconds(500);
+
+const std::string *findHeader(const RequestHead &Head, std::string_view Name) {
+  for (const auto &[Key, Value] : Head.m_Headers)
+    if (sameHeaderName(Key, Name))
+      return &Value;
+  return nullptr;
+}
+
+std::string_view pathOf(std::string_view Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+std::string_view firstSegment(std::string_view Target) {
+  std::string_view Path = pathOf(Target);
+  if (!Path.starts_with('/'))
+    return {};
+  Path.remove_prefix(1);
+  return Path.substr(0, Path.find('/'));
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view Text) {
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Stop, Error] = std::from_chars(Text.data(), End, Value);
+  if (Error != std::errc() || Stop != End)
+    return std::nullopt;
+  return Value;
+}
+
+bool isPrintable(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C > ' ' && C < '\x7f'; });
+}
+
+/// A number in a header, within bounds; the default when absent.
+///
+/// \returns none when it is no such number.
+std::optional<std::uint64_t>
+numberHeader(const RequestHead &Head, std::string_view Name,
+             std::uint64_t Least, std::uint64_t Most, std::uint64_t Default) {
+  const std::string *Text = findHeader(Head, Name);
+  if (Text == nullptr)
+    return Default;
+  const std::optional<std::uint64_t> Value = parseNumber(*Text);
+  if (!Value || *Value < Least || *Value > Most)
+    return std::nullopt;
+  return Value;
+}
+
+Refusal badRequest(std::string Detail) {
+  return {.m_Status = StatusBadRequest, .m_Detail = std::move(Detail)};
+}
+
+constexpr std::uint64_t MaxMilliseconds = 24ULL * 3600 * 1000;
+constexpr std::uint64_t MaxAttempt = 1'000'000;
+
+const RequestClass *findClass(const Service &Target, std::string_view Name) {
+  for (const RequestClass &Class : Target.m_Classes)
+    if (Class.m_Name.value() == Name)
+      return &Class;
+  return nullptr;
+}
+
+/// Builds a ParsedRequest step by step; each step refuses or returns none.
+class Parser {
+public:
+  Parser(const RequestHead &Head, const Config &Known)
+      : m_Head(Head), m_Config(Known) {}
+
+  std::optional<Refusal> readService() {
+    const std::string *Header = findHeader(m_Head, "Balsamwheel-Service");
+    const std::string Name =
+        Header ? *Header : std::string(firstSegment(m_Head.m_Target));
+    m_Service = m_Config.m_Manifest.findService(ServiceName(Name));
+    if (m_Service != nullptr) {
+      m_Result.m_Meta.m_Service = m_Service->m_Name;
+      m_Result.m_MaxBodyBytes = m_Service->m_MaxBodyBytes;
+      return std::nullopt;
+    }
+    return Refusal{.m_Status = StatusNotFound,
+                   .m_Reason = Reason::UnknownService,
+                   .m_Detail = "no service named '" + Name + "'"};
+  }
+
+  std::optional<Refusal> readKey() {
+    const std::string *Header = findHeader(m_Head, "Balsamwheel-Key");
+    const std::string Key =
+        Header ? *Header : m_Head.m_QueryKey.value_or(std::string());
+    if (Key.size() > MaxKeyLength)
+      return badRequest("the key is longer than " +
+                        std::to_string(MaxKeyLength) + " bytes");
+    if (!m_Service->m_DividedByKey)
+      return std::nullopt;
+    if (Key.empty())
+      return badRequest("the service needs a key: header Balsamwheel-Key or "
+                        "query parameter 'key'");
+    m_Result.m_Meta.m_Key = Key;
+    return std::nullopt;
+  }
+
+  std::optional<Refusal> readClass() {
+    const std::string *Name = findHeader(m_Head, "Balsamwheel-Class");
+    const RequestClass *Class = Name ? findClass(*m_Service, *Name)
+                                     : &matchClass(*m_Service, m_Head.m_Method,
+                                                   pathOf(m_Head.m_Target));
+    if (Class == nullptr)
+      return badRequest("the service has no class '" + *Name + "'");
+    m_Result.m_Meta.m_Class = Class->m_Name;
+    m_Result.m_Meta.m_Idempotent = Class->m_Idempotent;
+    m_Result.m_Urgency = Class->m_Urgency;
+    m_Result.m_TimeLeft = Class->m_Deadline;
+    return std::nullopt;
+  }
+
+  std::optional<Refusal> readDeadline() {
+    const auto Deadline = numberHeader(m_Head, "Balsamwheel-Deadline-Ms", 1,
+                                       MaxMilliseconds, MaxMilliseconds);
+    if (!Deadline)
+      return badRequest("Balsamwheel-Deadline-Ms must be a whole number of "
+                        "milliseconds of at least 1");
+    const Duration Asked = std::chrono::milliseconds(*Deadline);
+    m_Result.m_TimeLeft = std::min(m_Result.m_TimeLeft, Asked);
+    return std::nullopt;
+  }
+
+  std::optional<Refusal> readIdentity(const RequestId &FreshId) {
+    const std::string *Id = findHeader(m_Head, "Balsamwheel-Request-Id");
+    if (Id != nullptr &&
+        (Id->empty() || Id->size() > MaxRequestIdLength || !isPrintable(*Id)))
+      return badRequest("Balsamwheel-Request-Id must have 1 to " +
+                        std::to_string(MaxRequestIdLength) +
+                        " printable characters");
+    m_Result.m_Meta.m_Id = Id ? RequestId(*Id) : FreshId;
+    const auto Attempt =
+        numberHeader(m_Head, "Balsamwheel-Attempt", 1, MaxAttempt, 1);
+    if (!Attempt)
+      return badRequest("Balsamwheel-Attempt must be a whole number of at "
+                        "least 1");
+    const auto Age = numberHeader(m_Head, "Balsamwheel-First-Attempt-Age-Ms", 0,
+                                  MaxMilliseconds, 0);
+    if (!Age)
+      return badRequest("Balsamwheel-First-Attempt-Age-Ms must be a whole "
+                        "number of milliseconds");
+    if (*Attempt > 1 && Id == nullptr)
+      return badRequest("a repeated attempt needs its Balsamwheel-Request-Id");
+    m_Result.m_Meta.m_Attempt = static_cast<std::uint32_t>(*Attempt);
+    m_Result.m_Meta.m_FirstAttemptAge = std::chrono::milliseconds(*Age);
+    return std::nullopt;
+  }
+
+  std::optional<Refusal> readBodyLength() {
+    if (findHeader(m_Head, "Transfer-Encoding") != nullptr)
+      return std::nullopt;
+    const std::string *Text = findHeader(m_Head, "Content-Length");
+    if (Text == nullptr) {
+      m_Result.m_BodyLength = 0;
+      return std::nullopt;
+    }
+    m_Result.m_BodyLength = parseNumber(*Text);
+    if (!m_Result.m_BodyLength)
+      return badRequest("Content-Length is no number");
+    if (*m_Result.m_BodyLength > m_Result.m_MaxBodyBytes)
+      return Refusal{.m_Status = StatusTooLarge,
+                     .m_Detail = "the body is larger than " +
+                                 std::to_string(m_Result.m_MaxBodyBytes) +
+                                 " bytes"};
+    return std::nullopt;
+  }
+
+  ParsedRequest take() { return std::move(m_Result); }
+
+private:
+  const RequestHead &m_Head;
+  const Config &m_Config;
+  const Service *m_Service = nullptr;
+  ParsedRequest m_Result;
+};
+
+} // namespace
+
+bool sameHeaderName(std::string_view First, std::string_view Second) {
+  return First.size() == Second.size() &&
+         strncasecmp(First.data(), Second.data(), First.size()) == 0;
+}
+
+const RequestClass &matchClass(const Service &Target, std::string_view Method,
+                               std::string_view Path) {
+  const RequestClass *Best = &Target.m_Classes.front();
+  std::size_t BestLength = 0;
+  for (const RequestClass &Class : Target.m_Classes) {
+    for (const std::string_view Pattern : Class.m_Match) {
+      const std::size_t Space = Pattern.find(' ');
+      if (Space == std::string_view::npos || Pattern.substr(0, Space) != Method)
+        continue;
+      const std::string_view Prefix = Pattern.substr(Space + 1);
+      if (!Path.starts_with(Prefix) || Prefix.size() <= BestLength)
+        continue;
+      Best = &Class;
+      BestLength = Prefix.size();
+    }
+  }
+  return *Best;
+}
+
+std::variant<ParsedRequest, Refusal> parseRequest(const RequestHead &Head,
+                                                  const Config *Known,
+                                                  const RequestId &FreshId) {
+  if (Known == nullptr)
+    return Refusal{.m_Status = StatusUnavailable,
+                   .m_Outcome = Outcome::Wait,
+                   .m_Reason = Reason::NoOwner,
+                   .m_Detail = "no configuration is known yet",
+                   .m_RetryAfter = NoConfigRetry};
+  Parser Steps(Head, *Known);
+  if (auto Problem = Steps.readService())
+    return *Problem;
+  if (auto Problem = Steps.readKey())
+    return *Problem;
+  if (auto Problem = Steps.readClass())
+    return *Problem;
+  if (auto Problem = Steps.readDeadline())
+    return *Problem;
+  if (auto Problem = Steps.readIdentity(FreshId))
+    return *Problem;
+  if (auto Problem = Steps.readBodyLength())
+    return *Problem;
+  return Steps.take();
+}
+
+} // namespace balsamwheel::caller_http
--- /dev/null
+++ b/src/adapters/http_client/exchange.cpp
@@ -0,0 +1,273 @@
+// Setting up a libcurl handle and moving headers and bodies through it.
+#include "adapters/http_client/exchange.h"
+
+#include "runtime/boot_clock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <utility>
+
+namespace balsamwheel::http_client {
+
+namespace {
+
+std::string_view trim(std::string_view Text) {
+  constexpr std::string_view Blank = " \t\r\n";
+  const std::size_t First = Text.find_first_not_of(Blank);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blank) - First + 1);
+}
+
+std::optional<std::uint64_t> contentLength(CURL *Easy) {
+  curl_off_t Length = -1;
+  curl_easy_getinfo(Easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &Length);
+  if (Length < 0)
+    return std::nullopt;
+  return static_cast<std::uint64_t>(Length);
+}
+
+} // namespace
+
+Exchange::Exchange(std::function<void(Exchange &)> Resume)
+    : m_Easy(curl_easy_init()), m_Resume(std::move(Resume)) {
+  curl_easy_setopt(m_Easy, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(m_Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(m_Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(m_Easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(m_Easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(m_Easy, CURLOPT_BUFFERSIZE, 64L * 1024L);
+  curl_easy_setopt(m_Easy, CURLOPT_HEADERFUNCTION, &Exchange::onHeader);
+  curl_easy_setopt(m_Easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(m_Easy, CURLOPT_WRITEFUNCTION, &Exchange::onBody);
+  curl_easy_setopt(m_Easy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(m_Easy, CURLOPT_READFUNCTION, &Exchange::onRead);
+  curl_easy_setopt(m_Easy, CURLOPT_READDATA, this);
+  curl_easy_setopt(m_Easy, CURLOPT_PREREQFUNCTION, &Exchange::onBeforeRequest);
+  curl_easy_setopt(m_Easy, CURLOPT_PREREQDATA, this);
+}
+
+Exchange::~Exchange() {
+  reset();
+  curl_easy_cleanup(m_Easy);
+}
+
+void Exchange::begin(Transfer Work, long MaxIdleSeconds, TimePoint Now) {
+  m_Work = std::move(Work);
+  m_Begun = Now;
+  m_Alive = std::make_shared<Exchange *>(this);
+  const auto Left =
+      std::chrono::ceil<std::chrono::milliseconds>(m_Work.m_Deadline - Now);
+  curl_easy_setopt(m_Easy, CURLOPT_URL, m_Work.m_Url.c_str());
+  curl_easy_setopt(m_Easy, CURLOPT_TIMEOUT_MS,
+                   std::max(1L, static_cast<long>(Left.count())));
+  curl_easy_setopt(m_Easy, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
+  setBody();
+  setHeaders(Now);
+}
+
+void Exchange::setBody() {
+  curl_easy_setopt(m_Easy, CURLOPT_HTTPGET, 1L);
+  if (m_Work.m_Upload) {
+    curl_easy_setopt(m_Easy, CURLOPT_UPLOAD, 1L);
+    curl_easy_setopt(m_Easy, CURLOPT_INFILESIZE_LARGE,
+                     static_cast<curl_off_t>(m_Work.m_BodyLength));
+  } else if (!m_Work.m_Body.empty() || m_Work.m_Method == "POST" ||
+             m_Work.m_Method == "PUT") {
+    curl_easy_setopt(m_Easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(m_Easy, CURLOPT_POSTFIELDS, m_Work.m_Body.data());
+    curl_easy_setopt(m_Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(m_Work.m_Body.size()));
+  } else if (m_Work.m_Method == "HEAD") {
+    curl_easy_setopt(m_Easy, CURLOPT_NOBODY, 1L);
+  }
+  curl_easy_setopt(m_Easy, CURLOPT_CUSTOMREQUEST, m_Work.m_Method.c_str());
+}
+
+void Exchange::setHeaders(TimePoint Now) {
+  curl_slist *List = nullptr;
+  for (const std::string &Line : m_Work.m_Headers)
+    List = curl_slist_append(List, Line.c_str());
+  // Headers that libcurl would add of its own accord.
+  for (const std::string_view Name : {"Accept", "Expect", "Content-Type"}) {
+    const bool Given = std::any_of(
+        m_Work.m_Headers.begin(), m_Work.m_Headers.end(),
+        [Name](const std::string &Line) {
+          return Line.size() > Name.size() && Line[Name.size()] == ':' &&
+                 strncasecmp(Line.data(), Name.data(), Name.size()) == 0;
+        });
+    if (!Given)
+      List = curl_slist_append(List, (std::string(Name) + ":").c_str());
+  }
+  if (!m_Work.m_DeadlineHeader.empty()) {
+    const auto Left =
+        std::chrono::floor<std::chrono::milliseconds>(m_Work.m_Deadline - Now);
+    const std::string Line =
+        m_Work.m_DeadlineHeader + ": " + std::to_string(Left.count());
+    List = curl_slist_append(List, Line.c_str());
+  }
+  m_HeaderList = List;
+  curl_easy_setopt(m_Easy, CURLOPT_HTTPHEADER, m_HeaderList);
+}
+
+void Exchange::resume() { curl_easy_pause(m_Easy, CURLPAUSE_CONT); }
+
+int Exchange::onBeforeRequest(void *Self, char *, char *, int, int) {
+  Exchange &This = *static_cast<Exchange *>(Self);
+  // libcurl calls again when it repeats a request on a new connection.
+  if (This.m_Sends > 0)
+    return CURL_PREREQFUNC_ABORT;
+  const TimePoint Now = runtime::bootNow();
+  if (Now >= This.m_Work.m_Deadline ||
+      Now - This.m_Begun > This.m_Work.m_MaxSendDelay)
+    return CURL_PREREQFUNC_ABORT;
+  This.m_Sends = 1;
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t Exchange::onHeader(char *Data, std::size_t Size, std::size_t Count,
+                               void *Self) {
+  static_cast<Exchange *>(Self)->addHeaderLine({Data, Size * Count});
+  return Size * Count;
+}
+
+void Exchange::addHeaderLine(std::string_view Line) {
+  if (Line.starts_with("HTTP/")) {
+    m_Answer.m_Headers.clear();
+    return;
+  }
+  const std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos)
+    return;
+  m_Answer.m_Headers.emplace_back(trim(Line.substr(0, Colon)),
+                                  trim(Line.substr(Colon + 1)));
+}
+
+std::size_t Exchange::onBody(char *Data, std::size_t Size, std::size_t Count,
+                             void *Self) {
+  return static_cast<Exchange *>(Self)->acceptBody({Data, Size * Count});
+}
+
+std::size_t Exchange::acceptBody(std::string_view Bytes) {
+  if (m_Download)
+    return writeStream(Bytes);
+  const std::size_t Total = m_Answer.m_Body.size() + Bytes.size();
+  if (!m_Work.m_MakePipe || Total <= InlineBodyLimit) {
+    if (m_Answer.m_Body.empty())
+      m_Answer.m_Body.reserve(
+          std::min(contentLength(m_Easy).value_or(0), InlineBodyLimit));
+    m_Answer.m_Body.append(Bytes);
+    return Bytes.size();
+  }
+  return beginStream() ? writeStream(Bytes) : 0;
+}
+
+bool Exchange::beginStream() {
+  const std::optional<std::uint64_t> Length = contentLength(m_Easy);
+  m_Download = m_Work.m_MakePipe(m_Answer.m_Body, Length);
+  if (!m_Download)
+    return false;
+  long Status = 0;
+  curl_easy_getinfo(m_Easy, CURLINFO_RESPONSE_CODE, &Status);
+  m_Answer.m_Status = static_cast<std::uint16_t>(Status);
+  m_Answer.m_BodyLength = Length.value_or(0);
+  m_Answer.m_BodyStream = m_Download->id();
+  m_Work.m_OnAnswering(std::exchange(m_Answer, {}));
+  return true;
+}
+
+std::size_t Exchange::writeStream(std::string_view Bytes) {
+  while (!m_Download->tryWrite(Bytes)) {
+    const bool Waiting = m_Download->notifyWritable(
+        [Resume = m_Resume, Alive = std::weak_ptr(m_Alive)] {
+          if (const auto Self = Alive.lock())
+            Resume(**Self);
+        });
+    if (Waiting)
+      return CURL_WRITEFUNC_PAUSE;
+  }
+  // A reader that gave up ends the transfer.
+  return m_Download->state() == runtime::PipeState::Failed ? 0 : Bytes.size();
+}
+
+std::size_t Exchange::onRead(char *Target, std::size_t Size, std::size_t Count,
+                             void *Self) {
+  Exchange &This = *static_cast<Exchange *>(Self);
+  const std::size_t Room = Size * Count;
+  const std::string &Prefix = This.m_Work.m_Body;
+  if (This.m_PrefixSent < Prefix.size()) {
+    const std::size_t Part = std::min(Room, Prefix.size() - This.m_PrefixSent);
+    std::memcpy(Target, Prefix.data() + This.m_PrefixSent, Part);
+    This.m_PrefixSent += Part;
+    return Part;
+  }
+  runtime::BodyPipe &Source = *This.m_Work.m_Upload;
+  for (;;) {
+    const std::size_t Part = Source.read(Target, Room);
+    if (Part > 0)
+      return Part;
+    if (Source.state() == runtime::PipeState::Ended)
+      return 0;
+    if (Source.state() == runtime::PipeState::Failed)
+      return CURL_READFUNC_ABORT;
+    const bool Waiting = Source.notifyReadable(
+        [Resume = This.m_Resume, Alive = std::weak_ptr(This.m_Alive)] {
+          if (const auto Self = Alive.lock())
+            Resume(**Self);
+        });
+    if (Waiting)
+      return CURL_READFUNC_PAUSE;
+  }
+}
+
+TransferEnd Exchange::classify(CURLcode Code) const {
+  if (Code == CURLE_OK)
+    return TransferEnd::Answered;
+  if (m_Sends == 0)
+    return TransferEnd::NotSent;
+  if (m_Cancelled)
+    return TransferEnd::Cancelled;
+  return Code == CURLE_OPERATION_TIMEDOUT ? TransferEnd::TimedOut
+                                          : TransferEnd::Broken;
+}
+
+void Exchange::end(CURLcode Code, TimePoint Now) {
+  TransferResult Result;
+  Result.m_End = classify(Code);
+  Result.m_Latency = Now - m_Begun;
+  if (m_Download) {
+    if (Result.m_End == TransferEnd::Answered)
+      m_Download->finish();
+    else
+      m_Download->fail();
+  }
+  if (Result.m_End == TransferEnd::Answered) {
+    long Status = 0;
+    curl_easy_getinfo(m_Easy, CURLINFO_RESPONSE_CODE, &Status);
+    Result.m_Answer = std::move(m_Answer);
+    Result.m_Answer.m_Status = static_cast<std::uint16_t>(Status);
+    Result.m_Answer.m_BodyLength = Result.m_Answer.m_Body.size();
+    Result.m_Answer.m_BodyHash = runtime::bodyHash(Result.m_Answer.m_Body);
+  }
+  if (m_Work.m_Upload && Result.m_End != TransferEnd::Answered)
+    m_Work.m_Upload->fail();
+  auto Report = std::move(m_Work.m_OnEnd);
+  reset();
+  if (Report)
+    Report(std::move(Result));
+}
+
+void Exchange::reset() {
+  m_Alive.reset();
+  curl_slist_free_all(m_HeaderList);
+  m_HeaderList = nullptr;
+  m_Work = Transfer();
+  m_Answer = HttpAnswer();
+  m_Download.reset();
+  m_PrefixSent = 0;
+  m_Sends = 0;
+  m_Cancelled = false;
+}
+
+} // namespace balsamwheel::http_client
--- /dev/null
+++ b/src/adapters/http_client/exchange.h
@@ -0,0 +1,74 @@
+// A running transfer: its libcurl handle and the callbacks of that handle.
+#pragma once
+
+#include "adapters/http_client/transfer.h"
+
+#include <curl/curl.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace balsamwheel::http_client {
+
+/// Owns a libcurl handle that is used for one transfer after another.
+///
+/// Invariant: at most one request is put on the wire per begin(); a
+/// repetition by libcurl is stopped before its first byte.
+class Exchange {
+public:
+  /// \p Resume asks the loop to call resume() on its thread.
+  explicit Exchange(std::function<void(Exchange &)> Resume);
+  ~Exchange();
+  Exchange(const Exchange &) = delete;
+  Exchange &operator=(const Exchange &) = delete;
+
+  /// Configures the handle. Call once per transfer, before adding it to the
+  /// multi handle.
+  void begin(Transfer Work, long MaxIdleSeconds, TimePoint Now);
+  /// Continues after a pause in either direction.
+  void resume();
+  /// Reports the end and forgets the transfer.
+  void end(CURLcode Code, TimePoint Now);
+  /// Marks the transfer as ended by cancel().
+  void markCancelled() { m_Cancelled = true; }
+
+  CURL *handle() const { return m_Easy; }
+  TransferId id() const { return m_Work.m_Id; }
+
+private:
+  static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
+                              void *Self);
+  static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
+                            void *Self);
+  static std::size_t onRead(char *Target, std::size_t Size, std::size_t Count,
+                            void *Self);
+  static int onBeforeRequest(void *Self, char *, char *, int, int);
+
+  void setHeaders(TimePoint Now);
+  void setBody();
+  void addHeaderLine(std::string_view Line);
+  std::size_t acceptBody(std::string_view Bytes);
+  bool beginStream();
+  std::size_t writeStream(std::string_view Bytes);
+  TransferEnd classify(CURLcode Code) const;
+  void reset();
+
+  CURL *m_Easy;
+  std::function<void(Exchange &)> m_Resume;
+  /// Tells late pipe callbacks that this object is gone.
+  std::shared_ptr<Exchange *> m_Alive;
+  curl_slist *m_HeaderList = nullptr;
+  Transfer m_Work;
+  HttpAnswer m_Answer;
+  /// Carries the rest of a long answer.
+  runtime::BodyPipePtr m_Download;
+  std::size_t m_PrefixSent = 0;
+  TimePoint m_Begun;
+  /// Times that libcurl was about to send the request.
+  unsigned m_Sends = 0;
+  bool m_Cancelled = false;
+};
+
+} // namespace balsamwheel::http_client
--- /dev/null
+++ b/src/adapters/platform_http/platform_client.cpp
@@ -0,0 +1,116 @@
+// Requests to the platform and the meaning of its answers.
+#include "adapters/platform_http/platform_client.h"
+
+#include "adapters/platform_http/table_codec.h"
+#include "runtime/boot_clock.h"
+
+#include <utility>
+
+namespace balsamwheel::platform_http {
+
+using http_client::Transfer;
+using http_client::TransferEnd;
+using http_client::TransferResult;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusConflict = 409;
+constexpr int StatusUnavailable = 503;
+
+/// An answer in the right shape, or what is left when there is none.
+TableReply withRows(TableStatus Status, const std::string &Body,
+                    TableStatus Otherwise) {
+  std::optional<std::vector<Row>> Rows = decodeRows(Body);
+  if (!Rows)
+    return {.m_Status = Otherwise, .m_Rows = {}};
+  return {.m_Status = Status, .m_Rows = std::move(*Rows)};
+}
+
+} // namespace
+
+TableReply judgeRead(const TransferResult &Result) {
+  if (Result.m_End != TransferEnd::Answered ||
+      Result.m_Answer.m_Status != StatusOk)
+    return {.m_Status = TableStatus::Unavailable, .m_Rows = {}};
+  return withRows(TableStatus::Ok, Result.m_Answer.m_Body,
+                  TableStatus::Unavailable);
+}
+
+TableReply judgeCommit(const TransferResult &Result) {
+  if (Result.m_End == TransferEnd::NotSent)
+    return {.m_Status = TableStatus::Unavailable, .m_Rows = {}};
+  if (Result.m_End != TransferEnd::Answered)
+    return {.m_Status = TableStatus::Ambiguous, .m_Rows = {}};
+  const HttpAnswer &Answer = Result.m_Answer;
+  switch (Answer.m_Status) {
+  case StatusOk:
+    return withRows(TableStatus::Ok, Answer.m_Body, TableStatus::Ambiguous);
+  case StatusConflict:
+    return withRows(TableStatus::Conflict, Answer.m_Body,
+                    TableStatus::Ambiguous);
+  case StatusUnavailable:
+    return {.m_Status = TableStatus::Unavailable, .m_Rows = {}};
+  default:
+    return {.m_Status = TableStatus::Ambiguous, .m_Rows = {}};
+  }
+}
+
+PlatformClient::PlatformClient(PlatformClientOptions Options)
+    : m_Options(std::move(Options)),
+      m_Loop({.m_Name = "platform",
+              .m_MaxConnections = m_Options.m_MaxConnections}) {}
+
+Transfer PlatformClient::makeTransfer(std::string Method,
+                                      const std::string &Path,
+                                      std::string Body) const {
+  Transfer Result;
+  Result.m_Method = std::move(Method);
+  Result.m_Url = "http://" + m_Options.m_Address + Path;
+  Result.m_Headers = {"Content-Type: application/json"};
+  Result.m_Body = std::move(Body);
+  Result.m_BodyLength = Result.m_Body.size();
+  Result.m_Deadline = runtime::bootNow() + m_Options.m_Timeout;
+  Result.m_MaxSendDelay = m_Options.m_Timeout;
+  return Result;
+}
+
+void PlatformClient::read(const TableRead &Read, TableCallback Done) {
+  Transfer Work = makeTransfer("POST", "/v1/read", encodeRead(Read));
+  Work.m_OnEnd = [Done = std::move(Done)](const TransferResult &Result) {
+    Done(judgeRead(Result));
+  };
+  m_Loop.submit(std::move(Work));
+}
+
+void PlatformClient::commit(const Transaction &Commit, TableCallback Done) {
+  Transfer Work = makeTransfer("POST", "/v1/commit", encodeCommit(Commit));
+  Work.m_OnEnd = [Done = std::move(Done)](const TransferResult &Result) {
+    Done(judgeCommit(Result));
+  };
+  m_Loop.submit(std::move(Work));
+}
+
+void PlatformClient::getObject(const std::string &Name, ObjectCallback Done) {
+  Transfer Work = makeTransfer("GET", "/v1/objects/" + Name, {});
+  Work.m_OnEnd = [Done = std::move(Done)](TransferResult Result) {
+    if (Result.m_End == TransferEnd::Answered &&
+        Result.m_Answer.m_Status == StatusOk)
+      Done(std::move(Result.m_Answer.m_Body));
+    else
+      Done(std::nullopt);
+  };
+  m_Loop.submit(std::move(Work));
+}
+
+void PlatformClient::putObject(const std::string &Name, std::string Value,
+                               StoredCallback Done) {
+  Transfer Work = makeTransfer("PUT", "/v1/objects/" + Name, std::move(Value));
+  Work.m_OnEnd = [Done = std::move(Done)](const TransferResult &Result) {
+    Done(Result.m_End == TransferEnd::Answered &&
+         Result.m_Answer.m_Status / 100 == 2);
+  };
+  m_Loop.submit(std::move(Work));
+}
+
+} // namespace balsamwheel::platform_http
--- /dev/null
+++ b/src/adapters/target_http/announcement.cpp
@@ -0,0 +1,51 @@
+// Parsing of announcements.
+#include "adapters/target_http/announcement.h"
+
+#include "adapters/http_server/listen_address.h"
+
+#include <nlohmann/json.hpp>
+
+namespace balsamwheel::target_http {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Announcement fromJson(const Json &Value) {
+  Announcement Result;
+  Result.m_Service = ServiceName(Value.at("service").get<std::string>());
+  Result.m_Leaving = Value.value("leaving", false);
+  if (Result.m_Leaving)
+    return Result;
+  Result.m_Address = Value.at("address").get<std::string>();
+  Result.m_Slots = Value.at("slots").get<std::uint32_t>();
+  Result.m_Connections = Value.at("connections").get<std::uint32_t>();
+  Result.m_Cold = Value.value("cold", false);
+  Result.m_ChecksFences = Value.value("checks_fences", false);
+  return Result;
+}
+
+} // namespace
+
+std::variant<Announcement, AnnouncementError>
+parseAnnouncement(const std::string &Body) {
+  const Json Document = Json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  if (!Document.is_object())
+    return AnnouncementError{"the body is no JSON object"};
+  try {
+    Announcement Result = fromJson(Document);
+    if (Result.m_Service.value().empty())
+      return AnnouncementError{"service: is empty"};
+    if (Result.m_Leaving)
+      return Result;
+    if (!http_server::parseListenAddress(Result.m_Address))
+      return AnnouncementError{"address: is no numeric host:port"};
+    if (Result.m_Slots == 0 || Result.m_Connections == 0)
+      return AnnouncementError{"slots and connections: must be at least 1"};
+    return Result;
+  } catch (const Json::exception &Error) {
+    return AnnouncementError{Error.what()};
+  }
+}
+
+} // namespace balsamwheel::target_http
--- /dev/null
+++ b/src/adapters/target_http/target_link.cpp
@@ -0,0 +1,205 @@
+// Announcements in, orders out.
+#include "adapters/target_http/target_link.h"
+
+#include "adapters/target_http/order.h"
+#include "runtime/boot_clock.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace balsamwheel::target_http {
+
+using http_client::Transfer;
+using http_client::TransferEnd;
+using http_client::TransferResult;
+using http_server::ControlRequest;
+using http_server::ControlResponse;
+
+namespace {
+
+/// Connections beside those for orders: grants, cancels, load reports.
+constexpr long ControlConnections = 2;
+
+} // namespace
+
+TargetLink::TargetLink(TargetLinkOptions Options, TargetHandlers Handlers,
+                       http_client::PipeFactory MakePipe)
+    : m_Options(std::move(Options)), m_Handlers(std::move(Handlers)),
+      m_MakePipe(std::move(MakePipe)), m_Loop({.m_Name = "target"}),
+      m_Server({.m_Listen = m_Options.m_Listen},
+               [this](const ControlRequest &Request) {
+                 return onControlRequest(Request);
+               }) {}
+
+TargetLink::~TargetLink() { stop(); }
+
+std::error_code TargetLink::start() {
+  if (const std::error_code Error = m_Server.start())
+    return Error;
+  m_Watcher = std::thread([this] { watch(); });
+  return {};
+}
+
+void TargetLink::stop() {
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    m_Stopping = true;
+  }
+  m_Stopped.notify_all();
+  if (m_Watcher.joinable())
+    m_Watcher.join();
+  m_Server.stop();
+  m_Loop.stop();
+}
+
+ControlResponse TargetLink::onControlRequest(const ControlRequest &Request) {
+  if (Request.m_Path != "/v1/announce")
+    return {404, "text/plain", "unknown path\n"};
+  if (Request.m_Method != "POST")
+    return {405, "text/plain", "use POST\n"};
+  const auto Parsed = parseAnnouncement(Request.m_Body);
+  if (const auto *Error = std::get_if<AnnouncementError>(&Parsed))
+    return {400, "application/json",
+            nlohmann::json{{"reason", Error->m_Reason}}.dump()};
+  onAnnouncement(std::get<Announcement>(Parsed));
+  return {200, "application/json", "{}"};
+}
+
+void TargetLink::onAnnouncement(const Announcement &News) {
+  bool Ready = false;
+  bool Left = false;
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    m_LastHeard = runtime::bootNow();
+    if (News.m_Leaving) {
+      Left = m_Current.has_value();
+      m_Current.reset();
+    } else {
+      const bool TurnedCold = News.m_Cold && m_Current && !m_Current->m_Cold;
+      Announcement Known = m_Current.value_or(Announcement());
+      Known.m_Cold = News.m_Cold;
+      Ready = TurnedCold || Known != News;
+      m_Current = News;
+    }
+  }
+  if (Ready) {
+    // Control requests share the cap with orders.
+    m_Loop.setMaxConnections(std::max<long>(
+        1 + ControlConnections, static_cast<long>(News.m_Connections)));
+    m_Handlers.m_OnReady(News);
+  }
+  if (Left)
+    m_Handlers.m_OnLeaving();
+}
+
+std::string TargetLink::address() const {
+  const std::scoped_lock Lock(m_Mutex);
+  return m_Current ? m_Current->m_Address : std::string();
+}
+
+void TargetLink::startOrder(StartOrder Order, runtime::BodyPipePtr Upload) {
+  const std::string Address = address();
+  const OrderId Id = Order.m_Order;
+  if (Address.empty()) {
+    OrderReport Report;
+    Report.m_Order = Id;
+    Report.m_End = OrderEnd::NotSent;
+    m_Handlers.m_OnEnd(std::move(Report));
+    return;
+  }
+  const std::string CancelUrl =
+      "http://" + Address + "/v1/orders/" + Order.m_Meta.m_Id.value();
+  Transfer Work = makeOrderTransfer(Address, std::move(Order));
+  Work.m_Upload = std::move(Upload);
+  Work.m_MakePipe = m_MakePipe;
+  Work.m_OnAnswering = [this, Id](HttpAnswer Head) {
+    m_Handlers.m_OnAnswering(Id, std::move(Head));
+  };
+  Work.m_OnEnd = [this, Id, CancelUrl](TransferResult Result) {
+    const OrderEnd End = judgeOrder(Result);
+    if (End == OrderEnd::Aborted)
+      sendControl("DELETE", CancelUrl, {});
+    m_Handlers.m_OnEnd({.m_Order = Id,
+                        .m_End = End,
+                        .m_Http = std::move(Result.m_Answer),
+                        .m_Latency = Result.m_Latency});
+  };
+  m_Loop.submit(std::move(Work));
+}
+
+void TargetLink::cancelOrder(OrderId Order) {
+  m_Loop.cancel(http_client::TransferId(Order.value()));
+}
+
+void TargetLink::grant(const GrantTarget &Grant) {
+  const std::string Address = address();
+  if (Address.empty())
+    return;
+  sendControl("POST", "http://" + Address + "/v1/grant",
+              nlohmann::json{{"service", Grant.m_Shard.m_Service.value()},
+                             {"shard", Grant.m_Shard.m_Shard.value()},
+                             {"epoch", Grant.m_Epoch.value()}}
+                  .dump());
+}
+
+void TargetLink::sendControl(std::string Method, std::string Url,
+                             std::string Body) {
+  Transfer Work;
+  Work.m_Method = std::move(Method);
+  Work.m_Url = std::move(Url);
+  Work.m_Headers = {"Content-Type: application/json"};
+  Work.m_Body = std::move(Body);
+  Work.m_BodyLength = Work.m_Body.size();
+  Work.m_Deadline = runtime::bootNow() + m_Options.m_ControlTimeout;
+  Work.m_MaxSendDelay = m_Options.m_ControlTimeout;
+  m_Loop.submit(std::move(Work));
+}
+
+void TargetLink::readLoad() {
+  const std::string Address = address();
+  if (Address.empty())
+    return;
+  Transfer Work;
+  Work.m_Url = "http://" + Address + "/v1/load";
+  Work.m_Deadline = runtime::bootNow() + m_Options.m_ControlTimeout;
+  Work.m_MaxSendDelay = m_Options.m_ControlTimeout;
+  Work.m_OnEnd = [this](const TransferResult &Result) {
+    if (Result.m_End != TransferEnd::Answered || !m_Handlers.m_OnLoad)
+      return;
+    const auto Document = nlohmann::json::parse(Result.m_Answer.m_Body, nullptr,
+                                                /*allow_exceptions=*/false);
+    if (!Document.is_object() || !Document.contains("load") ||
+        !Document["load"].is_number())
+      return;
+    const auto Healthy = Document.find("healthy");
+    m_Handlers.m_OnLoad(
+        {.m_Load = Document["load"].get<double>(),
+         .m_Healthy = Healthy == Document.end() || *Healthy != false});
+  };
+  m_Loop.submit(std::move(Work));
+}
+
+void TargetLink::watch() {
+  std::unique_lock Lock(m_Mutex);
+  while (!m_Stopped.wait_for(Lock, m_Options.m_LoadPeriod,
+                             [this] { return m_Stopping; })) {
+    Lock.unlock();
+    checkSilence();
+    readLoad();
+    Lock.lock();
+  }
+}
+
+void TargetLink::checkSilence() {
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    if (!m_Current ||
+        runtime::bootNow() - m_LastHeard < m_Options.m_SilenceLimit)
+      return;
+    m_Current.reset();
+  }
+  m_Handlers.m_OnLeaving();
+}
+
+} // namespace balsamwheel::target_http
--- /dev/null
+++ b/src/daemon/adapters.h
@@ -0,0 +1,43 @@
+// What the core needs of its surroundings. Another protocol towards callers,
+// targets or the platform replaces one adapter and touches nothing else.
+#pragma once
+
+#include "balsamwheel/detail/node/effects.h"
+#include "balsamwheel/detail/platform/table.h"
+#include "balsamwheel/detail/wire/peer.h"
+#include "runtime/body_pipe.h"
+
+#include <functional>
+
+namespace balsamwheel::daemon {
+
+/// Gives answers to callers. All calls may come from any thread.
+template <typename T>
+concept CallerEntrance =
+    requires(T Entrance, AnswerCaller Answer, runtime::BodyPipePtr Rest) {
+      Entrance.answer(std::move(Answer), std::move(Rest));
+      Entrance.closeAfterAnswers();
+      Entrance.stopListening();
+      { Entrance.openRequests() } -> std::convertible_to<std::size_t>;
+    };
+
+/// Sends orders to the local target and reports each one's end once.
+template <typename T>
+concept TargetClient =
+    requires(T Client, StartOrder Order, runtime::BodyPipePtr Upload,
+             OrderId Id, GrantTarget Grant) {
+      Client.startOrder(std::move(Order), std::move(Upload));
+      Client.cancelOrder(Id);
+      Client.grant(Grant);
+    };
+
+/// Reads and commits rows; calls back exactly once, from any thread.
+template <typename T>
+concept TableClient =
+    requires(T Client, const TableRead &Read, const Transaction &Commit,
+             std::function<void(TableReply)> Done) {
+      Client.read(Read, Done);
+      Client.commit(Commit, Done);
+    };
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/daemon/admin.h
@@ -0,0 +1,34 @@
+// Status, owners and metrics of a daemon over HTTP.
+#pragma once
+
+#include "adapters/http_server/control_server.h"
+#include "daemon/core.h"
+
+#include <string>
+#include <system_error>
+
+namespace balsamwheel::daemon {
+
+/// Answers operators. Questions about the node run on the core thread.
+class Admin {
+public:
+  Admin(const std::string &Listen, CoreShared &Shared);
+
+  std::error_code start() { return m_Server.start(); }
+  std::uint16_t port() const { return m_Server.port(); }
+  void stop() { m_Server.stop(); }
+
+private:
+  using Request = http_server::ControlRequest;
+  using Response = http_server::ControlResponse;
+
+  Response handle(const Request &Asked);
+  Response drain(const Request &Asked);
+  /// Runs a question on the core thread and waits for its answer.
+  template <typename Question> Response ask(Question Run);
+
+  CoreShared &m_Shared;
+  http_server::ControlServer m_Server;
+};
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/daemon/body_streams.cpp
@@ -0,0 +1,284 @@
+// Credits, chunks and the life of pipes.
+#include "daemon/body_streams.h"
+
+#include "runtime/boot_clock.h"
+
+#include <algorithm>
+#include <atomic>
+
+namespace balsamwheel::daemon {
+
+using runtime::BodyPipe;
+using runtime::BodyPipeOptions;
+using runtime::BodyPipePtr;
+using runtime::PipeState;
+
+namespace {
+
+constexpr std::size_t ChunkSize = 64U * 1024U;
+constexpr std::uint64_t CreditWindow = runtime::DefaultPipeCapacity;
+/// Credit is renewed in portions of this size.
+constexpr std::uint64_t CreditPortion = CreditWindow / 4;
+/// A pipe without a reader fails after this time.
+constexpr Duration UnclaimedLimit = std::chrono::seconds(30);
+
+} // namespace
+
+struct BodyStreams::Outgoing {
+  std::mutex m_Mutex;
+  BodyPipePtr m_Pipe;
+  PeerAddress m_To;
+  std::shared_ptr<const Send> m_Send;
+  std::uint64_t m_Credit = 0;
+  std::atomic<bool> m_Ended{false};
+};
+
+struct BodyStreams::Incoming {
+  std::mutex m_Mutex;
+  PeerAddress m_From;
+  std::uint64_t m_RemoteId = 0;
+  std::shared_ptr<const Send> m_Send;
+  /// Bytes read since credit was last renewed.
+  std::uint64_t m_Unreported = 0;
+  std::uint64_t m_NextOffset = 0;
+
+  void onConsumed(std::size_t Bytes) {
+    std::uint64_t Portion = 0;
+    {
+      const std::scoped_lock Lock(m_Mutex);
+      m_Unreported += Bytes;
+      if (m_Unreported < CreditPortion)
+        return;
+      Portion = std::exchange(m_Unreported, 0);
+    }
+    giveCredit(Portion);
+  }
+
+  void giveCredit(std::uint64_t Bytes) const {
+    (*m_Send)(m_From, BodyMessage(BodyCredit{m_RemoteId, Bytes}));
+  }
+
+  void cancel() const {
+    (*m_Send)(m_From, BodyMessage(BodyCancel{m_RemoteId}));
+  }
+};
+
+BodyStreams::BodyStreams(Send SendMessage, std::uint64_t FirstId)
+    : m_Send(std::make_shared<const Send>(std::move(SendMessage))),
+      m_NextId(std::max<std::uint64_t>(FirstId, 1)) {}
+
+BodyStreams::~BodyStreams() { failAll(); }
+
+BodyPipePtr BodyStreams::make(std::string_view Prefix,
+                              std::optional<std::uint64_t> Length) {
+  const std::scoped_lock Lock(m_Mutex);
+  BodyPipeOptions Options;
+  Options.m_Id = m_NextId++;
+  Options.m_Prefix = Prefix;
+  Options.m_Length = Length;
+  auto Pipe = std::make_shared<BodyPipe>(Options);
+  m_Pipes.emplace(Options.m_Id, Entry{Pipe, runtime::bootNow(), nullptr});
+  return Pipe;
+}
+
+std::uint64_t BodyStreams::adopt(const PeerAddress &From,
+                                 std::uint64_t RemoteId,
+                                 std::string_view Prefix,
+                                 std::optional<std::uint64_t> Length) {
+  auto Source = std::make_shared<Incoming>();
+  Source->m_From = From;
+  Source->m_RemoteId = RemoteId;
+  Source->m_Send = m_Send;
+  Source->m_NextOffset = Prefix.size();
+
+  const std::scoped_lock Lock(m_Mutex);
+  BodyPipeOptions Options;
+  Options.m_Id = m_NextId++;
+  Options.m_Prefix = Prefix;
+  Options.m_Length = Length;
+  Options.m_Capacity = CreditWindow + ChunkSize;
+  Options.m_OnConsumed = [Source](std::size_t Bytes) {
+    Source->onConsumed(Bytes);
+  };
+  Options.m_OnAbandoned = [Source] { Source->cancel(); };
+  m_Pipes.emplace(Options.m_Id, Entry{std::make_shared<BodyPipe>(Options),
+                                      runtime::bootNow(), Source});
+  m_ByRemote[{From, RemoteId}] = Options.m_Id;
+  return Options.m_Id;
+}
+
+BodyPipePtr BodyStreams::claim(std::uint64_t Id) {
+  Entry Found;
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    const auto Place = m_Pipes.find(Id);
+    if (Place == m_Pipes.end())
+      return nullptr;
+    Found = Place->second;
+  }
+  if (!Found.m_Pipe->claimReader())
+    return nullptr;
+  if (Found.m_Incoming)
+    Found.m_Incoming->giveCredit(CreditWindow);
+  return Found.m_Pipe;
+}
+
+void BodyStreams::onMessage(const PeerAddress &From, BodyMessage Message) {
+  std::visit([this, &From](auto &Item) { receive(From, std::move(Item)); },
+             Message);
+}
+
+void BodyStreams::receive(const PeerAddress &From, BodyChunk Chunk) {
+  Entry Found;
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    const auto Name = m_ByRemote.find({From, Chunk.m_Stream});
+    if (Name == m_ByRemote.end())
+      return;
+    Found = m_Pipes.at(Name->second);
+    if (Chunk.m_Last)
+      m_ByRemote.erase(Name);
+  }
+  BodyPipe &Pipe = *Found.m_Pipe;
+  std::uint64_t &NextOffset = Found.m_Incoming->m_NextOffset;
+  if (Chunk.m_Failed || Chunk.m_Offset != NextOffset ||
+      !Pipe.tryWrite(Chunk.m_Bytes)) {
+    Pipe.fail();
+    return;
+  }
+  NextOffset += Chunk.m_Bytes.size();
+  if (Chunk.m_Last)
+    Pipe.finish(Chunk.m_BodyHash);
+}
+
+void BodyStreams::receive(const PeerAddress &From, const BodyCredit &Credit) {
+  std::shared_ptr<Outgoing> Stream;
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    const RemoteName Name{From, Credit.m_Stream};
+    if (const auto Known = m_Outgoing.find(Name); Known != m_Outgoing.end()) {
+      Stream = Known->second;
+    } else {
+      const auto Place = m_Pipes.find(Credit.m_Stream);
+      Stream = std::make_shared<Outgoing>();
+      Stream->m_To = From;
+      Stream->m_Send = m_Send;
+      if (Place != m_Pipes.end() && Place->second.m_Pipe->claimReader())
+        Stream->m_Pipe = Place->second.m_Pipe;
+      m_Outgoing.emplace(Name, Stream);
+    }
+  }
+  if (!Stream->m_Pipe) {
+    BodyChunk Refusal;
+    Refusal.m_Stream = Credit.m_Stream;
+    Refusal.m_Last = true;
+    Refusal.m_Failed = true;
+    (*m_Send)(From, BodyMessage(std::move(Refusal)));
+    return;
+  }
+  {
+    const std::scoped_lock Lock(Stream->m_Mutex);
+    Stream->m_Credit += Credit.m_Bytes;
+  }
+  pump(Stream);
+}
+
+void BodyStreams::receive(const PeerAddress &From, const BodyCancel &Cancel) {
+  std::shared_ptr<Outgoing> Stream;
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    const auto Known = m_Outgoing.find({From, Cancel.m_Stream});
+    if (Known == m_Outgoing.end())
+      return;
+    Stream = Known->second;
+  }
+  if (Stream->m_Pipe)
+    Stream->m_Pipe->abandon();
+}
+
+void BodyStreams::pump(const std::shared_ptr<Outgoing> &Stream) {
+  const std::scoped_lock Lock(Stream->m_Mutex);
+  BodyPipe &Pipe = *Stream->m_Pipe;
+  while (!Stream->m_Ended) {
+    BodyChunk Chunk;
+    Chunk.m_Stream = Pipe.id();
+    Chunk.m_Offset = Pipe.readOffset();
+    if (Stream->m_Credit > 0)
+      Chunk.m_Bytes =
+          Pipe.take(std::min<std::uint64_t>(Stream->m_Credit, ChunkSize));
+    Stream->m_Credit -= Chunk.m_Bytes.size();
+    const PipeState State = Pipe.state();
+    Chunk.m_Failed = State == PipeState::Failed;
+    Chunk.m_Last = State != PipeState::Open;
+    Chunk.m_BodyHash = State == PipeState::Ended ? Pipe.hash() : 0;
+    if (Chunk.m_Bytes.empty() && !Chunk.m_Last) {
+      if (Stream->m_Credit == 0 ||
+          Pipe.notifyReadable([Stream] { pump(Stream); }))
+        return;
+      continue;
+    }
+    Stream->m_Ended = Chunk.m_Last;
+    (*Stream->m_Send)(Stream->m_To, BodyMessage(std::move(Chunk)));
+  }
+}
+
+void BodyStreams::onPeerLost(const PeerAddress &Peer) {
+  std::vector<BodyPipePtr> Broken;
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    for (auto &[Id, Item] : m_Pipes)
+      if (Item.m_Incoming && Item.m_Incoming->m_From == Peer &&
+          Item.m_Pipe->readerClaimed())
+        Broken.push_back(Item.m_Pipe);
+    for (auto &[Name, Stream] : m_Outgoing)
+      if (Name.first == Peer && Stream->m_Pipe)
+        Broken.push_back(Stream->m_Pipe);
+  }
+  for (const BodyPipePtr &Pipe : Broken)
+    if (Pipe->state() == PipeState::Open)
+      Pipe->fail();
+}
+
+void BodyStreams::expire(TimePoint Now) {
+  std::vector<BodyPipePtr> Unread;
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    for (auto &[Id, Item] : m_Pipes)
+      if (!Item.m_Pipe->readerClaimed() && Now - Item.m_Made > UnclaimedLimit)
+        Unread.push_back(Item.m_Pipe);
+    std::erase_if(m_Pipes, [](const auto &Item) {
+      return Item.second.m_Pipe->state() != PipeState::Open;
+    });
+    std::erase_if(m_ByRemote, [this](const auto &Item) {
+      return !m_Pipes.contains(Item.second);
+    });
+    std::erase_if(m_Outgoing, [](const auto &Item) {
+      const Outgoing &Stream = *Item.second;
+      return Stream.m_Ended || !Stream.m_Pipe ||
+             Stream.m_Pipe->state() == PipeState::Failed;
+    });
+  }
+  for (const BodyPipePtr &Pipe : Unread)
+    Pipe->fail();
+}
+
+void BodyStreams::failAll() {
+  std::vector<BodyPipePtr> All;
+  {
+    const std::scoped_lock Lock(m_Mutex);
+    for (auto &[Id, Item] : m_Pipes)
+      All.push_back(Item.m_Pipe);
+    m_Pipes.clear();
+    m_ByRemote.clear();
+    m_Outgoing.clear();
+  }
+  for (const BodyPipePtr &Pipe : All)
+    Pipe->fail();
+}
+
+std::size_t BodyStreams::size() const {
+  const std::scoped_lock Lock(m_Mutex);
+  return m_Pipes.size();
+}
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,181 @@
+// Wiring of adapters, rings and the core.
+#include "daemon/daemon.h"
+
+#include "adapters/caller_http/caller_server.h"
+#include "adapters/peer_tcp/tcp_transport.h"
+#include "adapters/platform_http/platform_client.h"
+#include "adapters/target_http/target_link.h"
+#include "daemon/admin.h"
+#include "daemon/core.h"
+#include "daemon/peer_gate.h"
+
+#include <random>
+#include <utility>
+
+namespace balsamwheel::daemon {
+
+using caller_http::CallerServer;
+using peer_tcp::TcpTransport;
+using platform_http::PlatformClient;
+using target_http::TargetLink;
+
+namespace {
+
+std::uint64_t randomSeed() {
+  std::random_device Source;
+  return (static_cast<std::uint64_t>(Source()) << 32U) | Source();
+}
+
+} // namespace
+
+class Daemon::Impl {
+public:
+  explicit Impl(Settings Given)
+      : m_Settings(std::move(Given)), m_Seed(randomSeed()),
+        m_Bodies(
+            [this](const PeerAddress &To, PeerMessage Message) {
+              sendBody(To, std::move(Message));
+            },
+            randomSeed() >> 1U),
+        m_Gate(m_Shared, m_Bodies),
+        m_Peers({.m_Listen = PeerAddress(m_Settings.m_PeerListen),
+                 .m_MaxConnections = m_Settings.m_PeerConnections},
+                m_Gate.handlers()),
+        m_Platform({.m_Address = m_Settings.m_PlatformAddress,
+                    .m_Timeout = m_Settings.m_PlatformTimeout}),
+        m_Target({.m_Listen = m_Settings.m_TargetListen,
+                  .m_SilenceLimit = m_Settings.m_TargetSilence},
+                 targetHandlers(), pipeFactory()),
+        m_Callers({.m_Listen = m_Settings.m_CallerListen,
+                   .m_MaxConnections = m_Settings.m_CallerConnections,
+                   .m_Session = m_Seed},
+                  callerHandlers()),
+        m_Admin(m_Settings.m_AdminListen, m_Shared),
+        m_Core(Node(m_Settings.m_Node, m_Seed), m_Shared,
+               {m_Callers, m_Target, m_Platform, m_Peers, m_Bodies},
+               m_Settings.m_ShutdownLimit) {}
+
+  ~Impl() { stop(); }
+
+  std::error_code start() {
+    if (const std::error_code Error = m_Peers.start())
+      return report("peer", m_Settings.m_PeerListen, Error);
+    if (const std::error_code Error = m_Target.start())
+      return report("target", m_Settings.m_TargetListen, Error);
+    if (const std::error_code Error = m_Admin.start())
+      return report("admin", m_Settings.m_AdminListen, Error);
+    if (const std::error_code Error = m_Callers.start())
+      return report("callers", m_Settings.m_CallerListen, Error);
+    return {};
+  }
+
+  void run() {
+    m_Core.run();
+    stop();
+  }
+
+  void shutdown() { m_Shared.m_Inbox.post(ShutdownAsked{}); }
+
+private:
+  static std::error_code report(const char *Field, const std::string &Address,
+                                std::error_code Error) {
+    LOG4CPLUS_ERROR(logger(), "cannot listen on " << Address << " (" << Field
+                                                  << "): " << Error.message());
+    return Error;
+  }
+
+  void sendBody(const PeerAddress &To, PeerMessage Message) {
+    if (const auto *Body = std::get_if<BodyMessage>(&Message))
+      if (const auto *Chunk = std::get_if<BodyChunk>(Body))
+        m_Shared.m_Metrics.bodyBytes().Increment(
+            static_cast<double>(Chunk->m_Bytes.size()));
+    m_Peers.send(To, std::move(Message));
+  }
+
+  http_client::PipeFactory pipeFactory() {
+    return
+        [this](std::string_view Prefix, std::optional<std::uint64_t> Length) {
+          return m_Bodies.make(Prefix, Length);
+        };
+  }
+
+  target_http::TargetHandlers targetHandlers() {
+    Inbox &In = m_Shared.m_Inbox;
+    return {
+        .m_OnReady =
+            [&In](const target_http::Announcement &News) {
+              In.post(TargetReady{News.m_Service, News.m_Slots});
+            },
+        .m_OnLeaving = [&In] { In.post(TargetLeft{}); },
+        .m_OnAnswering =
+            [&In](OrderId Order, HttpAnswer Head) {
+              In.post(OrderAnswering{Order, std::move(Head)});
+            },
+        .m_OnEnd =
+            [&In](OrderReport Report) {
+              In.post(OrderEnded{std::move(Report)});
+            },
+        .m_OnLoad =
+            [this](target_http::LoadHint Hint) {
+              m_Shared.m_Metrics.targetLoad(Hint.m_Load, Hint.m_Healthy);
+            },
+    };
+  }
+
+  caller_http::CallerHandlers callerHandlers() {
+    return {
+        .m_Config = [this] { return m_Shared.m_Config.load(); },
+        .m_OnRequest =
+            [this](IncomingRequest &Request) {
+              Event Item = CallerArrived{std::move(Request)};
+              if (m_Shared.m_Inbox.tryPost(Item))
+                return true;
+              m_Shared.m_Metrics.droppedEvents().Increment();
+              return false;
+            },
+        .m_OnGone =
+            [this](RequestHandle Request) {
+              m_Shared.m_Inbox.post(CallerGone{Request});
+            },
+        .m_MakePipe = pipeFactory(),
+        .m_OnRefused =
+            [this](Reason Why) { m_Shared.m_Metrics.requestRefused(Why); },
+    };
+  }
+
+  /// Ends all threads but the calling one. Bodies fail first, so that no
+  /// thread waits for another.
+  void stop() {
+    m_Admin.stop();
+    m_Callers.stop();
+    m_Bodies.failAll();
+    m_Target.stop();
+    m_Platform.stop();
+    m_Peers.stop();
+  }
+
+  const Settings m_Settings;
+  const std::uint64_t m_Seed;
+  CoreShared m_Shared;
+  BodyStreams m_Bodies;
+  PeerGate m_Gate;
+  TcpTransport m_Peers;
+  PlatformClient m_Platform;
+  TargetLink m_Target;
+  CallerServer m_Callers;
+  Admin m_Admin;
+  Core<CallerServer, TargetLink, PlatformClient, TcpTransport> m_Core;
+};
+
+Daemon::Daemon(Settings Given)
+    : m_Impl(std::make_unique<Impl>(std::move(Given))) {}
+
+Daemon::~Daemon() = default;
+
+std::error_code Daemon::start() { return m_Impl->start(); }
+
+void Daemon::run() { m_Impl->run(); }
+
+void Daemon::shutdown() { m_Impl->shutdown(); }
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/daemon/logging.cpp
@@ -0,0 +1,91 @@
+// Layouts of log lines.
+#include "daemon/logging.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/mdc.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace balsamwheel::daemon {
+
+namespace {
+
+constexpr const char *RequestKey = "request_id";
+constexpr const char *InstanceKey = "instance";
+constexpr const char *TextPattern =
+    "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p [%X{instance}] [%X{request_id}] %m%n";
+
+/// One JSON object a line.
+class JsonLayout : public log4cplus::Layout {
+public:
+  explicit JsonLayout(std::string Instance) : m_Instance(std::move(Instance)) {}
+
+  void
+  formatAndAppend(log4cplus::tostream &Output,
+                  const log4cplus::spi::InternalLoggingEvent &Line) override {
+    nlohmann::json Object{
+        {"time", log4cplus::helpers::getFormattedTime(
+                     "%Y-%m-%dT%H:%M:%S.%qZ", Line.getTimestamp(), true)},
+        {"level", log4cplus::getLogLevelManager().toString(Line.getLogLevel())},
+        {InstanceKey, m_Instance},
+        {"message", Line.getMessage()}};
+    if (const std::string Id = Line.getMDC(RequestKey); !Id.empty())
+      Object[RequestKey] = Id;
+    Output << Object.dump(-1, ' ', false,
+                          nlohmann::json::error_handler_t::replace)
+           << '\n';
+  }
+
+private:
+  const std::string m_Instance;
+};
+
+/// Text lines name the instance, too.
+std::string textPattern(const std::string &Instance) {
+  std::string Result = TextPattern;
+  const std::string Field = "%X{instance}";
+  std::string Name;
+  for (const char C : Instance)
+    Name += C == '%' ? std::string("%%") : std::string(1, C);
+  Result.replace(Result.find(Field), Field.size(), Name);
+  return Result;
+}
+
+} // namespace
+
+void configureLogging(const Settings &Given) {
+  log4cplus::SharedAppenderPtr Output(
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                     /*immediateFlush=*/true));
+  const std::string Instance = Given.m_Instance.value();
+  if (Given.m_LogFormat == LogFormat::Json)
+    Output->setLayout(std::make_unique<JsonLayout>(Instance));
+  else
+    Output->setLayout(
+        std::make_unique<log4cplus::PatternLayout>(textPattern(Instance)));
+  log4cplus::Logger Target = logger();
+  Target.removeAllAppenders();
+  Target.addAppender(Output);
+  std::string Level = Given.m_LogLevel;
+  for (char &C : Level)
+    C = static_cast<char>(std::toupper(static_cast<unsigned char>(C)));
+  Target.setLogLevel(log4cplus::getLogLevelManager().fromString(Level));
+}
+
+log4cplus::Logger &logger() {
+  static log4cplus::Logger Instance =
+      log4cplus::Logger::getInstance("balsamwheel");
+  return Instance;
+}
+
+LogRequest::LogRequest(const RequestId &Id) {
+  log4cplus::getMDC().put(RequestKey, Id.value());
+}
+
+LogRequest::~LogRequest() { log4cplus::getMDC().remove(RequestKey); }
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/daemon/metrics.h
@@ -0,0 +1,98 @@
+// The daemon's metrics.
+#pragma once
+
+#include "balsamwheel/detail/core/outcome.h"
+#include "balsamwheel/detail/node/node.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace balsamwheel::daemon {
+
+/// Messages and bytes of one kind between daemons.
+struct TrafficCounters {
+  prometheus::Counter *m_Messages = nullptr;
+  prometheus::Counter *m_Bytes = nullptr;
+};
+
+/// Thread-safe, but for the caches of the core thread: requestDone() and
+/// update() belong to it.
+class Metrics {
+public:
+  Metrics();
+
+  /// A caller got its answer. Complexity: logarithmic in the series.
+  void requestDone(const ServiceName &Service, const ClassName &Class,
+                   Outcome Result, Reason Why, Duration Latency);
+  /// A request was refused before it reached the core.
+  void requestRefused(Reason Why);
+  /// An order ended at the target.
+  void orderEnded(OrderEnd End, Duration Latency);
+  void targetLoad(double Load, bool Healthy);
+  void update(const NodeStatus &Status, std::size_t InboxSize,
+              std::size_t BodyPipes, TimePoint Now);
+  prometheus::Counter &controlMessages() { return m_ControlMessages; }
+  prometheus::Counter &requestMessages() { return m_RequestMessages; }
+  prometheus::Counter &bodyBytes() { return m_BodyBytes; }
+  prometheus::Counter &droppedEvents() { return m_Dropped; }
+  prometheus::Counter &damagedAnswers() { return m_Damaged; }
+  prometheus::Counter &tableReads() { return m_TableReads; }
+  prometheus::Counter &tableCommits() { return m_TableCommits; }
+
+  /// The text for a scraper.
+  std::string serialize() const;
+
+private:
+  /// The series of one service and class.
+  struct ClassSeries {
+    prometheus::Histogram *m_Latency = nullptr;
+    std::map<std::pair<Outcome, Reason>, prometheus::Counter *> m_Outcomes;
+  };
+  using ClassKey = std::pair<ServiceName, ClassName>;
+
+  prometheus::Counter &addCounter(const char *Name, const char *Help);
+  prometheus::Gauge &addGauge(const char *Name, const char *Help);
+  ClassSeries &seriesOf(const ServiceName &Service, const ClassName &Class);
+
+  prometheus::Registry m_Registry;
+  prometheus::Family<prometheus::Histogram> &m_LatencyFamily;
+  prometheus::Family<prometheus::Counter> &m_OutcomeFamily;
+  prometheus::Family<prometheus::Counter> &m_RefusedFamily;
+  prometheus::Family<prometheus::Counter> &m_OrderFamily;
+  prometheus::Histogram &m_OrderLatency;
+  prometheus::Counter &m_ControlMessages;
+  prometheus::Counter &m_RequestMessages;
+  prometheus::Counter &m_BodyBytes;
+  prometheus::Counter &m_Dropped;
+  prometheus::Counter &m_Damaged;
+  prometheus::Counter &m_TableReads;
+  prometheus::Counter &m_TableCommits;
+  prometheus::Gauge &m_Queue;
+  prometheus::Gauge &m_Running;
+  prometheus::Gauge &m_Limit;
+  prometheus::Gauge &m_Inbox;
+  prometheus::Gauge &m_Pipes;
+  prometheus::Gauge &m_OutcomesKept;
+  prometheus::Gauge &m_RequestsOpen;
+  prometheus::Gauge &m_LeaseHeld;
+  prometheus::Gauge &m_LeaseExtended;
+  prometheus::Gauge &m_LeaseLeft;
+  prometheus::Gauge &m_ConfigVersion;
+  prometheus::Gauge &m_MapVersion;
+  prometheus::Gauge &m_Members;
+  prometheus::Gauge &m_ShardsOwned;
+  prometheus::Gauge &m_ShardsPending;
+  prometheus::Gauge &m_TargetLoad;
+  prometheus::Gauge &m_TargetHealthy;
+  std::map<ClassKey, ClassSeries> m_Series;
+};
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/daemon/peer_gate.cpp
@@ -0,0 +1,73 @@
+// Sorting of messages between daemons.
+#include "daemon/peer_gate.h"
+
+#include <utility>
+
+namespace balsamwheel::daemon {
+
+namespace {
+
+/// An unknown length travels as 0.
+std::optional<std::uint64_t> knownLength(std::uint64_t Length) {
+  if (Length == 0)
+    return std::nullopt;
+  return Length;
+}
+
+} // namespace
+
+bool isIntact(const ForwardReply &Reply) {
+  const HttpAnswer &Answer = Reply.m_Http;
+  if (Reply.m_Outcome != Outcome::Done || Answer.m_BodyStream != 0)
+    return true;
+  return Answer.m_Body.size() == Answer.m_BodyLength &&
+         runtime::bodyHash(Answer.m_Body) == Answer.m_BodyHash;
+}
+
+PeerHandlers PeerGate::handlers() {
+  return {.m_OnMessage =
+              [this](const PeerAddress &From, PeerMessage Message) {
+                onMessage(From, std::move(Message));
+              },
+          .m_OnLost =
+              [this](const PeerAddress &Peer) {
+                m_Bodies.onPeerLost(Peer);
+                m_Shared.m_Inbox.post(PeerLost{Peer});
+              }};
+}
+
+void PeerGate::onMessage(const PeerAddress &From, PeerMessage Message) {
+  if (auto *Control = std::get_if<ControlMessage>(&Message))
+    postOrDrop(ControlArrived{From, std::move(*Control)});
+  else if (auto *Request = std::get_if<RequestMessage>(&Message))
+    onRequest(From, std::move(*Request));
+  else
+    m_Bodies.onMessage(From, std::get<BodyMessage>(std::move(Message)));
+}
+
+void PeerGate::onRequest(const PeerAddress &From, RequestMessage Message) {
+  if (auto *Forward = std::get_if<ForwardRequest>(&Message)) {
+    HttpRequest &Http = Forward->m_Http;
+    if (Http.m_BodyStream != 0)
+      Http.m_BodyStream = m_Bodies.adopt(From, Http.m_BodyStream, Http.m_Body,
+                                         knownLength(Http.m_BodyLength));
+  } else if (auto *Reply = std::get_if<ForwardReply>(&Message)) {
+    if (!isIntact(*Reply)) {
+      m_Shared.m_Metrics.damagedAnswers().Increment();
+      LOG4CPLUS_ERROR(logger(), "dropped a damaged answer of " << From.value());
+      return;
+    }
+    HttpAnswer &Http = Reply->m_Http;
+    if (Http.m_BodyStream != 0)
+      Http.m_BodyStream = m_Bodies.adopt(From, Http.m_BodyStream, Http.m_Body,
+                                         knownLength(Http.m_BodyLength));
+  }
+  postOrDrop(RequestArrived{From, std::move(Message)});
+}
+
+void PeerGate::postOrDrop(Event Item) {
+  if (!m_Shared.m_Inbox.tryPost(Item))
+    m_Shared.m_Metrics.droppedEvents().Increment();
+}
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/daemon/section_reader.cpp
@@ -0,0 +1,127 @@
+// Types, ranges, unknown and duplicate fields of YAML mappings.
+#include "daemon/section_reader.h"
+
+#include <utility>
+
+namespace balsamwheel::daemon {
+
+SectionReader::SectionReader(ReadContext &Context, YAML::Node Section,
+                             std::string Path)
+    : m_Context(Context), m_Section(std::move(Section)),
+      m_Path(std::move(Path)) {
+  if (!m_Section.IsMap()) {
+    report(m_Section.Mark(), m_Path, "must be a mapping");
+    m_Section = YAML::Node(YAML::NodeType::Map);
+  }
+}
+
+std::string SectionReader::pathOf(const std::string &Name) const {
+  return m_Path.empty() ? Name : m_Path + "." + Name;
+}
+
+void SectionReader::report(const YAML::Mark &Mark, const std::string &Field,
+                           std::string Reason) {
+  m_Context.m_Errors.push_back({.m_File = m_Context.m_File,
+                                .m_Line = Mark.is_null() ? 1 : Mark.line + 1,
+                                .m_Field = Field,
+                                .m_Reason = std::move(Reason)});
+}
+
+YAML::Node SectionReader::find(const char *Name) {
+  m_Asked.insert(Name);
+  for (const auto &Item : m_Section)
+    if (Item.first.IsScalar() && Item.first.Scalar() == Name)
+      return Item.second;
+  return YAML::Node(YAML::NodeType::Undefined);
+}
+
+void SectionReader::text(
+    const char *Name, std::string &Target, bool Required,
+    const std::function<std::string(const std::string &)> &Check) {
+  const YAML::Node Value = find(Name);
+  if (!Value.IsDefined()) {
+    if (Required)
+      report(m_Section.Mark(), pathOf(Name), "is missing");
+    return;
+  }
+  if (!Value.IsScalar() || Value.Scalar().empty()) {
+    report(Value.Mark(), pathOf(Name), "must be a text that is not empty");
+    return;
+  }
+  const std::string Fault = Check ? Check(Value.Scalar()) : std::string();
+  if (!Fault.empty()) {
+    report(Value.Mark(), pathOf(Name), Fault);
+    return;
+  }
+  Target = Value.Scalar();
+}
+
+void SectionReader::flag(const char *Name, bool &Target) {
+  const YAML::Node Value = find(Name);
+  if (!Value.IsDefined())
+    return;
+  if (!YAML::convert<bool>::decode(Value, Target))
+    report(Value.Mark(), pathOf(Name), "must be true or false");
+}
+
+void SectionReader::real(const char *Name, double &Target, double Least,
+                         double Most) {
+  const YAML::Node Value = find(Name);
+  if (!Value.IsDefined())
+    return;
+  double Number = 0;
+  if (YAML::convert<double>::decode(Value, Number) && Number >= Least &&
+      Number <= Most) {
+    Target = Number;
+    return;
+  }
+  report(Value.Mark(), pathOf(Name),
+         "must be a number from " + std::to_string(Least) + " to " +
+             std::to_string(Most));
+}
+
+std::optional<std::int64_t> SectionReader::readInteger(const char *Name,
+                                                       std::int64_t Least,
+                                                       std::int64_t Most) {
+  const YAML::Node Value = find(Name);
+  if (!Value.IsDefined())
+    return std::nullopt;
+  std::int64_t Number = 0;
+  if (YAML::convert<std::int64_t>::decode(Value, Number) && Number >= Least &&
+      Number <= Most)
+    return Number;
+  report(Value.Mark(), pathOf(Name),
+         "must be a whole number from " + std::to_string(Least) + " to " +
+             std::to_string(Most));
+  return std::nullopt;
+}
+
+void SectionReader::milliseconds(const char *Name, Duration &Target,
+                                 std::int64_t Least, std::int64_t Most) {
+  if (const auto Value = readInteger(Name, Least, Most))
+    Target = std::chrono::milliseconds(*Value);
+}
+
+void SectionReader::section(const char *Name,
+                            const std::function<void(SectionReader &)> &Read) {
+  const YAML::Node Value = find(Name);
+  SectionReader Inner(
+      m_Context, Value.IsDefined() ? Value : YAML::Node(YAML::NodeType::Map),
+      pathOf(Name));
+  Read(Inner);
+  Inner.finish();
+}
+
+void SectionReader::finish() {
+  std::set<std::string> Seen;
+  for (const auto &Item : m_Section) {
+    const std::string Name =
+        Item.first.IsScalar() ? Item.first.Scalar() : std::string("?");
+    if (!m_Asked.contains(Name))
+      report(Item.first.Mark(), pathOf(Name), "is no known field");
+    else if (!Seen.insert(Name).second)
+      report(Item.first.Mark(), pathOf(Name), "is given twice");
+  }
+}
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/daemon/section_reader.h
@@ -0,0 +1,84 @@
+// Reads one YAML mapping field by field and collects every fault.
+#pragma once
+
+#include "balsamwheel/detail/core/time.h"
+#include "daemon/settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+namespace balsamwheel::daemon {
+
+/// What is shared by the sections of one file.
+struct ReadContext {
+  std::string m_File;
+  std::vector<SettingsError> m_Errors;
+};
+
+/// Fields that are absent keep their defaults. Call finish() last: it reports
+/// fields that nobody asked for.
+class SectionReader {
+public:
+  SectionReader(ReadContext &Context, YAML::Node Section, std::string Path);
+
+  /// \p Check returns the fault of a value, or an empty string.
+  void text(const char *Name, std::string &Target, bool Required = false,
+            const std::function<std::string(const std::string &)> &Check = {});
+  void flag(const char *Name, bool &Target);
+  void real(const char *Name, double &Target, double Least, double Most);
+  void milliseconds(const char *Name, Duration &Target, std::int64_t Least,
+                    std::int64_t Most);
+
+  template <typename Number>
+  void integer(const char *Name, Number &Target, std::int64_t Least,
+               std::int64_t Most) {
+    if (const auto Value = readInteger(Name, Least, Most))
+      Target = static_cast<Number>(*Value);
+  }
+
+  /// Reads one of several words.
+  template <typename Value>
+  void choice(const char *Name, Value &Target,
+              const std::vector<std::pair<std::string, Value>> &Words) {
+    std::string Text;
+    std::string Known;
+    for (const auto &[Word, Meaning] : Words)
+      Known += (Known.empty() ? "" : ", ") + Word;
+    text(Name, Text, false, [&](const std::string &Given) -> std::string {
+      for (const auto &[Word, Meaning] : Words)
+        if (Word == Given)
+          return {};
+      return "must be one of " + Known;
+    });
+    for (const auto &[Word, Meaning] : Words)
+      if (Word == Text)
+        Target = Meaning;
+  }
+
+  /// Reads a nested mapping; absent means all defaults.
+  void section(const char *Name,
+               const std::function<void(SectionReader &)> &Read);
+  void finish();
+
+private:
+  YAML::Node find(const char *Name);
+  std::optional<std::int64_t> readInteger(const char *Name, std::int64_t Least,
+                                          std::int64_t Most);
+  std::string pathOf(const std::string &Name) const;
+  void report(const YAML::Mark &Mark, const std::string &Field,
+              std::string Reason);
+
+  ReadContext &m_Context;
+  YAML::Node m_Section;
+  std::string m_Path;
+  std::set<std::string> m_Asked;
+};
+
+} // namespace balsamwheel::daemon
--- /dev/null
+++ b/src/runtime/bounded_ring.h
@@ -0,0 +1,93 @@
+// A bounded lock-free queue for any number of producers and consumers.
+#pragma once
+
+#include <atomic>
+#include <bit>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <utility>
+
+namespace balsamwheel::runtime {
+
+/// Each slot carries a sequence number that says whose turn it is: equal to
+/// the position for a producer, one more for a consumer.
+///
+/// Invariant: the capacity is a power of two and never changes.
+template <typename T> class BoundedRing {
+public:
+  /// \param Capacity rounded up to a power of two.
+  explicit BoundedRing(std::size_t Capacity)
+      : m_Mask(std::bit_ceil(Capacity) - 1),
+        m_Slots(std::make_unique<Slot[]>(m_Mask + 1)) {
+    for (std::size_t I = 0; I <= m_Mask; ++I)
+      m_Slots[I].m_Sequence.store(I, std::memory_order_relaxed);
+  }
+
+  /// Moves \p Value in; leaves it untouched and returns false when full.
+  bool tryPush(T &Value) {
+    std::size_t Position = m_Tail.load(std::memory_order_relaxed);
+    for (;;) {
+      Slot &Candidate = m_Slots[Position & m_Mask];
+      const std::size_t Turn =
+          Candidate.m_Sequence.load(std::memory_order_acquire);
+      const auto Lead = static_cast<std::ptrdiff_t>(Turn - Position);
+      if (Lead < 0)
+        return false;
+      if (Lead > 0) {
+        Position = m_Tail.load(std::memory_order_relaxed);
+        continue;
+      }
+      if (!m_Tail.compare_exchange_weak(Position, Position + 1,
+                                        std::memory_order_relaxed))
+        continue;
+      Candidate.m_Value = std::move(Value);
+      Candidate.m_Sequence.store(Position + 1, std::memory_order_release);
+      return true;
+    }
+  }
+
+  /// Moves the oldest value out; false when empty.
+  bool tryPop(T &Value) {
+    std::size_t Position = m_Head.load(std::memory_order_relaxed);
+    for (;;) {
+      Slot &Candidate = m_Slots[Position & m_Mask];
+      const std::size_t Turn =
+          Candidate.m_Sequence.load(std::memory_order_acquire);
+      const auto Lead = static_cast<std::ptrdiff_t>(Turn - (Position + 1));
+      if (Lead < 0)
+        return false;
+      if (Lead > 0) {
+        Position = m_Head.load(std::memory_order_relaxed);
+        continue;
+      }
+      if (!m_Head.compare_exchange_weak(Position, Position + 1,
+                                        std::memory_order_relaxed))
+        continue;
+      Value = std::exchange(Candidate.m_Value, T());
+      Candidate.m_Sequence.store(Position + m_Mask + 1,
+                                 std::memory_order_release);
+      return true;
+    }
+  }
+
+  /// A snapshot; exact only while no other thread uses the ring.
+  std::size_t size() const {
+    const std::size_t Head = m_Head.load(std::memory_order_acquire);
+    const std::size_t Tail = m_Tail.load(std::memory_order_acquire);
+    return Tail > Head ? Tail - Head : 0;
+  }
+
+private:
+  struct Slot {
+    std::atomic<std::size_t> m_Sequence{0};
+    T m_Value{};
+  };
+
+  const std::size_t m_Mask;
+  std::unique_ptr<Slot[]> m_Slots;
+  alignas(64) std::atomic<std::size_t> m_Tail{0};
+  alignas(64) std::atomic<std::size_t> m_Head{0};
+};
+
+} // namespace balsamwheel::runtime
