--- /dev/null
+++ b/src/load/latency_trend.cpp
@@ -0,0 +1,98 @@
+// Windowed comparison of latencies with a slowly rising baseline.
+#include "load/latency_trend.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamwheel {
+
+namespace {
+
+/// Weight of one sample in the recent mean and the deviation.
+constexpr double SampleWeight = 1.0 / 16;
+/// Weight of one window in the baseline when it is below or above it.
+constexpr double FallWeight = 1.0 / 8;
+constexpr double RiseWeight = 1.0 / 64;
+/// Ratios to the baseline, and multiples of the window mean's noise.
+constexpr double HealthyRatio = 1.25;
+constexpr double HealthyNoise = 1.5;
+constexpr double CongestedRatio = 1.6;
+constexpr double CongestedNoise = 3;
+/// Samples that a verdict needs.
+constexpr std::uint32_t MinSamples = 2;
+
+Duration toDuration(double Microseconds) {
+  return Duration(static_cast<Duration::rep>(Microseconds));
+}
+
+} // namespace
+
+std::optional<LatencyVerdict> LatencyTrend::add(Duration Latency,
+                                                std::uint32_t WindowSize) {
+  const auto Sample =
+      static_cast<double>(std::max<Duration::rep>(Latency.count(), 1));
+  if (m_RecentMean == 0)
+    m_RecentMean = Sample;
+  m_Deviation += (std::abs(Sample - m_RecentMean) - m_Deviation) * SampleWeight;
+  m_RecentMean += (Sample - m_RecentMean) * SampleWeight;
+  m_WindowSum += Sample;
+  ++m_WindowCount;
+  if (m_WindowCount < WindowSize && !surelyCongested(WindowSize))
+    return std::nullopt;
+
+  const double Mean = m_WindowSum / m_WindowCount;
+  if (m_Baseline == 0)
+    m_Baseline = Mean;
+  const LatencyVerdict Result{.m_Ratio = Mean / m_Baseline,
+                              .m_Congested =
+                                  Mean > congestedMean(m_WindowCount),
+                              .m_Healthy = Mean <= healthyMean(m_WindowCount)};
+  moveBaseline(Mean);
+  restartWindow();
+  return Result;
+}
+
+void LatencyTrend::restartWindow() {
+  m_WindowSum = 0;
+  m_WindowCount = 0;
+}
+
+void LatencyTrend::scaleBaseline(double Factor) {
+  m_Baseline *= Factor;
+  restartWindow();
+}
+
+Duration LatencyTrend::baseline() const { return toDuration(m_Baseline); }
+
+Duration LatencyTrend::recentMean() const { return toDuration(m_RecentMean); }
+
+Duration LatencyTrend::deviation() const { return toDuration(m_Deviation); }
+
+// The samples so far are so slow that the rest can't make up for them.
+bool LatencyTrend::surelyCongested(std::uint32_t WindowSize) const {
+  return m_Baseline > 0 && m_WindowCount >= MinSamples &&
+         m_WindowSum > congestedMean(m_WindowCount) * WindowSize;
+}
+
+double LatencyTrend::congestedMean(std::uint32_t Count) const {
+  return m_Baseline * CongestedRatio + noise(Count) * CongestedNoise;
+}
+
+double LatencyTrend::healthyMean(std::uint32_t Count) const {
+  return m_Baseline * HealthyRatio + noise(Count) * HealthyNoise;
+}
+
+// The deviation may stem from the very jump that is judged, hence the bound.
+double LatencyTrend::noise(std::uint32_t Count) const {
+  return std::min(m_Deviation, m_Baseline) /
+         std::sqrt(static_cast<double>(Count));
+}
+
+void LatencyTrend::moveBaseline(double Mean) {
+  if (Mean < m_Baseline / 2)
+    m_Baseline = Mean;
+  const double Weight = Mean < m_Baseline ? FallWeight : RiseWeight;
+  m_Baseline += (Mean - m_Baseline) * Weight;
+}
+
+} // namespace balsamwheel
