Carry the sequences of promises and extensions between daemons

Cause: the codec dropped the added fields, so a witness would have refused every promise and no lost daemon could have been expelled; the codec's own test compares encodings only and could not notice.

--- a/src/adapters/peer_tcp/decode.cpp
+++ b/src/adapters/peer_tcp/decode.cpp
@@ -107,6 +107,7 @@
 ExtendRequest fromWire(const wire::ExtendRequest &Value) {
   return {.m_Session = SessionId(Value.session()),
           .m_Sequence = Value.sequence(),
+          .m_SequenceCommitted = Value.sequence_committed(),
           .m_Group = Value.group(),
           .m_GroupRow = RowVersion(Value.group_row()),
           .m_ConfigApplied = ConfigVersion(Value.config_applied()),
@@ -122,6 +123,7 @@
 
 PromiseRequest fromWire(const wire::PromiseRequest &Value) {
   return {.m_Subject = SessionId(Value.subject()),
+          .m_Sequence = Value.sequence(),
           .m_Group = Value.group(),
           .m_GroupRow = RowVersion(Value.group_row())};
 }
@@ -129,6 +131,7 @@
 PromiseReply fromWire(const wire::PromiseReply &Value) {
   return {.m_Subject = SessionId(Value.subject()),
           .m_Witness = SessionId(Value.witness()),
+          .m_Sequence = Value.sequence(),
           .m_Group = Value.group(),
           .m_GroupRow = RowVersion(Value.group_row()),
           .m_Promised = Value.promised()};
--- a/src/adapters/peer_tcp/encode.cpp
+++ b/src/adapters/peer_tcp/encode.cpp
@@ -92,8 +92,8 @@
 
 Content encodeOne(Builder &To, const ExtendRequest &Value) {
   return content(wire::CreateExtendRequest(
-      To, Value.m_Session.value(), Value.m_Sequence, Value.m_Group,
-      Value.m_GroupRow.value(), Value.m_ConfigApplied.value(),
+      To, Value.m_Session.value(), Value.m_Sequence, Value.m_SequenceCommitted,
+      Value.m_Group, Value.m_GroupRow.value(), Value.m_ConfigApplied.value(),
       Value.m_MapSeen));
 }
 
@@ -104,14 +104,15 @@
 }
 
 Content encodeOne(Builder &To, const PromiseRequest &Value) {
-  return content(wire::CreatePromiseRequest(
-      To, Value.m_Subject.value(), Value.m_Group, Value.m_GroupRow.value()));
+  return content(wire::CreatePromiseRequest(To, Value.m_Subject.value(),
+                                            Value.m_Sequence, Value.m_Group,
+                                            Value.m_GroupRow.value()));
 }
 
 Content encodeOne(Builder &To, const PromiseReply &Value) {
   return content(wire::CreatePromiseReply(
-      To, Value.m_Subject.value(), Value.m_Witness.value(), Value.m_Group,
-      Value.m_GroupRow.value(), Value.m_Promised));
+      To, Value.m_Subject.value(), Value.m_Witness.value(), Value.m_Sequence,
+      Value.m_Group, Value.m_GroupRow.value(), Value.m_Promised));
 }
 
 Content encodeOne(Builder &To, const ChangesRequest &Value) {
--- a/src/adapters/peer_tcp/peer_generated.h
+++ b/src/adapters/peer_tcp/peer_generated.h
@@ -592,10 +592,11 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SESSION = 4,
     VT_SEQUENCE = 6,
-    VT_GROUP = 8,
-    VT_GROUP_ROW = 10,
-    VT_CONFIG_APPLIED = 12,
-    VT_MAP_SEEN = 14
+    VT_SEQUENCE_COMMITTED = 8,
+    VT_GROUP = 10,
+    VT_GROUP_ROW = 12,
+    VT_CONFIG_APPLIED = 14,
+    VT_MAP_SEEN = 16
   };
   uint64_t session() const {
     return GetField<uint64_t>(VT_SESSION, 0);
@@ -603,6 +604,9 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t sequence_committed() const {
+    return GetField<uint64_t>(VT_SEQUENCE_COMMITTED, 0);
+  }
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
   }
@@ -619,6 +623,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SESSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE_COMMITTED, 8) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
            VerifyField<uint64_t>(verifier, VT_GROUP_ROW, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_APPLIED, 8) &&
@@ -637,6 +642,9 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(ExtendRequest::VT_SEQUENCE, sequence, 0);
   }
+  void add_sequence_committed(uint64_t sequence_committed) {
+    fbb_.AddElement<uint64_t>(ExtendRequest::VT_SEQUENCE_COMMITTED, sequence_committed, 0);
+  }
   void add_group(uint32_t group) {
     fbb_.AddElement<uint32_t>(ExtendRequest::VT_GROUP, group, 0);
   }
@@ -664,6 +672,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t session = 0,
     uint64_t sequence = 0,
+    uint64_t sequence_committed = 0,
     uint32_t group = 0,
     uint64_t group_row = 0,
     uint64_t config_applied = 0,
@@ -672,6 +681,7 @@
   builder_.add_map_seen(map_seen);
   builder_.add_config_applied(config_applied);
   builder_.add_group_row(group_row);
+  builder_.add_sequence_committed(sequence_committed);
   builder_.add_sequence(sequence);
   builder_.add_session(session);
   builder_.add_group(group);
@@ -753,12 +763,16 @@
   typedef PromiseRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SUBJECT = 4,
-    VT_GROUP = 6,
-    VT_GROUP_ROW = 8
+    VT_SEQUENCE = 6,
+    VT_GROUP = 8,
+    VT_GROUP_ROW = 10
   };
   uint64_t subject() const {
     return GetField<uint64_t>(VT_SUBJECT, 0);
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
   }
@@ -768,6 +782,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SUBJECT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
            VerifyField<uint64_t>(verifier, VT_GROUP_ROW, 8) &&
            verifier.EndTable();
@@ -781,6 +796,9 @@
   void add_subject(uint64_t subject) {
     fbb_.AddElement<uint64_t>(PromiseRequest::VT_SUBJECT, subject, 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(PromiseRequest::VT_SEQUENCE, sequence, 0);
+  }
   void add_group(uint32_t group) {
     fbb_.AddElement<uint32_t>(PromiseRequest::VT_GROUP, group, 0);
   }
@@ -801,10 +819,12 @@
 inline flatbuffers::Offset<PromiseRequest> CreatePromiseRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t subject = 0,
+    uint64_t sequence = 0,
     uint32_t group = 0,
     uint64_t group_row = 0) {
   PromiseRequestBuilder builder_(_fbb);
   builder_.add_group_row(group_row);
+  builder_.add_sequence(sequence);
   builder_.add_subject(subject);
   builder_.add_group(group);
   return builder_.Finish();
@@ -815,9 +835,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SUBJECT = 4,
     VT_WITNESS = 6,
-    VT_GROUP = 8,
-    VT_GROUP_ROW = 10,
-    VT_PROMISED = 12
+    VT_SEQUENCE = 8,
+    VT_GROUP = 10,
+    VT_GROUP_ROW = 12,
+    VT_PROMISED = 14
   };
   uint64_t subject() const {
     return GetField<uint64_t>(VT_SUBJECT, 0);
@@ -825,6 +846,9 @@
   uint64_t witness() const {
     return GetField<uint64_t>(VT_WITNESS, 0);
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
   }
@@ -838,6 +862,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SUBJECT, 8) &&
            VerifyField<uint64_t>(verifier, VT_WITNESS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
            VerifyField<uint64_t>(verifier, VT_GROUP_ROW, 8) &&
            VerifyField<uint8_t>(verifier, VT_PROMISED, 1) &&
@@ -855,6 +880,9 @@
   void add_witness(uint64_t witness) {
     fbb_.AddElement<uint64_t>(PromiseReply::VT_WITNESS, witness, 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(PromiseReply::VT_SEQUENCE, sequence, 0);
+  }
   void add_group(uint32_t group) {
     fbb_.AddElement<uint32_t>(PromiseReply::VT_GROUP, group, 0);
   }
@@ -879,11 +907,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t subject = 0,
     uint64_t witness = 0,
+    uint64_t sequence = 0,
     uint32_t group = 0,
     uint64_t group_row = 0,
     bool promised = false) {
   PromiseReplyBuilder builder_(_fbb);
   builder_.add_group_row(group_row);
+  builder_.add_sequence(sequence);
   builder_.add_witness(witness);
   builder_.add_subject(subject);
   builder_.add_group(group);
