--- a/include/balsamwheel/detail/node/executor.h
+++ b/include/balsamwheel/detail/node/executor.h
@@ -40,7 +40,7 @@
                TimePoint Now);
   void onCancel(std::uint64_t Stream, const PeerAddress &From, TimePoint Now);
   void onAnswering(OrderId Order, HttpAnswer Head);
-  void onOrderEnd(OrderReport Report, TimePoint Now);
+  void onOrderEnd(const OrderReport &Report, TimePoint Now);
   void onTargetReady(const ServiceName &Service, std::uint32_t Slots,
                      TimePoint Now);
   void onTick(TimePoint Now);
@@ -118,7 +118,8 @@
   /// Ends a job that never started.
   void refuse(JobHandle Handle, Verdict Result, TimePoint Now);
   /// Replies to the sender and to all who wait for the same id.
-  void finish(JobHandle Handle, Verdict Result, HttpAnswer Http, TimePoint Now);
+  void finish(JobHandle Handle, Verdict Result, const HttpAnswer &Http,
+              TimePoint Now);
   void settleRecord(const Job &Value, const Verdict &Result,
                     const HttpAnswer &Http, TimePoint Now);
   void reply(const PeerAddress &To, std::uint64_t Stream, const Verdict &Result,
--- a/include/balsamwheel/detail/wire/request.h
+++ b/include/balsamwheel/detail/wire/request.h
@@ -53,7 +53,7 @@
   std::uint64_t m_BodyStream = 0;
 };
 
-inline constexpr std::uint64_t InlineBodyLimit = 64U * 1024U;
+inline constexpr std::uint64_t InlineBodyLimit = 65536;
 
 /// A request passed from its entrance to the daemon that should run it.
 struct ForwardRequest {
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -383,7 +383,7 @@
   finish(Handle, Result, {}, Now);
 }
 
-void Executor::finish(JobHandle Handle, Verdict Result, HttpAnswer Http,
+void Executor::finish(JobHandle Handle, Verdict Result, const HttpAnswer &Http,
                       TimePoint Now) {
   const auto It = m_Jobs.find(Handle);
   const Job Value = std::move(It->second);
@@ -480,7 +480,7 @@
         std::move(Head), Value.m_Meta);
 }
 
-void Executor::onOrderEnd(OrderReport Report, TimePoint Now) {
+void Executor::onOrderEnd(const OrderReport &Report, TimePoint Now) {
   const auto It = m_Orders.find(Report.m_Order);
   if (It == m_Orders.end())
     return;
@@ -515,7 +515,7 @@
     Result = {Outcome::Unknown, Reason::DeadlinePassed};
     break;
   }
-  finish(Handle, Result, std::move(Report.m_Http), Now);
+  finish(Handle, Result, Report.m_Http, Now);
   drainQueue(Now);
 }
 
