--- a/include/balsamwheel/detail/wire/request.h
+++ b/include/balsamwheel/detail/wire/request.h
@@ -59,7 +59,7 @@
   bool operator==(const HttpAnswer &) const = default;
 };
 
-inline constexpr std::uint64_t InlineBodyLimit = 64UL * 1024;
+inline constexpr std::uint64_t InlineBodyLimit = 65536;
 
 /// A request passed from its entrance to the daemon that should run it.
 struct ForwardRequest {
