--- a/bench/commands.cpp
+++ b/bench/commands.cpp
@@ -1,13 +1,17 @@
 // Command line of balsamwheel-bench.
 #include "bench/commands.h"
 
+#include "bench/core/experiment.h"
 #include "bench/core/platform_stand_in.h"
 #include "bench/core/signals.h"
 #include "bench/core/target_stand_in.h"
 
 #include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <optional>
+#include <thread>
 
 namespace balsamwheel::bench {
 
@@ -82,6 +86,117 @@
   return 0;
 }
 
+int runLoad(const Strings &Arguments) {
+  cxxopts::Options Options("balsamwheel-bench load",
+                           "Send open-loop load to running entrances");
+  Options.add_options()("entrance", "host:port, several with commas",
+                        cxxopts::value<Strings>())(
+      "direct", "The entrances are targets")("service", "Name of the service",
+                                             cxxopts::value<std::string>())(
+      "class", "Request class",
+      cxxopts::value<std::string>()->default_value(""))(
+      "method", "Method", cxxopts::value<std::string>()->default_value("GET"))(
+      "path", "Path", cxxopts::value<std::string>()->default_value("/bench"))(
+      "keys", "Number of keys, 0 for none",
+      cxxopts::value<std::uint32_t>()->default_value("1000"))(
+      "rate", "Requests a second",
+      cxxopts::value<double>()->default_value("100"))(
+      "seconds", "Length", cxxopts::value<int>()->default_value("10"))(
+      "seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+  const auto Parsed = parse(Options, Arguments);
+  if (!Parsed)
+    return 0;
+  LoadStream Stream;
+  Stream.m_Service = (*Parsed)["service"].as<std::string>();
+  Stream.m_Class = (*Parsed)["class"].as<std::string>();
+  Stream.m_Name = Stream.m_Service + "/" + Stream.m_Class;
+  Stream.m_Method = (*Parsed)["method"].as<std::string>();
+  Stream.m_Path = (*Parsed)["path"].as<std::string>();
+  Stream.m_Keys = (*Parsed)["keys"].as<std::uint32_t>();
+  Stream.m_Keyed = Stream.m_Keys > 0;
+  Stream.m_Rate = (*Parsed)["rate"].as<double>();
+  LoadPlan Plan;
+  Plan.m_Streams = {Stream};
+  Plan.m_Entrances = (*Parsed)["entrance"].as<Strings>();
+  Plan.m_Seed = (*Parsed)["seed"].as<std::uint64_t>();
+  Plan.m_Direct = Parsed->count("direct") > 0;
+  LoadGenerator Load(Plan);
+  Load.start();
+  std::this_thread::sleep_for(
+      std::chrono::seconds((*Parsed)["seconds"].as<int>()));
+  Observations Seen;
+  Seen.m_Streams = Plan.m_Streams;
+  Seen.m_Requests = Load.finish();
+  std::cout << toJson(measure(Seen, {}, Config{})).at("classes").dump(2)
+            << "\n";
+  return 0;
+}
+
+int runList(const Strings &) {
+  for (const Scenario &Each : scenarios())
+    std::cout << Each.m_Name << "\t" << Each.m_Help << "\n";
+  return 0;
+}
+
+std::filesystem::path programFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path();
+}
+
+/// Reads the options of "run"; none when help was printed.
+std::optional<cxxopts::ParseResult> parseRun(const Strings &Arguments) {
+  cxxopts::Options Options("balsamwheel-bench run", "Run an experiment");
+  Options.positional_help("NAME");
+  Options.add_options()("name", "Experiment, see list",
+                        cxxopts::value<std::string>()->default_value("demo"))(
+      "seed", "Seed of load and targets",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "deployment", "valpadana or etna-verde",
+      cxxopts::value<std::string>()->default_value(""))(
+      "policy", "policy, baseline or both",
+      cxxopts::value<std::string>()->default_value("both"))(
+      "rounds", "Times that policy and baseline alternate",
+      cxxopts::value<std::uint32_t>()->default_value("1"))(
+      "load", "Multiplies the rates",
+      cxxopts::value<double>()->default_value("1"))(
+      "manifests", "Folder with the manifests of the deployments",
+      cxxopts::value<std::string>()->default_value("examples"))(
+      "keep", "Keep logs and journals")(
+      "json", "Write the result to this file",
+      cxxopts::value<std::string>()->default_value(""));
+  Options.parse_positional({"name"});
+  return parse(Options, Arguments);
+}
+
+int runExperimentCommand(const Strings &Arguments) {
+  const auto Parsed = parseRun(Arguments);
+  if (!Parsed)
+    return 0;
+  ExperimentOptions Options;
+  Options.m_Scenario = (*Parsed)["name"].as<std::string>();
+  const Scenario *Course = findScenario(Options.m_Scenario);
+  if (Course == nullptr)
+    throw std::invalid_argument("no experiment " + Options.m_Scenario);
+  Options.m_Deployment = (*Parsed)["deployment"].as<std::string>();
+  if (Options.m_Deployment.empty())
+    Options.m_Deployment = Course->m_Deployment;
+  if (!findDeployment(Options.m_Deployment))
+    throw std::invalid_argument("no deployment " + Options.m_Deployment);
+  Options.m_Seed = (*Parsed)["seed"].as<std::uint64_t>();
+  Options.m_Policy = (*Parsed)["policy"].as<std::string>();
+  Options.m_Rounds = (*Parsed)["rounds"].as<std::uint32_t>();
+  Options.m_LoadFactor = (*Parsed)["load"].as<double>();
+  Options.m_Programs = programFolder();
+  Options.m_Manifests = (*Parsed)["manifests"].as<std::string>();
+  Options.m_Keep = Parsed->count("keep") > 0;
+
+  const ExperimentResult Result = runExperiment(Options, std::cout);
+  printResult(Result, std::cout);
+  const std::string File = (*Parsed)["json"].as<std::string>();
+  if (!File.empty())
+    std::ofstream(File) << toJson(Result).dump(2) << "\n";
+  return Result.clean() ? 0 : 1;
+}
+
 struct Command {
   const char *m_Name;
   const char *m_Help;
@@ -91,6 +206,9 @@
 constexpr Command Commands[] = {
     {"platform", "run the stand-in for the platform", &runPlatform},
     {"target", "run a stand-in for a target", &runTarget},
+    {"load", "send load to running entrances", &runLoad},
+    {"list", "name the experiments", &runList},
+    {"run", "run an experiment", &runExperimentCommand},
 };
 
 void printUsage(std::ostream &Out) {
--- a/bench/core/call.cpp
+++ b/bench/core/call.cpp
@@ -132,7 +132,7 @@
     m_OwnerHint = Value;
 }
 
-Attempt Call::finish(CURLcode Result) {
+Attempt Call::finish(CURLcode Result, bool Direct) {
   Attempt Ended;
   Ended.m_Sent = m_Sent;
   Ended.m_End = now();
@@ -149,7 +149,8 @@
   long Status = 0;
   curl_easy_getinfo(m_Handle, CURLINFO_RESPONSE_CODE, &Status);
   Ended.m_Status = static_cast<std::uint16_t>(Status);
-  Ended.m_Answer = answerFromName(m_Outcome);
+  Ended.m_Answer =
+      Direct && Status == 200 ? Answer::Done : answerFromName(m_Outcome);
   if (Ended.m_Answer == Answer::Done)
     Ended.m_BodyWhole = isWholePayload(m_Body, m_Record->m_Id);
   else
--- a/bench/core/call.h
+++ b/bench/core/call.h
@@ -19,7 +19,7 @@
   /// Sets the handle up for the next attempt of a request.
   void prepare(RequestRecord &Record, const LoadStream &Stream,
                const std::string &Entrance, std::uint32_t EntranceIndex);
-  Attempt finish(CURLcode Result);
+  Attempt finish(CURLcode Result, bool Direct);
 
   CURL *handle() const { return m_Handle; }
   RequestRecord &record() const { return *m_Record; }
--- /dev/null
+++ b/bench/core/cluster.cpp
@@ -0,0 +1,266 @@
+// Starting, steering and reading out the processes of a deployment.
+#include "bench/core/cluster.h"
+
+#include "balsamwheel/detail/manifest/document.h"
+#include "bench/core/clock.h"
+#include "bench/core/http_client.h"
+#include "bench/core/journal.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace balsamwheel::bench {
+
+namespace {
+
+constexpr Duration StartTimeout = std::chrono::seconds(20);
+constexpr Duration OperatorTimeout = std::chrono::seconds(30);
+constexpr std::uint32_t ProbesPerStream = 48;
+
+std::string local(std::uint16_t Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+std::filesystem::path makeFolder() {
+  std::string Template =
+      (std::filesystem::temp_directory_path() / "balsamwheel-XXXXXX").string();
+  if (mkdtemp(Template.data()) == nullptr)
+    throw std::runtime_error("cannot make a temporary folder");
+  return Template;
+}
+
+} // namespace
+
+Cluster::Cluster(ClusterOptions Options)
+    : m_Options(std::move(Options)), m_Folder(makeFolder()) {
+  for (const ServerPlan &Plan : m_Options.m_Deployment.m_Servers) {
+    Server Each;
+    Each.m_Plan = Plan;
+    Each.m_PeerPort = pickFreePort();
+    Each.m_CallerPort = pickFreePort();
+    Each.m_AnnouncePort = pickFreePort();
+    Each.m_AdminPort = pickFreePort();
+    Each.m_TargetPort = pickFreePort();
+    Each.m_Folder = m_Folder / Plan.m_Instance;
+    std::filesystem::create_directories(Each.m_Folder);
+    m_Servers.push_back(std::move(Each));
+  }
+}
+
+Cluster::~Cluster() {
+  for (Server &Each : m_Servers) {
+    Each.m_Daemon.kill();
+    Each.m_Target.kill();
+  }
+  m_Platform.kill();
+  if (m_KeepFolder)
+    return;
+  std::error_code Ignored;
+  std::filesystem::remove_all(m_Folder, Ignored);
+}
+
+std::string Cluster::platformUrl() const {
+  return "http://" + local(m_PlatformPort);
+}
+
+void Cluster::start() {
+  startPlatform();
+  for (std::size_t Index = 0; Index < m_Servers.size(); ++Index)
+    startServer(Index, m_Options.m_ColdTargets);
+  commitManifest();
+  waitUntilServing();
+}
+
+void Cluster::startPlatform() {
+  m_PlatformPort = pickFreePort();
+  m_Platform = ChildProcess(
+      {.m_Command = {m_Options.m_Programs / "balsamwheel-bench", "platform",
+                     "--port", std::to_string(m_PlatformPort)},
+       .m_Log = m_Folder / "platform.log"});
+  const TimePoint End = now() + StartTimeout;
+  while (!getJson(platformUrl() + "/v1/counters").is_object()) {
+    if (now() > End)
+      throw std::runtime_error("the platform stand-in does not answer");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+void Cluster::writeSettings(const Server &Each) const {
+  std::ofstream File(Each.m_Folder / "settings.yaml");
+  File << "instance: " << Each.m_Plan.m_Instance << "\n"
+       << "domain: " << Each.m_Plan.m_Domain << "\n"
+       << "region: region-1\n"
+       << "peer_address: " << local(Each.m_PeerPort) << "\n"
+       << "caller_address: " << local(Each.m_CallerPort) << "\n"
+       << "target_address: " << local(Each.m_AnnouncePort) << "\n"
+       << "admin_address: " << local(Each.m_AdminPort) << "\n"
+       << "platform: " << platformUrl() << "\n"
+       << "log:\n  level: info\n  format: json\n  file: "
+       << (Each.m_Folder / "daemon.jsonl").string() << "\n";
+  if (m_Options.m_Policy.empty())
+    return;
+  File << "policy:\n";
+  for (const auto &[Name, Value] : m_Options.m_Policy)
+    File << "  " << Name << ": " << Value << "\n";
+}
+
+void Cluster::startServer(std::size_t Index, bool Cold) {
+  Server &Each = m_Servers.at(Index);
+  writeSettings(Each);
+  Each.m_Daemon = ChildProcess(
+      {.m_Command = {m_Options.m_Programs / "balsamwheeld", "--settings",
+                     Each.m_Folder / "settings.yaml"},
+       .m_Log = Each.m_Folder / "daemon.log"});
+  std::vector<std::string> Command{
+      m_Options.m_Programs / "balsamwheel-bench",
+      "target",
+      "--port",
+      std::to_string(Each.m_TargetPort),
+      "--service",
+      Each.m_Plan.m_Service,
+      "--daemon",
+      local(Each.m_AnnouncePort),
+      "--seed",
+      std::to_string(m_Options.m_Seed * 100 + Index),
+      "--scale",
+      std::to_string(m_Options.m_TimeScale),
+      "--journal",
+      Each.m_Folder / "journal.jsonl"};
+  if (Cold)
+    Command.emplace_back("--cold");
+  Each.m_Target = ChildProcess(
+      {.m_Command = std::move(Command), .m_Log = Each.m_Folder / "target.log"});
+}
+
+void Cluster::signalServer(std::size_t Index, int Number) {
+  m_Servers.at(Index).m_Daemon.signal(Number);
+  m_Servers.at(Index).m_Target.signal(Number);
+}
+
+void Cluster::killServer(std::size_t Index) {
+  signalServer(Index, SIGKILL);
+  m_Servers.at(Index).m_Daemon.kill();
+  m_Servers.at(Index).m_Target.kill();
+}
+
+ProgramResult Cluster::operate(std::vector<std::string> Arguments) {
+  std::vector<std::string> Command{m_Options.m_Programs / "balsamwheel",
+                                   "--platform", platformUrl()};
+  Command.insert(Command.end(), Arguments.begin(), Arguments.end());
+  return runProgram(
+      {.m_Command = std::move(Command), .m_Log = m_Folder / "operator.log"},
+      OperatorTimeout);
+}
+
+ChildProcess Cluster::startOperator(std::vector<std::string> Arguments) {
+  std::vector<std::string> Command{m_Options.m_Programs / "balsamwheel",
+                                   "--platform", platformUrl()};
+  Command.insert(Command.end(), Arguments.begin(), Arguments.end());
+  return ChildProcess(
+      {.m_Command = std::move(Command), .m_Log = m_Folder / "operator.log"});
+}
+
+void Cluster::commitManifest() {
+  const ProgramResult Result =
+      operate({"manifest", "commit", m_Options.m_Manifest, "--base", "0"});
+  if (Result.m_ExitCode != 0)
+    throw std::runtime_error("manifest commit failed: " + Result.m_Output);
+}
+
+bool Cluster::probe(const LoadStream &Stream, std::uint32_t Number) {
+  const Server &Entrance = m_Servers[Number % m_Servers.size()];
+  ClientRequest Request;
+  Request.m_Method = Stream.m_Method;
+  Request.m_Url = "http://" + local(Entrance.m_CallerPort) + Stream.m_Path;
+  Request.m_Headers = {"Balsamwheel-Service: " + Stream.m_Service,
+                       "Balsamwheel-Class: " + Stream.m_Class};
+  if (Stream.m_Keyed)
+    Request.m_Headers.push_back("Balsamwheel-Key: probe-" +
+                                std::to_string(Number));
+  return sendRequest(Request).m_Status == 200;
+}
+
+void Cluster::waitUntilServing() {
+  const TimePoint End = now() + StartTimeout;
+  for (const LoadStream &Stream : m_Options.m_Deployment.m_Streams) {
+    if (!Stream.m_Idempotent)
+      continue;
+    for (std::uint32_t Number = 0; Number < ProbesPerStream; ++Number)
+      while (!probe(Stream, Number)) {
+        if (now() > End)
+          throw std::runtime_error("no service of " + Stream.m_Name +
+                                   "; logs in " + m_Folder.string());
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      }
+  }
+}
+
+std::size_t Cluster::indexOf(const std::string &Instance) const {
+  for (std::size_t Index = 0; Index < m_Servers.size(); ++Index)
+    if (m_Servers[Index].m_Plan.m_Instance == Instance)
+      return Index;
+  throw std::runtime_error("no instance " + Instance);
+}
+
+std::vector<std::size_t> Cluster::indicesOf(const std::string &Domain) const {
+  std::vector<std::size_t> Result;
+  for (std::size_t Index = 0; Index < m_Servers.size(); ++Index)
+    if (m_Servers[Index].m_Plan.m_Domain == Domain)
+      Result.push_back(Index);
+  return Result;
+}
+
+std::vector<std::string> Cluster::entrances() const {
+  std::vector<std::string> Result;
+  for (const Server &Each : m_Servers)
+    Result.push_back(local(Each.m_CallerPort));
+  return Result;
+}
+
+void Cluster::setPlatformFault(const nlohmann::json &Fault) {
+  postJson(platformUrl() + "/v1/faults", Fault);
+}
+
+void Cluster::setTargetFault(std::size_t Index, const nlohmann::json &Fault) {
+  postJson("http://" + local(m_Servers.at(Index).m_TargetPort) + "/v1/faults",
+           Fault);
+}
+
+std::optional<Config> Cluster::readConfig() {
+  const ClientReply Reply = postJson(platformUrl() + "/v1/read",
+                                     {{"keys", {ConfigHeadRow.value()}},
+                                      {"prefixes", nlohmann::json::array()}});
+  const auto Body = nlohmann::json::parse(Reply.m_Body, nullptr, false);
+  if (Reply.m_Status != 200 || !Body.is_object())
+    return std::nullopt;
+  const nlohmann::json &Head = Body.at("rows").at(0);
+  return configFromRow(
+      {.m_Key = ConfigHeadRow,
+       .m_Version = RowVersion(Head.at("version").get<std::uint64_t>()),
+       .m_Value = Head.at("value").get<std::string>()});
+}
+
+nlohmann::json Cluster::platformCounters() {
+  return getJson(platformUrl() + "/v1/counters");
+}
+
+nlohmann::json Cluster::targetReport(std::size_t Index) {
+  return getJson("http://" + local(m_Servers.at(Index).m_TargetPort) +
+                 "/v1/executions");
+}
+
+std::vector<InstanceExecutions> Cluster::readExecutions() const {
+  std::vector<InstanceExecutions> Result;
+  for (const Server &Each : m_Servers)
+    Result.push_back(
+        {.m_Instance = Each.m_Plan.m_Instance,
+         .m_Domain = Each.m_Plan.m_Domain,
+         .m_Service = Each.m_Plan.m_Service,
+         .m_Orders = readJournal(Each.m_Folder / "journal.jsonl")});
+  return Result;
+}
+
+} // namespace balsamwheel::bench
--- /dev/null
+++ b/bench/core/cluster.h
@@ -0,0 +1,100 @@
+// A deployment as plain processes on loopback: platform, targets, daemons.
+#pragma once
+
+#include "balsamwheel/detail/manifest/model.h"
+#include "bench/core/deployment.h"
+#include "bench/core/oracle.h"
+#include "bench/core/process.h"
+
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace balsamwheel::bench {
+
+/// Settings of the daemons' "policy" block; empty for the defaults.
+using PolicySettings = std::vector<std::pair<std::string, std::string>>;
+
+struct ClusterOptions {
+  Deployment m_Deployment;
+  /// Holds balsamwheeld, balsamwheel and balsamwheel-bench.
+  std::filesystem::path m_Programs;
+  /// The manifest to commit.
+  std::filesystem::path m_Manifest;
+  PolicySettings m_Policy;
+  std::uint64_t m_Seed = 1;
+  double m_TimeScale = 1;
+  bool m_ColdTargets = false;
+};
+
+/// One daemon and the target beside it.
+struct Server {
+  ServerPlan m_Plan;
+  std::uint16_t m_PeerPort = 0;
+  std::uint16_t m_CallerPort = 0;
+  std::uint16_t m_AnnouncePort = 0;
+  std::uint16_t m_AdminPort = 0;
+  std::uint16_t m_TargetPort = 0;
+  std::filesystem::path m_Folder;
+  ChildProcess m_Daemon;
+  ChildProcess m_Target;
+};
+
+/// All processes end with this object. Use from one thread only.
+class Cluster {
+public:
+  explicit Cluster(ClusterOptions Options);
+  ~Cluster();
+  Cluster(const Cluster &) = delete;
+  Cluster &operator=(const Cluster &) = delete;
+
+  /// Starts everything, commits the manifest, waits until keys are served.
+  ///
+  /// \throws std::runtime_error when that takes too long.
+  void start();
+  std::vector<Server> &servers() { return m_Servers; }
+  std::size_t indexOf(const std::string &Instance) const;
+  std::vector<std::size_t> indicesOf(const std::string &Domain) const;
+  /// "host:port" of every daemon's caller interface.
+  std::vector<std::string> entrances() const;
+
+  void startServer(std::size_t Index, bool Cold = false);
+  /// Sends a signal to a daemon and its target.
+  void signalServer(std::size_t Index, int Number);
+  /// Ends a daemon and its target with SIGKILL.
+  void killServer(std::size_t Index);
+  /// Runs the operators' command line.
+  ProgramResult operate(std::vector<std::string> Arguments);
+  /// Starts the operators' command line and does not wait.
+  ChildProcess startOperator(std::vector<std::string> Arguments);
+  void setPlatformFault(const nlohmann::json &Fault);
+  void setTargetFault(std::size_t Index, const nlohmann::json &Fault);
+
+  /// The configuration in the table.
+  std::optional<Config> readConfig();
+  nlohmann::json platformCounters();
+  nlohmann::json targetReport(std::size_t Index);
+  /// What every target ran so far.
+  std::vector<InstanceExecutions> readExecutions() const;
+  const std::filesystem::path &folder() const { return m_Folder; }
+  /// Leaves the folder with logs in place at the end.
+  void keepFolder() { m_KeepFolder = true; }
+
+private:
+  std::string platformUrl() const;
+  void writeSettings(const Server &Each) const;
+  void startPlatform();
+  void commitManifest();
+  void waitUntilServing();
+  bool probe(const LoadStream &Stream, std::uint32_t Number);
+
+  ClusterOptions m_Options;
+  std::filesystem::path m_Folder;
+  std::uint16_t m_PlatformPort = 0;
+  ChildProcess m_Platform;
+  std::vector<Server> m_Servers;
+  bool m_KeepFolder = false;
+};
+
+} // namespace balsamwheel::bench
--- a/bench/core/load_generator.cpp
+++ b/bench/core/load_generator.cpp
@@ -160,7 +160,7 @@
 
   void settle(Call &Ended, CURLcode Result) {
     RequestRecord &Record = Ended.record();
-    Record.m_Attempts.push_back(Ended.finish(Result));
+    Record.m_Attempts.push_back(Ended.finish(Result, m_Plan.m_Direct));
     const Attempt &Last = Record.m_Attempts.back();
     learn(Record, Last, Ended.ownerHint());
     if (Last.m_Answer == Answer::Done) {
--- a/bench/core/load_plan.h
+++ b/bench/core/load_plan.h
@@ -37,6 +37,8 @@
   std::uint32_t m_MaxAttempts = 4;
   /// Share of requests that go straight to the owner once it is known.
   double m_HintShare = 0.7;
+  /// The entrances are targets: an answer with status 200 is done.
+  bool m_Direct = false;
   /// Spins between sends for exact send times.
   bool m_Precise = false;
 };
--- /dev/null
+++ b/bench/core/measures.cpp
@@ -0,0 +1,260 @@
+// Latencies, unavailable time, imbalance and churn.
+#include "bench/core/measures.h"
+
+#include "balsamwheel/detail/core/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace balsamwheel::bench {
+
+namespace {
+
+/// An answer later than this counts as unavailable time.
+constexpr Duration SlowAnswer = std::chrono::milliseconds(500);
+
+double toMillis(Duration Value) {
+  return std::chrono::duration<double, std::milli>(Value).count();
+}
+
+double toSeconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+/// Collects the requests of one class.
+struct ClassCollector {
+  ClassMeasures m_Result;
+  std::vector<double> m_LatenciesMs;
+
+  void add(const RequestRecord &Request) {
+    ++m_Result.m_Requests;
+    m_Result.m_Attempts += Request.m_Attempts.size();
+    ++m_Result.m_Answers.at(static_cast<std::size_t>(Request.final()));
+    if (Request.final() == Answer::Done)
+      m_LatenciesMs.push_back(toMillis(Request.latency()));
+  }
+
+  ClassMeasures finish() {
+    m_Result.m_P50Ms = quantile(m_LatenciesMs, 0.50);
+    m_Result.m_P99Ms = quantile(m_LatenciesMs, 0.99);
+    return m_Result;
+  }
+};
+
+std::map<std::string, ClassMeasures>
+measureClasses(const Observations &Observed, TimePoint From, TimePoint To) {
+  std::map<std::string, ClassCollector> Collectors;
+  for (const RequestRecord &Request : Observed.m_Requests)
+    if (Request.m_Intended >= From && Request.m_Intended < To)
+      Collectors[Observed.m_Streams[Request.m_Stream].m_Name].add(Request);
+  std::map<std::string, ClassMeasures> Result;
+  for (auto &[Name, Collector] : Collectors)
+    Result[Name] = Collector.finish();
+  return Result;
+}
+
+using ShardKey = std::pair<std::string, std::uint32_t>;
+
+/// A time without service, as one caller saw it.
+struct Gap {
+  TimePoint m_From;
+  TimePoint m_To;
+};
+
+struct SeenAttempt {
+  TimePoint m_Begin;
+  TimePoint m_End;
+  bool m_Served;
+};
+
+/// The attempts for each shard, without refusals for load.
+std::map<ShardKey, std::vector<SeenAttempt>>
+attemptsByShard(const Observations &Observed, const Manifest &Services) {
+  std::map<ShardKey, std::vector<SeenAttempt>> Result;
+  for (const RequestRecord &Request : Observed.m_Requests) {
+    const LoadStream &Stream = Observed.m_Streams[Request.m_Stream];
+    const Service *Found = Services.findService(ServiceName(Stream.m_Service));
+    if (Found == nullptr || !Found->m_DividedByKey)
+      continue;
+    const ShardIndex Shard = shardOf(hashKey(Request.m_Key), Found->m_Shards);
+    auto &List = Result[{Stream.m_Service, Shard.value()}];
+    bool First = true;
+    for (const Attempt &Each : Request.m_Attempts) {
+      const TimePoint Begin = First ? Request.m_Intended : Each.m_Sent;
+      if (Each.m_Reason != "overloaded")
+        List.push_back({Begin, Each.m_End, Each.m_Answer == Answer::Done});
+      First = false;
+    }
+  }
+  return Result;
+}
+
+/// Sums the union of gaps: from an attempt that failed to the end of the next
+/// one that was served, and the whole of a slow attempt.
+double unavailableSeconds(std::vector<SeenAttempt> Attempts) {
+  std::ranges::sort(Attempts, {}, &SeenAttempt::m_Begin);
+  TimePoint Next = TimePoint::max();
+  std::vector<Gap> Gaps;
+  for (auto Each = Attempts.rbegin(); Each != Attempts.rend(); ++Each) {
+    if (Each->m_Served) {
+      Next = Each->m_End;
+      if (Each->m_End - Each->m_Begin > SlowAnswer)
+        Gaps.push_back({Each->m_Begin, Each->m_End});
+      continue;
+    }
+    Gaps.push_back(
+        {Each->m_Begin, Next == TimePoint::max() ? Each->m_End : Next});
+  }
+  std::ranges::sort(Gaps, {}, &Gap::m_From);
+  Duration Sum{0};
+  TimePoint Covered{};
+  for (const Gap &Each : Gaps) {
+    const TimePoint From = std::max(Each.m_From, Covered);
+    if (Each.m_To <= From)
+      continue;
+    Sum += Each.m_To - From;
+    Covered = Each.m_To;
+  }
+  return toSeconds(Sum);
+}
+
+void measureUnavailable(const Observations &Observed, const Manifest &Services,
+                        Measures &Result) {
+  std::vector<double> Seconds;
+  for (auto &[Shard, Attempts] : attemptsByShard(Observed, Services))
+    Seconds.push_back(unavailableSeconds(std::move(Attempts)));
+  Result.m_Shards = Seconds.size();
+  Result.m_ShardsHit = static_cast<std::size_t>(
+      std::ranges::count_if(Seconds, [](double Each) { return Each > 0; }));
+  Result.m_UnavailableSeconds = {.m_P50 = quantile(Seconds, 0.50),
+                                 .m_P99 = quantile(Seconds, 0.99),
+                                 .m_Max = quantile(Seconds, 1.0)};
+}
+
+double measureImbalance(const Observations &Observed,
+                        const TimeWindow &Window) {
+  std::map<std::string, std::vector<double>> Counts;
+  for (const InstanceExecutions &Instance : Observed.m_Instances)
+    Counts[Instance.m_Service].push_back(static_cast<double>(
+        std::ranges::count_if(Instance.m_Orders, [&](const Execution &Order) {
+          return Order.m_Start >= Window.m_From && Order.m_Start < Window.m_To;
+        })));
+  double Worst = 0;
+  for (const auto &[Service, PerInstance] : Counts) {
+    double Sum = 0;
+    for (const double Count : PerInstance)
+      Sum += Count;
+    if (Sum > 0)
+      Worst =
+          std::max(Worst, std::ranges::max(PerInstance) *
+                              static_cast<double>(PerInstance.size()) / Sum);
+  }
+  return Worst;
+}
+
+void measureChurn(const Observations &Observed, Measures &Result) {
+  struct Served {
+    TimePoint m_Time;
+    const InstanceExecutions *m_Instance;
+  };
+  std::map<std::pair<std::string, std::string>, std::vector<Served>> Shards;
+  for (const InstanceExecutions &Instance : Observed.m_Instances)
+    for (const Execution &Order : Instance.m_Orders)
+      if (!Order.m_Key.empty())
+        Shards[{Order.m_Service, Order.m_Shard}].push_back(
+            {Order.m_Start, &Instance});
+  for (auto &[Shard, List] : Shards) {
+    std::ranges::sort(List, {}, &Served::m_Time);
+    for (std::size_t Index = 1; Index < List.size(); ++Index)
+      if (List[Index].m_Instance != List[Index - 1].m_Instance)
+        ++Result.m_OwnerChanges;
+  }
+  if (!Shards.empty())
+    Result.m_ChurnShare = static_cast<double>(Result.m_OwnerChanges) /
+                          static_cast<double>(Shards.size());
+}
+
+void measureTotals(const Observations &Observed, Measures &Result) {
+  std::size_t Done = 0;
+  std::set<std::string_view> Ids;
+  for (const RequestRecord &Request : Observed.m_Requests) {
+    Done += Request.final() == Answer::Done ? 1U : 0U;
+    Ids.insert(Request.m_Id);
+  }
+  std::size_t Orders = 0;
+  for (const InstanceExecutions &Instance : Observed.m_Instances)
+    for (const Execution &Order : Instance.m_Orders)
+      Orders += Ids.contains(Order.m_RequestId) ? 1U : 0U;
+  if (Observed.m_Requests.empty())
+    return;
+  const auto Requests = static_cast<double>(Observed.m_Requests.size());
+  Result.m_DoneShare = static_cast<double>(Done) / Requests;
+  Result.m_Amplification = static_cast<double>(Orders) / Requests;
+}
+
+nlohmann::json toJson(const ClassMeasures &Value) {
+  nlohmann::json Result = {{"requests", Value.m_Requests},
+                           {"attempts", Value.m_Attempts},
+                           {"p50_ms", Value.m_P50Ms},
+                           {"p99_ms", Value.m_P99Ms}};
+  for (std::size_t Index = 0; Index < AnswerCount; ++Index)
+    Result[toString(static_cast<Answer>(Index))] = Value.m_Answers.at(Index);
+  return Result;
+}
+
+nlohmann::json toJson(const std::map<std::string, ClassMeasures> &Classes) {
+  nlohmann::json Result = nlohmann::json::object();
+  for (const auto &[Name, Class] : Classes)
+    Result[Name] = toJson(Class);
+  return Result;
+}
+
+} // namespace
+
+double quantile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return 0;
+  std::ranges::sort(Values);
+  const auto Rank = static_cast<std::size_t>(
+      std::ceil(Share * static_cast<double>(Values.size())));
+  return Values[std::clamp<std::size_t>(Rank, 1, Values.size()) - 1];
+}
+
+Measures measure(const Observations &Observed,
+                 const std::vector<TimeWindow> &Windows,
+                 const Config &Version) {
+  Measures Result;
+  Result.m_Classes =
+      measureClasses(Observed, TimePoint::min(), TimePoint::max());
+  for (const TimeWindow &Window : Windows)
+    Result.m_Windows[Window.m_Name] =
+        measureClasses(Observed, Window.m_From, Window.m_To);
+  measureUnavailable(Observed, Version.m_Manifest, Result);
+  if (!Windows.empty())
+    Result.m_Imbalance = measureImbalance(Observed, Windows.front());
+  measureChurn(Observed, Result);
+  measureTotals(Observed, Result);
+  return Result;
+}
+
+nlohmann::json toJson(const Measures &Value) {
+  nlohmann::json Windows = nlohmann::json::object();
+  for (const auto &[Name, Classes] : Value.m_Windows)
+    Windows[Name] = toJson(Classes);
+  return {{"classes", toJson(Value.m_Classes)},
+          {"windows", std::move(Windows)},
+          {"unavailable_s",
+           {{"p50", Value.m_UnavailableSeconds.m_P50},
+            {"p99", Value.m_UnavailableSeconds.m_P99},
+            {"max", Value.m_UnavailableSeconds.m_Max},
+            {"shards_hit", Value.m_ShardsHit},
+            {"shards", Value.m_Shards}}},
+          {"imbalance", Value.m_Imbalance},
+          {"owner_changes", Value.m_OwnerChanges},
+          {"churn_share", Value.m_ChurnShare},
+          {"amplification", Value.m_Amplification},
+          {"done_share", Value.m_DoneShare}};
+}
+
+} // namespace balsamwheel::bench
--- a/bench/core/target_model.cpp
+++ b/bench/core/target_model.cpp
@@ -6,6 +6,13 @@
 
 namespace balsamwheel::bench {
 
+namespace {
+
+/// How often a target that warms up looks for a further working slot.
+constexpr Duration WarmUpTick = std::chrono::milliseconds(5);
+
+} // namespace
+
 TargetModel::TargetModel(TargetModelOptions Options, TimePoint Now)
     : m_Options(Options),
       m_ColdSince(Options.m_StartsCold ? Now : Now - Options.m_WarmUp) {}
@@ -21,6 +28,18 @@
                           std::floor(m_Options.m_Slots * Share + 1e-9)));
 }
 
+TimePoint TargetModel::nextWake(TimePoint Now) const {
+  TimePoint Next = TimePoint::max();
+  for (const auto &[Ticket, Each] : m_Running)
+    Next = std::min({Next, Each.m_EndsAt, Each.m_Deadline});
+  for (const Waiting &Each : m_Waiting)
+    Next = std::min(Next, Each.m_Deadline);
+  const bool Warm = workingSlots(Now) >= m_Options.m_Slots;
+  if (!m_Waiting.empty() && !Warm)
+    Next = std::min<TimePoint>(Next, Now + WarmUpTick);
+  return Next;
+}
+
 double TargetModel::load() const {
   return static_cast<double>(m_Running.size() + m_Waiting.size()) /
          m_Options.m_Slots;
--- a/bench/core/target_model.h
+++ b/bench/core/target_model.h
@@ -102,6 +102,8 @@
   /// Service times are multiplied by this from now on.
   void slowDown(double Factor) { m_SlowFactor = Factor; }
 
+  /// When advance() has something to do; the far future when nothing runs.
+  TimePoint nextWake(TimePoint Now) const;
   double load() const;
   /// Slots that work at this time.
   std::uint32_t workingSlots(TimePoint Now) const;
--- a/bench/core/target_stand_in.cpp
+++ b/bench/core/target_stand_in.cpp
@@ -13,7 +13,8 @@
 
 using Json = nlohmann::json;
 
-constexpr Duration TickPeriod = std::chrono::milliseconds(1);
+constexpr Duration IdlePeriod = std::chrono::milliseconds(100);
+constexpr Duration LoadPeriod = std::chrono::milliseconds(200);
 constexpr Duration AnnouncePeriod = std::chrono::seconds(1);
 constexpr char OrderPath[] = "/v1/orders/";
 
@@ -147,8 +148,11 @@
                     .m_BodySize = profileOf(Request.m_Path).m_BodySize};
   const TimePoint Now = now();
   m_Model.arrive(Ticket, std::move(Order), Now);
-  if (!m_Frozen)
-    settle(Now);
+  if (m_Frozen)
+    return;
+  settle(Now);
+  if (m_Model.nextWake(Now) < m_WakeAt)
+    m_Changed.notify_all();
 }
 
 ServerAnswer TargetStandIn::cancel(const std::string &RequestId) {
@@ -261,12 +265,14 @@
     const TimePoint Now = now();
     if (!m_Frozen)
       settle(Now);
-    if (m_LoadHistory.empty() ||
-        Now - m_LoadHistory.back().first > std::chrono::milliseconds(200))
+    if (m_LoadHistory.empty() || Now - m_LoadHistory.back().first > LoadPeriod)
       m_LoadHistory.emplace_back(Now, m_Model.load());
     while (Now - m_LoadHistory.front().first > 2 * m_Options.m_LoadLag)
       m_LoadHistory.pop_front();
-    m_Changed.wait_for(Lock, TickPeriod);
+    m_WakeAt = Now + IdlePeriod;
+    if (!m_Frozen)
+      m_WakeAt = std::min(m_WakeAt, m_Model.nextWake(Now));
+    m_Changed.wait_for(Lock, std::max(Duration::zero(), m_WakeAt - now()));
   }
 }
 
--- a/bench/core/target_stand_in.h
+++ b/bench/core/target_stand_in.h
@@ -70,6 +70,8 @@
   Journal m_Journal;
   /// Loads by time, for reports that come late.
   std::deque<std::pair<TimePoint, double>> m_LoadHistory;
+  /// When the model's thread wakes.
+  TimePoint m_WakeAt;
   bool m_Frozen = false;
   bool m_Announces = true;
   bool m_Stopped = false;
