--- a/src/runtime/bounded_ring.h
+++ b/src/runtime/bounded_ring.h
@@ -1,6 +1,7 @@
 // A bounded lock-free queue for any number of producers and consumers.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <bit>
 #include <cstddef>
@@ -16,9 +17,10 @@
 /// Invariant: the capacity is a power of two and never changes.
 template <typename T> class BoundedRing {
 public:
-  /// \param Capacity rounded up to a power of two.
+  /// \param Capacity rounded up to a power of two of at least 2: with one slot
+  /// a full ring could not be told from an empty one.
   explicit BoundedRing(std::size_t Capacity)
-      : m_Mask(std::bit_ceil(Capacity) - 1),
+      : m_Mask(std::bit_ceil(std::max<std::size_t>(Capacity, 2)) - 1),
         m_Slots(std::make_unique<Slot[]>(m_Mask + 1)) {
     for (std::size_t I = 0; I <= m_Mask; ++I)
       m_Slots[I].m_Sequence.store(I, std::memory_order_relaxed);
--- /dev/null
+++ b/tests/unit-transfer-loop.cpp
@@ -0,0 +1,226 @@
+// Requests through libcurl: whole, cut, late, cancelled, never repeated.
+#include "adapters/http_client/transfer_loop.h"
+#include "runtime/boot_clock.h"
+#include "support/raw_server.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+
+using namespace balsamwheel;
+using namespace balsamwheel::http_client;
+using namespace balsamwheel::tests;
+
+namespace {
+
+constexpr auto Patience = std::chrono::seconds(10);
+
+/// Hands a transfer over and waits for its end.
+TransferResult perform(TransferLoop &Loop, Transfer Work) {
+  auto Promise = std::make_shared<std::promise<TransferResult>>();
+  auto Future = Promise->get_future();
+  Work.m_OnEnd = [Promise](TransferResult Result) {
+    Promise->set_value(std::move(Result));
+  };
+  Loop.submit(std::move(Work));
+  REQUIRE(Future.wait_for(Patience) == std::future_status::ready);
+  return Future.get();
+}
+
+Transfer makeTransfer(const std::string &Method, const std::string &Address,
+                      std::string Body = {}) {
+  Transfer Work;
+  Work.m_Method = Method;
+  Work.m_Url = "http://" + Address + "/path";
+  Work.m_Body = std::move(Body);
+  Work.m_BodyLength = Work.m_Body.size();
+  Work.m_Deadline = runtime::bootNow() + std::chrono::seconds(5);
+  return Work;
+}
+
+} // namespace
+
+TEST_CASE("a whole answer arrives with status, headers and hash") {
+  RawServer Server([](const std::string &, int) {
+    return RawReply{httpAnswer("201 Created", "hello", "X-A: b\r\n")};
+  });
+  TransferLoop Loop({});
+  Transfer Work = makeTransfer("POST", Server.address(), "body");
+  Work.m_Headers = {"X-Test: 1"};
+  Work.m_DeadlineHeader = "Left";
+  const TransferResult Result = perform(Loop, std::move(Work));
+
+  CHECK(Result.m_End == TransferEnd::Answered);
+  CHECK(Result.m_Answer.m_Status == 201);
+  CHECK(Result.m_Answer.m_Body == "hello");
+  CHECK(Result.m_Answer.m_BodyHash == runtime::bodyHash("hello"));
+  REQUIRE(Server.requests().size() == 1);
+  const std::string Sent = Server.requests().front();
+  CHECK(Sent.starts_with("POST /path HTTP/1.1\r\n"));
+  CHECK(Sent.find("X-Test: 1\r\n") != std::string::npos);
+  CHECK(Sent.find("Left: ") != std::string::npos);
+  CHECK(Sent.find("Expect") == std::string::npos);
+  CHECK(Sent.ends_with("\r\n\r\nbody"));
+}
+
+TEST_CASE("a request is not repeated on a connection that dies") {
+  // The first request of a connection is answered, the second one closes it
+  // without a byte: libcurl alone would repeat it on a new connection.
+  for (const std::string Method : {"GET", "POST", "DELETE"}) {
+    std::vector<int> Served(100, 0);
+    RawServer Server([&Served](const std::string &, int Connection) {
+      if (Served.at(static_cast<std::size_t>(Connection))++ > 0)
+        return RawReply{.m_Bytes = {}, .m_Close = true};
+      return RawReply{httpAnswer("200 OK", "x")};
+    });
+    TransferLoop Loop({});
+    REQUIRE(perform(Loop, makeTransfer(Method, Server.address())).m_End ==
+            TransferEnd::Answered);
+    const TransferResult Second =
+        perform(Loop, makeTransfer(Method, Server.address()));
+    CHECK(Second.m_End == TransferEnd::Broken);
+    CHECK(Server.requests().size() == 2);
+    CHECK(perform(Loop, makeTransfer(Method, Server.address())).m_End ==
+          TransferEnd::Answered);
+    CHECK(Server.requests().size() == 3);
+  }
+}
+
+TEST_CASE("a refused connection means that nothing was sent") {
+  std::string Gone;
+  {
+    RawServer Server([](const std::string &, int) { return RawReply{}; });
+    Gone = Server.address();
+  }
+  TransferLoop Loop({});
+  CHECK(perform(Loop, makeTransfer("POST", Gone, "x")).m_End ==
+        TransferEnd::NotSent);
+}
+
+TEST_CASE("a passed deadline sends nothing") {
+  RawServer Server([](const std::string &, int) {
+    return RawReply{httpAnswer("200 OK", "x")};
+  });
+  TransferLoop Loop({});
+  Transfer Work = makeTransfer("GET", Server.address());
+  Work.m_Deadline = runtime::bootNow() - Duration(1);
+  CHECK(perform(Loop, std::move(Work)).m_End == TransferEnd::NotSent);
+  CHECK(Server.requests().empty());
+}
+
+TEST_CASE("silence until the deadline is no answer") {
+  RawServer Server([](const std::string &, int) {
+    return RawReply{.m_Bytes = {}, .m_Silent = true};
+  });
+  TransferLoop Loop({});
+  Transfer Work = makeTransfer("GET", Server.address());
+  Work.m_Deadline = runtime::bootNow() + std::chrono::milliseconds(200);
+  CHECK(perform(Loop, std::move(Work)).m_End == TransferEnd::TimedOut);
+}
+
+TEST_CASE("an answer that is cut is no answer") {
+  RawServer Server([](const std::string &, int) {
+    return RawReply{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true};
+  });
+  TransferLoop Loop({});
+  CHECK(perform(Loop, makeTransfer("GET", Server.address())).m_End ==
+        TransferEnd::Broken);
+}
+
+TEST_CASE("a transfer can be cancelled") {
+  RawServer Server([](const std::string &, int) {
+    return RawReply{.m_Bytes = {}, .m_Silent = true};
+  });
+  TransferLoop Loop({});
+  Transfer Work = makeTransfer("GET", Server.address());
+  Work.m_Id = TransferId(7);
+  std::promise<TransferEnd> End;
+  auto Future = End.get_future();
+  Work.m_OnEnd = [&End](const TransferResult &Result) {
+    End.set_value(Result.m_End);
+  };
+  Loop.submit(std::move(Work));
+  while (Server.requests().empty())
+    std::this_thread::yield();
+  Loop.cancel(TransferId(7));
+  REQUIRE(Future.wait_for(Patience) == std::future_status::ready);
+  CHECK(Future.get() == TransferEnd::Cancelled);
+}
+
+TEST_CASE("a long answer streams through a bounded pipe") {
+  const std::string Body(3'000'000, 'z');
+  RawServer Server([&Body](const std::string &, int) {
+    return RawReply{httpAnswer("200 OK", Body)};
+  });
+  runtime::BodyPipePtr Pipe;
+  std::string Prefix;
+  std::promise<void> Answering;
+  Transfer Work = makeTransfer("GET", Server.address());
+  Work.m_MakePipe = [&](std::string_view First,
+                        std::optional<std::uint64_t> Length) {
+    runtime::BodyPipeOptions Options;
+    Options.m_Id = 5;
+    Options.m_Prefix = First;
+    Options.m_Length = Length;
+    Pipe = std::make_shared<runtime::BodyPipe>(Options);
+    return Pipe;
+  };
+  Work.m_OnAnswering = [&](HttpAnswer Head) {
+    CHECK(Head.m_Status == 200);
+    CHECK(Head.m_BodyLength == Body.size());
+    CHECK(Head.m_BodyStream == 5);
+    Prefix = Head.m_Body;
+    Answering.set_value();
+  };
+  std::promise<TransferResult> End;
+  Work.m_OnEnd = [&End](TransferResult Result) {
+    End.set_value(std::move(Result));
+  };
+  TransferLoop Loop({});
+  Loop.submit(std::move(Work));
+  REQUIRE(Answering.get_future().wait_for(Patience) ==
+          std::future_status::ready);
+  CHECK(Prefix.size() <= InlineBodyLimit);
+
+  std::string Received = Prefix;
+  while (Pipe->state() == runtime::PipeState::Open) {
+    const std::string Part = Pipe->take(100'000);
+    CHECK(Part.size() <= runtime::DefaultPipeCapacity);
+    Received += Part;
+    std::this_thread::yield();
+  }
+  CHECK(Pipe->state() == runtime::PipeState::Ended);
+  CHECK(Received == Body);
+  CHECK(End.get_future().get().m_End == TransferEnd::Answered);
+}
+
+TEST_CASE("a long request body streams from a pipe") {
+  const std::string Body(1'000'000, 'u');
+  RawServer Server([](const std::string &, int) {
+    return RawReply{httpAnswer("200 OK", "ok")};
+  });
+  Transfer Work = makeTransfer("PUT", Server.address());
+  Work.m_Body = Body.substr(0, 1000);
+  Work.m_BodyLength = Body.size();
+  runtime::BodyPipeOptions Options;
+  Options.m_Prefix = Work.m_Body;
+  Options.m_Length = Body.size();
+  auto Pipe = std::make_shared<runtime::BodyPipe>(Options);
+  Work.m_Upload = Pipe;
+  std::thread Writer([&] {
+    for (std::size_t At = 1000; At < Body.size();) {
+      const std::size_t Part = std::min<std::size_t>(50'000, Body.size() - At);
+      if (Pipe->tryWrite(std::string_view(Body).substr(At, Part)))
+        At += Part;
+      else
+        std::this_thread::yield();
+    }
+    Pipe->finish();
+  });
+  TransferLoop Loop({});
+  const TransferResult Result = perform(Loop, std::move(Work));
+  Writer.join();
+  CHECK(Result.m_End == TransferEnd::Answered);
+  REQUIRE(Server.requests().size() == 1);
+  CHECK(Server.requests().front().ends_with("\r\n\r\n" + Body));
+}
