--- a/src/adapters/peer_tcp/decode.cpp
+++ b/src/adapters/peer_tcp/decode.cpp
@@ -203,7 +203,10 @@
   return {.m_Meta = meta(Value.meta()),
           .m_Http = httpRequest(Value.http()),
           .m_TimeLeft = Duration(Value.time_left()),
-          .m_Stream = Value.stream()};
+          .m_Stream = Value.stream(),
+          .m_To = SessionId(Value.receiver()),
+          .m_Epoch = Epoch(Value.epoch()),
+          .m_Query = Value.query()};
 }
 
 ForwardReceipt fromWire(const wire::ForwardReceipt &Value) {
@@ -216,11 +219,17 @@
           .m_Reason = static_cast<Reason>(Value.reason()),
           .m_RetryAfter = Duration(Value.retry_after()),
           .m_Owner = SessionId(Value.owner()),
+          .m_Epoch = Epoch(Value.epoch()),
+          .m_MemoryAge = Duration(Value.memory_age()),
+          .m_Former = SessionId(Value.former()),
           .m_Http = httpAnswer(Value.http())};
 }
 
 OutcomeQuery fromWire(const wire::OutcomeQuery &Value) {
-  return {.m_Stream = Value.stream(), .m_Meta = meta(Value.meta())};
+  return {.m_Stream = Value.stream(),
+          .m_Meta = meta(Value.meta()),
+          .m_To = SessionId(Value.receiver()),
+          .m_Forward = Value.forward()};
 }
 
 ForwardCancel fromWire(const wire::ForwardCancel &Value) {
--- a/src/adapters/peer_tcp/encode.cpp
+++ b/src/adapters/peer_tcp/encode.cpp
@@ -188,7 +188,8 @@
   const auto Meta = meta(To, Value.m_Meta);
   const auto Http = httpRequest(To, Value.m_Http);
   return content(wire::CreateForwardRequest(
-      To, Meta, Http, Value.m_TimeLeft.count(), Value.m_Stream));
+      To, Meta, Http, Value.m_TimeLeft.count(), Value.m_Stream,
+      Value.m_To.value(), Value.m_Epoch.value(), Value.m_Query));
 }
 
 Content encodeOne(Builder &To, const ForwardReceipt &Value) {
@@ -200,12 +201,14 @@
   return content(wire::CreateForwardReply(
       To, Value.m_Stream, static_cast<std::uint8_t>(Value.m_Outcome),
       static_cast<std::uint8_t>(Value.m_Reason), Value.m_RetryAfter.count(),
-      Value.m_Owner.value(), Http));
+      Value.m_Owner.value(), Value.m_Epoch.value(), Value.m_MemoryAge.count(),
+      Value.m_Former.value(), Http));
 }
 
 Content encodeOne(Builder &To, const OutcomeQuery &Value) {
-  return content(
-      wire::CreateOutcomeQuery(To, Value.m_Stream, meta(To, Value.m_Meta)));
+  return content(wire::CreateOutcomeQuery(To, Value.m_Stream,
+                                          meta(To, Value.m_Meta),
+                                          Value.m_To.value(), Value.m_Forward));
 }
 
 Content encodeOne(Builder &To, const ForwardCancel &Value) {
