--- a/include/balsamwheel/detail/coordination/expulsion.h
+++ b/include/balsamwheel/detail/coordination/expulsion.h
@@ -12,7 +12,7 @@
 
 /// Watches the sequences of sessions. Invariant: mayExpel() is true only when
 /// the sequence in the row has been seen for a lease plus margin and a quorum
-/// of witnesses promised for it.
+/// of witnesses promised for it, with what a former witness granted run out.
 class ExpulsionJudge {
 public:
   struct Options {
@@ -27,27 +27,19 @@
 
   explicit ExpulsionJudge(Options Values) : m_Options(Values) {}
 
-  /// Saw a sequence, in a row or in a heartbeat.
+  /// Saw a member's part of the row.
+  void observe(const GroupMember &Subject, TimePoint Now);
+  /// Saw a sequence in a heartbeat.
   void observe(SessionId Session, std::uint64_t Sequence, TimePoint Now);
   void onPromise(SessionId Subject, std::uint64_t Sequence, SessionId By);
   bool isSuspect(const GroupMember &Subject, TimePoint Now) const;
   /// Whether the lease wait is over, promises aside.
   bool waitIsOver(const GroupMember &Subject, TimePoint Now) const;
-  /// \param IsReplaced whether a witness can no longer receive a request.
-  template <typename Predicate>
-  bool mayExpel(const GroupMember &Subject, TimePoint Now,
-                Predicate IsReplaced) const {
-    if (!waitIsOver(Subject, Now))
-      return false;
-    if (!m_Options.m_UseWitnesses || limitIsOver(Subject, Now))
-      return true;
-    std::size_t Withheld = WitnessCount - Subject.m_Witnesses.size();
-    for (SessionId Witness : Subject.m_Witnesses)
-      if (hasPromised(Subject, Witness) || IsReplaced(Witness))
-        ++Withheld;
-    return Withheld > WitnessCount - WitnessQuorum;
-  }
-  void forget(SessionId Session) { m_Records.erase(Session); }
+  /// Another session listens at a witness's address: the witness can neither
+  /// be asked nor grant any more, but what it granted may still hold.
+  void noteReplaced(SessionId Witness, TimePoint Now);
+  bool mayExpel(const GroupMember &Subject, TimePoint Now) const;
+  void forget(SessionId Session);
 
 private:
   struct Record {
@@ -55,12 +47,23 @@
     TimePoint m_Since{};
     std::set<SessionId> m_Promises;
   };
+  struct WitnessSet {
+    std::vector<SessionId> m_Witnesses;
+    /// Grants of a witness that left before may hold for a lease more.
+    TimePoint m_Since{};
+  };
 
+  /// Witnesses that surely have no grant outstanding and make none.
+  std::size_t withheld(const GroupMember &Subject, TimePoint Now) const;
+  bool isReplaced(SessionId Witness, TimePoint Now) const;
   bool limitIsOver(const GroupMember &Subject, TimePoint Now) const;
   bool hasPromised(const GroupMember &Subject, SessionId Witness) const;
 
   Options m_Options;
   std::unordered_map<SessionId, Record> m_Records;
+  std::unordered_map<SessionId, WitnessSet> m_Sets;
+  /// When each replaced witness was noticed.
+  std::unordered_map<SessionId, TimePoint> m_Replaced;
 };
 
 } // namespace balsamwheel
--- a/include/balsamwheel/detail/coordination/group_leader.h
+++ b/include/balsamwheel/detail/coordination/group_leader.h
@@ -62,7 +62,8 @@
   void dropServed(const GroupRow &Row);
   void observe(const GroupRow &Row, TimePoint Now);
   void askWitnesses(const GroupRow &Row, TimePoint Now);
-  bool isReplaced(const GroupRow &Row, SessionId Witness) const;
+  /// Notes members whose address a newer session listens at.
+  void noteReplaced(const GroupRow &Row, TimePoint Now);
   void pollHead(TimePoint Now);
   void pushChanges();
   std::optional<std::uint32_t> nextGroup() const;
--- a/include/balsamwheel/detail/coordination/placement.h
+++ b/include/balsamwheel/detail/coordination/placement.h
@@ -51,6 +51,8 @@
   struct Slot {
     PlacementCandidate m_Candidate;
     double m_Share = 0;
+    /// The share rounded down and up.
+    std::uint32_t m_Floor = 0;
     std::uint32_t m_Bound = 0;
     std::uint32_t m_Count = 0;
   };
@@ -59,6 +61,10 @@
   bool someoneLacks() const;
 
   std::vector<Slot> m_Slots;
+  /// Shards that remain when every candidate has its share rounded down, and
+  /// how many of them are given out.
+  std::uint32_t m_Surplus = 0;
+  std::uint32_t m_SurplusUsed = 0;
   std::unordered_map<SessionId, std::size_t> m_Index;
 };
 
--- a/src/coordination/expulsion.cpp
+++ b/src/coordination/expulsion.cpp
@@ -14,6 +14,52 @@
   Kept = {.m_Sequence = Sequence, .m_Since = Now, .m_Promises = {}};
 }
 
+void ExpulsionJudge::observe(const GroupMember &Subject, TimePoint Now) {
+  const SessionId Session = Subject.m_Member.m_Session;
+  observe(Session, Subject.m_Sequence, Now);
+  const auto [Found, New] = m_Sets.try_emplace(Session);
+  if (New || Found->second.m_Witnesses != Subject.m_Witnesses)
+    Found->second = {.m_Witnesses = Subject.m_Witnesses, .m_Since = Now};
+}
+
+void ExpulsionJudge::noteReplaced(SessionId Witness, TimePoint Now) {
+  m_Replaced.try_emplace(Witness, Now);
+}
+
+void ExpulsionJudge::forget(SessionId Session) {
+  m_Records.erase(Session);
+  m_Sets.erase(Session);
+  m_Replaced.erase(Session);
+}
+
+bool ExpulsionJudge::isReplaced(SessionId Witness, TimePoint Now) const {
+  const auto Found = m_Replaced.find(Witness);
+  return Found != m_Replaced.end() && Now - Found->second >= m_Options.m_Wait;
+}
+
+std::size_t ExpulsionJudge::withheld(const GroupMember &Subject,
+                                     TimePoint Now) const {
+  std::size_t Result = 0;
+  for (SessionId Witness : Subject.m_Witnesses)
+    if (hasPromised(Subject, Witness) || isReplaced(Witness, Now))
+      ++Result;
+  const auto Set = m_Sets.find(Subject.m_Member.m_Session);
+  const bool VacancyCounts = Set != m_Sets.end() &&
+                             Set->second.m_Witnesses == Subject.m_Witnesses &&
+                             Now - Set->second.m_Since >= m_Options.m_Wait;
+  if (VacancyCounts)
+    Result += WitnessCount - Subject.m_Witnesses.size();
+  return Result;
+}
+
+bool ExpulsionJudge::mayExpel(const GroupMember &Subject, TimePoint Now) const {
+  if (!waitIsOver(Subject, Now))
+    return false;
+  if (!m_Options.m_UseWitnesses || limitIsOver(Subject, Now))
+    return true;
+  return withheld(Subject, Now) > WitnessCount - WitnessQuorum;
+}
+
 void ExpulsionJudge::onPromise(SessionId Subject, std::uint64_t Sequence,
                                SessionId By) {
   const auto Found = m_Records.find(Subject);
--- a/src/coordination/group_leader.cpp
+++ b/src/coordination/group_leader.cpp
@@ -2,7 +2,7 @@
 #include "balsamwheel/detail/coordination/group_leader.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace balsamwheel {
@@ -186,26 +186,21 @@
   return Structural;
 }
 
-bool GroupLeader::isReplaced(const GroupRow &Row, SessionId Witness) const {
-  const GroupMember *Known = Row.find(Witness);
-  if (!Known)
-    return true;
-  for (const auto &[Number, Group] : m_Context->m_View.groups())
-    for (const GroupMember &Other : Group.m_Members)
-      if (Other.m_Member.m_Session != Witness &&
-          Other.m_Member.m_Peer == Known->m_Member.m_Peer)
-        return true;
-  return false;
+void GroupLeader::noteReplaced(const GroupRow &Row, TimePoint Now) {
+  // Members stand in the order in which they joined.
+  std::map<PeerAddress, SessionId> Newest;
+  for (const GroupMember &Value : Row.m_Members)
+    Newest[Value.m_Member.m_Peer] = Value.m_Member.m_Session;
+  for (const GroupMember &Value : Row.m_Members)
+    if (Newest[Value.m_Member.m_Peer] != Value.m_Member.m_Session)
+      m_Judge.noteReplaced(Value.m_Member.m_Session, Now);
 }
 
 bool GroupLeader::expelSilent(GroupRow &Row, TimePoint Now) {
   std::vector<SessionId> Silent;
   for (const GroupMember &Subject : Row.m_Members) {
     const SessionId Session = Subject.m_Member.m_Session;
-    if (Session != m_Context->m_Session &&
-        m_Judge.mayExpel(Subject, Now, [this, &Row](SessionId Witness) {
-          return isReplaced(Row, Witness);
-        }))
+    if (Session != m_Context->m_Session && m_Judge.mayExpel(Subject, Now))
       Silent.push_back(Session);
   }
   for (SessionId Session : Silent) {
@@ -299,7 +294,7 @@
 
 void GroupLeader::observe(const GroupRow &Row, TimePoint Now) {
   for (const GroupMember &Value : Row.m_Members)
-    m_Judge.observe(Value.m_Member.m_Session, Value.m_Sequence, Now);
+    m_Judge.observe(Value, Now);
 }
 
 void GroupLeader::askWitnesses(const GroupRow &Row, TimePoint Now) {
@@ -324,6 +319,8 @@
   if (isLeader(Now) && m_Pushed < Complete)
     pushChanges();
   m_Pushed = Complete;
+  if (m_Context->m_Changed.m_Members)
+    noteReplaced(currentRow(m_Group), Now);
   dropServed(currentRow(m_Group));
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -26,28 +26,41 @@
     m_Slots.push_back(
         {.m_Candidate = Candidate,
          .m_Share = Share,
+         .m_Floor = static_cast<std::uint32_t>(Share + 1e-9),
          .m_Bound = static_cast<std::uint32_t>(std::ceil(Share - 1e-9)),
          .m_Count = 0});
   }
+  m_Surplus = ShardCount;
+  for (const Slot &Candidate : m_Slots)
+    m_Surplus -= Candidate.m_Floor;
 }
 
 void Placement::add(SessionId Owner) {
   const auto Found = m_Index.find(Owner);
-  if (Found != m_Index.end())
-    ++m_Slots[Found->second].m_Count;
+  if (Found == m_Index.end())
+    return;
+  Slot &Candidate = m_Slots[Found->second];
+  if (++Candidate.m_Count > Candidate.m_Floor)
+    ++m_SurplusUsed;
 }
 
 void Placement::remove(SessionId Owner) {
   const auto Found = m_Index.find(Owner);
-  if (Found != m_Index.end() && m_Slots[Found->second].m_Count > 0)
-    --m_Slots[Found->second].m_Count;
+  if (Found == m_Index.end() || m_Slots[Found->second].m_Count == 0)
+    return;
+  Slot &Candidate = m_Slots[Found->second];
+  if (Candidate.m_Count-- > Candidate.m_Floor)
+    --m_SurplusUsed;
 }
 
 std::optional<SessionId> Placement::choose(std::uint64_t ShardHash) const {
+  const bool Surplus = m_SurplusUsed < m_Surplus;
   const Slot *Best = nullptr;
   std::uint64_t BestScore = 0;
   for (const Slot &Candidate : m_Slots) {
-    if (Candidate.m_Count >= Candidate.m_Bound)
+    const bool Room = Candidate.m_Count < Candidate.m_Floor ||
+                      (Candidate.m_Count < Candidate.m_Bound && Surplus);
+    if (!Room)
       continue;
     const std::uint64_t Score =
         mixHash(ShardHash, Candidate.m_Candidate.m_Hash);
@@ -94,7 +107,7 @@
 
 bool Placement::someoneLacks() const {
   return std::ranges::any_of(m_Slots, [](const Slot &Candidate) {
-    return Candidate.m_Count < std::floor(Candidate.m_Share);
+    return Candidate.m_Count < Candidate.m_Floor;
   });
 }
 
@@ -104,7 +117,7 @@
     return false;
   if (Found->m_Count > Found->m_Bound)
     return true;
-  return Found->m_Count > std::floor(Found->m_Share) && someoneLacks();
+  return Found->m_Count > Found->m_Floor && someoneLacks();
 }
 
 } // namespace balsamwheel
