Add the operators' command line

Cause: operators need to commit manifests, move failure domains and see the state while daemons run.

--- a/include/balsamwheel/detail/coordination/coordinator.h
+++ b/include/balsamwheel/detail/coordination/coordinator.h
@@ -46,6 +46,8 @@
   PeerAddress m_Peer;
   /// "host:port" of the caller interface.
   std::string m_CallerAddress;
+  /// "host:port" of the admin interface; may be empty.
+  std::string m_AdminAddress;
   CoordinationTiming m_Timing;
   HandoverMode m_Handover = HandoverMode::SwitchThenResolve;
   /// Extend leases through witnesses while the table is out of reach.
@@ -61,6 +63,7 @@
   RegionName m_Region;
   PeerAddress m_Peer;
   std::string m_CallerAddress;
+  std::string m_AdminAddress;
   /// Empty while its target has not announced itself.
   ServiceName m_Service;
   std::uint32_t m_Slots = 0;
--- /dev/null
+++ b/src/cli/admin_client.cpp
@@ -0,0 +1,38 @@
+// Asks daemons over their admin interface.
+#include "cli/admin_client.h"
+
+#include "runtime/boot_clock.h"
+
+#include <future>
+
+namespace balsamwheel::cli {
+
+namespace {
+
+constexpr std::chrono::milliseconds AnswerLimit{500};
+constexpr std::uint16_t HttpOk = 200;
+
+} // namespace
+
+std::optional<nlohmann::json> AdminClient::get(const std::string &Address,
+                                               const std::string &Path) {
+  std::promise<http_client::TransferResult> Answer;
+  http_client::Transfer Question;
+  Question.m_Url = "http://" + Address + Path;
+  Question.m_Deadline = runtime::bootNow() + AnswerLimit;
+  Question.m_OnEnd = [&Answer](http_client::TransferResult Result) {
+    Answer.set_value(std::move(Result));
+  };
+  m_Loop.submit(std::move(Question));
+  const http_client::TransferResult Result = Answer.get_future().get();
+  if (Result.m_End != http_client::TransferEnd::Answered ||
+      Result.m_Answer.m_Status != HttpOk)
+    return std::nullopt;
+  nlohmann::json Value =
+      nlohmann::json::parse(Result.m_Answer.m_Body, nullptr, false);
+  if (Value.is_discarded())
+    return std::nullopt;
+  return Value;
+}
+
+} // namespace balsamwheel::cli
--- /dev/null
+++ b/src/cli/cluster_rows.cpp
@@ -0,0 +1,99 @@
+// The rows of the table as commands read them.
+#include "cli/cluster_rows.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace balsamwheel::cli {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds PollPeriod{200};
+/// Tries of a commit that lost only against bumps of the head row.
+constexpr int MaxHeadConflicts = 50;
+
+bool takeRow(const Row &Stored, ClusterRows &Into) {
+  if (Stored.m_Key == HeadRowKey) {
+    const auto Head = parseHeadRow(Stored);
+    Into.m_Head = Head.value_or(HeadRow{});
+    return Head.has_value();
+  }
+  if (Stored.m_Key == ConfigHeadRow) {
+    Into.m_ConfigRow = Stored;
+    if (Stored.m_Version == RowVersion())
+      return true;
+    const auto Found = configFromRow(Stored);
+    Into.m_Config = Found.value_or(Config{});
+    return Found.has_value();
+  }
+  const auto Group = parseGroupRow(Stored);
+  if (!Group)
+    return false;
+  Into.m_Members.insert(Into.m_Members.end(), Group->m_Members.begin(),
+                        Group->m_Members.end());
+  return true;
+}
+
+} // namespace
+
+std::error_code readCluster(TableSession &Table, ClusterRows &Into) {
+  const auto Rows = Table.read(
+      {.m_Keys = {HeadRowKey, ConfigHeadRow}, .m_Prefixes = {GroupRowPrefix}});
+  if (!Rows)
+    return CliError::Unreachable;
+  Into = {};
+  for (const Row &Stored : *Rows)
+    if (!takeRow(Stored, Into))
+      return CliError::BadRow;
+  return {};
+}
+
+std::error_code commitConfig(TableSession &Table, ClusterRows Base,
+                             const Config &Next) {
+  for (int Try = 0; Try < MaxHeadConflicts; ++Try) {
+    Transaction Commit = makeConfigCommit(Base.m_ConfigRow, Base.m_Config, Next,
+                                          randomWriteId());
+    appendHeadBump(Commit, Base.m_Head,
+                   {{ConfigHeadRow, Next.m_Version.value()}});
+    const std::error_code Error = Table.commit(Commit, ConfigHeadRow);
+    if (Error != CliError::Conflict)
+      return Error;
+    const RowVersion Known = Base.m_ConfigRow.m_Version;
+    if (const std::error_code ReadError = readCluster(Table, Base))
+      return ReadError;
+    if (Base.m_ConfigRow.m_Version != Known)
+      return CliError::Conflict;
+  }
+  return CliError::Conflict;
+}
+
+std::vector<InstanceName> lagging(const std::vector<GroupMember> &Members,
+                                  ConfigVersion Version) {
+  std::vector<InstanceName> Result;
+  for (const GroupMember &Value : Members)
+    if (Value.m_Member.m_ConfigApplied < Version)
+      Result.push_back(Value.m_Member.m_Instance);
+  std::ranges::sort(Result);
+  return Result;
+}
+
+std::vector<InstanceName> waitInForce(TableSession &Table,
+                                      ConfigVersion Version,
+                                      std::chrono::milliseconds Limit) {
+  const Clock::time_point End = Clock::now() + Limit;
+  std::vector<InstanceName> Late;
+  do {
+    ClusterRows Current;
+    if (readCluster(Table, Current))
+      continue;
+    Late = lagging(Current.m_Members, Version);
+    if (Late.empty())
+      return Late;
+    std::this_thread::sleep_for(PollPeriod);
+  } while (Clock::now() < End);
+  return Late;
+}
+
+} // namespace balsamwheel::cli
--- a/src/coordination/group_row.cpp
+++ b/src/coordination/group_row.cpp
@@ -25,6 +25,7 @@
           {"region", Value.m_Region.value()},
           {"peer", Value.m_Peer.value()},
           {"caller", Value.m_CallerAddress},
+          {"admin", Value.m_AdminAddress},
           {"service", Value.m_Service.value()},
           {"slots", Value.m_Slots},
           {"leaving", Value.m_Leaving}};
@@ -37,6 +38,7 @@
           .m_Region = RegionName(Value.at("region").get<std::string>()),
           .m_Peer = PeerAddress(Value.at("peer").get<std::string>()),
           .m_CallerAddress = Value.at("caller").get<std::string>(),
+          .m_AdminAddress = Value.at("admin").get<std::string>(),
           .m_Service = ServiceName(Value.at("service").get<std::string>()),
           .m_Slots = Value.at("slots").get<std::uint32_t>(),
           .m_ConfigApplied = ConfigVersion(),
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -60,6 +60,7 @@
   m_Self.m_Region = Options.m_Region;
   m_Self.m_Peer = Options.m_Peer;
   m_Self.m_CallerAddress = Options.m_CallerAddress;
+  m_Self.m_AdminAddress = Options.m_AdminAddress;
   m_Entry = toEntry(m_Self);
 }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -124,6 +124,7 @@
   Node.m_Coordinator.m_Region = Out.m_Region;
   Node.m_Coordinator.m_Peer = PeerAddress(Out.m_PeerListen);
   Node.m_Coordinator.m_CallerAddress = Out.m_CallerListen;
+  Node.m_Coordinator.m_AdminAddress = Out.m_AdminListen;
   return Out;
 }
 
