--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,7 +15,8 @@
 class Node::Impl {
 public:
   Impl(NodeOptions Options, std::uint64_t Seed)
-      : m_Context(std::move(Options.m_Coordinator), Seed), m_Executor(m_Context, Options),
+      : m_Context(std::move(Options.m_Coordinator), Seed),
+        m_Executor(m_Context, Options),
         m_Entrance(m_Context, Options, m_Context.random()) {}
 
   template <typename Action> void at(TimePoint Now, Action &&Perform) {
@@ -140,8 +141,7 @@
 }
 
 void Node::onOrderEnd(OrderReport Report, TimePoint Now) {
-  m_Impl->at(Now,
-             [&] { m_Impl->m_Executor.onOrderEnd(Report, Now); });
+  m_Impl->at(Now, [&] { m_Impl->m_Executor.onOrderEnd(Report, Now); });
 }
 
 void Node::onTargetReady(const ServiceName &Service, std::uint32_t Slots,
--- /dev/null
+++ b/tests/fake_network.h
@@ -0,0 +1,70 @@
+// A bag of messages between daemons: drops, doubles, delays, reorders, cuts
+// links, and silences connections until they are reset.
+#pragma once
+
+#include "fake_events.h"
+
+#include <set>
+#include <utility>
+
+namespace balsamwheel::testing {
+
+class FakeNetwork {
+public:
+  using Deliver =
+      std::function<void(std::size_t To, std::size_t From, PeerMessage)>;
+
+  FakeNetwork(EventQueue &Queue, std::uint64_t Seed)
+      : m_Queue(Queue), m_Dice(Seed) {}
+
+  unsigned m_LossPercent = 0;
+  unsigned m_DoublePercent = 0;
+  /// Percent of messages that come up to m_LateDelay later than others.
+  unsigned m_LatePercent = 0;
+  Duration m_LateDelay = milliseconds(400);
+  Deliver m_Deliver;
+
+  /// Ends every fault but silent connections: only a reset cures those.
+  void heal() {
+    m_LossPercent = m_DoublePercent = m_LatePercent = 0;
+    m_Cut.clear();
+  }
+
+  void cut(std::size_t From, std::size_t To) { m_Cut.insert({From, To}); }
+  /// What one end sends on the present connection never arrives any more.
+  void silence(std::size_t From, std::size_t To) {
+    m_Silent.insert({From, To});
+  }
+  void reset(std::size_t From, std::size_t To) {
+    m_Silent.erase({From, To});
+    m_Silent.erase({To, From});
+  }
+  bool anyCut() const { return !m_Cut.empty(); }
+  bool anySilent() const { return !m_Silent.empty(); }
+
+  void send(std::size_t From, std::size_t To, const PeerMessage &Message) {
+    if (m_Silent.contains({From, To}) || m_Dice.chance(m_LossPercent))
+      return;
+    const int Copies = m_Dice.chance(m_DoublePercent) ? 2 : 1;
+    for (int Copy = 0; Copy < Copies; ++Copy)
+      m_Queue.after(delay(), [this, From, To, Message] {
+        if (!m_Cut.contains({From, To}))
+          m_Deliver(To, From, Message);
+      });
+  }
+
+private:
+  Duration delay() {
+    Duration Result = m_Dice.between(microseconds(200), microseconds(1500));
+    if (m_Dice.chance(m_LatePercent))
+      Result += m_Dice.between(Duration(0), m_LateDelay);
+    return Result;
+  }
+
+  EventQueue &m_Queue;
+  Dice m_Dice;
+  std::set<std::pair<std::size_t, std::size_t>> m_Cut;
+  std::set<std::pair<std::size_t, std::size_t>> m_Silent;
+};
+
+} // namespace balsamwheel::testing
--- /dev/null
+++ b/tests/fake_table.h
@@ -0,0 +1,114 @@
+// The platform's table in memory, with its faults.
+#pragma once
+
+#include "fake_events.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace balsamwheel::testing {
+
+class FakeTable {
+public:
+  using Done = std::function<void(TableReply)>;
+
+  FakeTable(EventQueue &Queue, std::uint64_t Seed)
+      : m_Queue(Queue), m_Dice(Seed) {}
+
+  // Faults; all clients unless said otherwise.
+  bool m_Down = false;
+  Duration m_Delay = milliseconds(1);
+  /// Percent of commits that get no answer. A part of them is applied before,
+  /// a part later, the rest never.
+  unsigned m_AmbiguousPercent = 0;
+  /// Clients that cannot reach the table.
+  std::vector<bool> m_CutOff = std::vector<bool>(16);
+  /// Called after each applied transaction.
+  std::function<void(const Transaction &)> m_OnCommit;
+
+  void heal() {
+    m_Down = false;
+    m_Delay = milliseconds(1);
+    m_AmbiguousPercent = 0;
+    m_CutOff.assign(m_CutOff.size(), false);
+  }
+
+  void read(std::size_t Client, const TableRead &Read, Done Reply) {
+    m_Queue.after(m_Delay, [this, Client, Read, Reply] {
+      if (m_Down || m_CutOff[Client])
+        respond({TableStatus::Unavailable, {}}, Reply);
+      else
+        respond(readNow(Read), Reply);
+    });
+  }
+
+  void commit(std::size_t Client, const Transaction &Commit, Done Reply) {
+    m_Queue.after(m_Delay, [this, Client, Commit, Reply] {
+      if (m_Down || m_CutOff[Client])
+        respond({TableStatus::Unavailable, {}}, Reply);
+      else if (m_Dice.chance(m_AmbiguousPercent))
+        commitWithoutAnswer(Commit, Reply);
+      else
+        respond(commitNow(Commit), Reply);
+    });
+  }
+
+  TableReply readNow(const TableRead &Read) const {
+    TableReply Reply{TableStatus::Ok, {}};
+    for (const RowKey &Key : Read.m_Keys)
+      Reply.m_Rows.push_back(get(Key));
+    for (const std::string &Prefix : Read.m_Prefixes)
+      for (const auto &[Key, Stored] : m_Rows)
+        if (Key.starts_with(Prefix) && !Stored.m_Value.empty())
+          Reply.m_Rows.push_back(Stored);
+    return Reply;
+  }
+
+  TableReply commitNow(const Transaction &Commit) {
+    TableReply Reply{TableStatus::Ok, {}};
+    for (const RowCondition &Condition : Commit.m_Conditions)
+      if (get(Condition.m_Key).m_Version != Condition.m_Version)
+        return {TableStatus::Conflict, {get(Condition.m_Key)}};
+    for (const RowWrite &Write : Commit.m_Writes) {
+      Row &Stored = m_Rows[Write.m_Key.value()];
+      Stored.m_Key = Write.m_Key;
+      Stored.m_Version = RowVersion(Stored.m_Version.value() + 1);
+      Stored.m_Value = Write.m_Value.value_or("");
+      Reply.m_Rows.push_back({Write.m_Key, Stored.m_Version, ""});
+    }
+    if (m_OnCommit)
+      m_OnCommit(Commit);
+    return Reply;
+  }
+
+  Row get(const RowKey &Key) const {
+    const auto Found = m_Rows.find(Key.value());
+    if (Found == m_Rows.end() || Found->second.m_Value.empty())
+      return {Key, RowVersion(), ""};
+    return Found->second;
+  }
+
+private:
+  void respond(TableReply Reply, const Done &To) {
+    m_Queue.after(m_Delay, [Reply = std::move(Reply), To] { To(Reply); });
+  }
+
+  void commitWithoutAnswer(const Transaction &Commit, const Done &Reply) {
+    const std::uint64_t Kind = m_Dice.below(3);
+    if (Kind == 0)
+      commitNow(Commit);
+    if (Kind == 1)
+      m_Queue.after(m_Dice.between(milliseconds(5), seconds(4)),
+                    [this, Commit] { commitNow(Commit); });
+    m_Queue.after(m_Dice.between(milliseconds(50), milliseconds(600)),
+                  [Reply] { Reply({TableStatus::Ambiguous, {}}); });
+  }
+
+  EventQueue &m_Queue;
+  Dice m_Dice;
+  /// A deleted row keeps its version and an empty value.
+  std::map<std::string, Row> m_Rows;
+};
+
+} // namespace balsamwheel::testing
--- /dev/null
+++ b/tests/fake_target.h
@@ -0,0 +1,108 @@
+// A target in memory: runs orders, freezes, turns cold, loses its state.
+#pragma once
+
+#include "fake_events.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace balsamwheel::testing {
+
+/// The answer that a target gives to a request.
+inline std::string answerTo(const RequestId &Id) { return "ran " + Id.value(); }
+
+class FakeTarget {
+public:
+  using Done = std::function<void(OrderEnd, HttpAnswer)>;
+  using Ran = std::function<void(const StartOrder &)>;
+
+  FakeTarget(EventQueue &Queue, std::uint64_t Seed)
+      : m_Queue(Queue), m_Dice(Seed) {}
+
+  bool m_ChecksFences = false;
+  /// Drops an order whose deadline has passed.
+  bool m_KeepsDeadlines = true;
+  bool m_Cold = false;
+  Duration m_Time = milliseconds(4);
+  /// Called when an order takes effect.
+  Ran m_OnRun;
+
+  void freeze() { m_Frozen = true; }
+  void thaw() {
+    m_Frozen = false;
+    for (EventQueue::Action &Waiting : std::exchange(m_Held, {}))
+      Waiting();
+  }
+  bool frozen() const { return m_Frozen; }
+  void restart() {
+    ++m_Run;
+    m_Held.clear();
+    m_Frozen = false;
+    m_Cold = true;
+  }
+
+  /// \p Order's deadline is in true time.
+  void start(const StartOrder &Order, Done Report) {
+    const Duration Time =
+        m_Dice.between(milliseconds(1), m_Cold ? m_Time * 8 : m_Time);
+    m_Queue.after(Time / 2, [this, Order, Report, Time, Run = m_Run] {
+      whenAwake([this, Order, Report, Time, Run] {
+        if (Run == m_Run)
+          take(Order, Report, Time);
+        else
+          Report(OrderEnd::Failed, {});
+      });
+    });
+  }
+
+private:
+  void whenAwake(EventQueue::Action Perform) {
+    if (m_Frozen)
+      m_Held.push_back(std::move(Perform));
+    else
+      Perform();
+  }
+
+  void take(const StartOrder &Order, const Done &Report, Duration Time) {
+    if (m_KeepsDeadlines && m_Queue.now() > Order.m_Deadline) {
+      Report(OrderEnd::Aborted, {});
+      return;
+    }
+    if (m_Cold && m_Dice.chance(30)) {
+      Report(OrderEnd::Shed, {});
+      return;
+    }
+    if (m_ChecksFences && Order.m_Epoch.value() != 0) {
+      Epoch &Highest = m_Fences[Order.m_Shard];
+      if (Order.m_Epoch < Highest) {
+        Report(OrderEnd::Shed, {});
+        return;
+      }
+      Highest = Order.m_Epoch;
+    }
+    m_OnRun(Order);
+    HttpAnswer Answer;
+    Answer.m_Status = 200;
+    Answer.m_Body = answerTo(Order.m_Meta.m_Id);
+    Answer.m_BodyLength = Answer.m_Body.size();
+    m_Queue.after(Time / 2, [this, Report, Answer, Run = m_Run] {
+      whenAwake([this, Report, Answer, Run] {
+        const bool Whole = Run == m_Run;
+        Report(Whole ? OrderEnd::Answered : OrderEnd::Failed,
+               Whole ? Answer : HttpAnswer{});
+      });
+    });
+  }
+
+  EventQueue &m_Queue;
+  Dice m_Dice;
+  bool m_Frozen = false;
+  unsigned m_Run = 0;
+  std::vector<EventQueue::Action> m_Held;
+  std::map<ShardRef, Epoch> m_Fences;
+};
+
+} // namespace balsamwheel::testing
--- /dev/null
+++ b/tests/node_rig.cpp
@@ -0,0 +1,395 @@
+// The nodes of the rig and the effects they ask for.
+#include "node_rig.h"
+
+#include "balsamwheel/detail/coordination/head_row.h"
+
+#include <algorithm>
+#include <array>
+
+namespace balsamwheel::testing {
+
+namespace {
+
+constexpr std::size_t DaemonCount = 6;
+constexpr std::size_t KeyedDaemons = 4;
+constexpr std::uint32_t Shards = 8;
+constexpr std::size_t KeyCount = 12;
+/// Clocks run at most this far apart, in parts of a thousand.
+constexpr int MostDrift = 10;
+constexpr Duration LeaveBound = std::chrono::milliseconds(3000);
+constexpr Duration DomainOutBound = std::chrono::milliseconds(4000);
+constexpr Duration SettleTime = std::chrono::seconds(4);
+constexpr Duration AnswerSlack = std::chrono::milliseconds(1);
+
+const ServiceName Keyed("timetables");
+const ServiceName Pool("orders");
+
+Config firstConfig() {
+  Config Result;
+  Result.m_Version = ConfigVersion(1);
+  Result.m_Manifest.m_Deployment = "rig";
+  for (const char *Name : {"a", "b", "c"})
+    Result.m_Manifest.m_Domains.push_back({DomainName(Name), RegionName("r")});
+  for (const ServiceName &Name : {Keyed, Pool}) {
+    Service Entry;
+    Entry.m_Name = Name;
+    Entry.m_DividedByKey = Name == Keyed;
+    Entry.m_Shards = Name == Keyed ? Shards : 0;
+    for (const bool Idempotent : {true, false}) {
+      RequestClass Class;
+      Class.m_Name = ClassName(Idempotent ? "read" : "write");
+      Class.m_Idempotent = Idempotent;
+      Class.m_Deadline = seconds(4);
+      Entry.m_Classes.push_back(Class);
+    }
+    Result.m_Manifest.m_Services.push_back(Entry);
+  }
+  return Result;
+}
+
+} // namespace
+
+NodeRig::NodeRig(RigOptions Options)
+    : m_Options(Options), m_Dice(Options.m_Seed), m_Oracle(m_Queue),
+      m_Table(m_Queue, Options.m_Seed + 1),
+      m_Network(m_Queue, Options.m_Seed + 2), m_CalmSince(m_Queue.now()) {
+  m_Network.m_Deliver = [this](std::size_t To, std::size_t From,
+                               const PeerMessage &Message) {
+    const PeerAddress Sender = m_Daemons[From].m_Peer;
+    call(To, [Message, Sender](Node &Receiver, TimePoint Now) {
+      if (const auto *Control = std::get_if<ControlMessage>(&Message))
+        Receiver.onControl(*Control, Sender, Now);
+      else if (const auto *Request = std::get_if<RequestMessage>(&Message))
+        Receiver.onRequest(*Request, Sender, Now);
+    });
+  };
+  m_Table.m_OnCommit = [this](const Transaction &Commit) {
+    for (const RowWrite &Write : Commit.m_Writes)
+      if (isMapRowKey(Write.m_Key))
+        if (const auto Parsed = parseMapRow(m_Table.get(Write.m_Key)))
+          m_Oracle.onMapRow(*Parsed);
+  };
+  for (std::size_t I = 0; I < KeyCount; ++I)
+    m_Keys.push_back("key" + std::to_string(I));
+  changeConfig([](Config &Value) { Value = firstConfig(); });
+  m_Daemons.resize(DaemonCount);
+  for (std::size_t I = 0; I < DaemonCount; ++I) {
+    Daemon &Value = m_Daemons[I];
+    Value.m_Domain = std::string(1, static_cast<char>('a' + I % 3));
+    Value.m_Service = I < KeyedDaemons ? Keyed : Pool;
+    Value.m_Peer = PeerAddress("127.0.0.1:" + std::to_string(7000 + I));
+    const auto Drift = static_cast<int>(m_Dice.below(2 * MostDrift + 1));
+    Value.m_Rate = 1.0 + (Drift - MostDrift) / 1000.0;
+    Value.m_Offset = m_Dice.between(Duration(0), seconds(100000));
+    Value.m_Target =
+        std::make_unique<FakeTarget>(m_Queue, Options.m_Seed + 10 + I);
+    Value.m_Target->m_ChecksFences = m_Dice.chance(50);
+    Value.m_Target->m_KeepsDeadlines = m_Dice.chance(70);
+    Value.m_Target->m_OnRun = [this, I](const StartOrder &Order) {
+      m_Oracle.onRun(Order.m_Meta, Order.m_Http.m_Path, I);
+    };
+    startDaemon(I);
+  }
+  run(seconds(4));
+}
+
+TimePoint NodeRig::localTime(const Daemon &Value) const {
+  const auto True =
+      static_cast<double>(m_Queue.now().time_since_epoch().count());
+  return TimePoint(Value.m_Offset +
+                   Duration(static_cast<std::int64_t>(True * Value.m_Rate)));
+}
+
+TimePoint NodeRig::trueTime(const Daemon &Value, TimePoint Local) const {
+  if (Local == TimePoint::max())
+    return Local;
+  const Duration Since = Local - localTime(Value);
+  const auto Scaled = static_cast<double>(Since.count()) / Value.m_Rate;
+  return m_Queue.now() + Duration(static_cast<std::int64_t>(Scaled));
+}
+
+std::size_t NodeRig::indexOf(const PeerAddress &Peer) const {
+  for (std::size_t I = 0; I < m_Daemons.size(); ++I)
+    if (m_Daemons[I].m_Peer == Peer)
+      return I;
+  return m_Daemons.size();
+}
+
+void NodeRig::startDaemon(std::size_t Index) {
+  Daemon &Value = m_Daemons[Index];
+  ++Value.m_Run;
+  Value.m_Alive = true;
+  Value.m_Paused = Value.m_ShuttingDown = false;
+  Value.m_LeavingSince.reset();
+  Value.m_Config = ConfigVersion();
+  Value.m_TickAt = TimePoint::max();
+  NodeOptions Options;
+  Options.m_Coordinator.m_Instance =
+      InstanceName("instance" + std::to_string(Index));
+  Options.m_Coordinator.m_Domain = DomainName(Value.m_Domain);
+  Options.m_Coordinator.m_Region = RegionName("r");
+  Options.m_Coordinator.m_Peer = Value.m_Peer;
+  Options.m_Coordinator.m_CallerAddress = "127.0.0.1:80";
+  Options.m_Coordinator.m_GroupSize = m_Options.m_GroupSize;
+  Options.m_Coordinator.m_Handover = m_Options.m_Handover;
+  Value.m_Node = std::make_unique<Node>(
+      Options, m_Options.m_Seed * 1000 + Index * 100000 + Value.m_Run);
+  call(Index, [](Node &Self, TimePoint Now) { Self.start(Now); });
+  announceTarget(Index);
+}
+
+void NodeRig::announceTarget(std::size_t Index) {
+  m_Daemons[Index].m_LeavingSince.reset();
+  const ServiceName Service = m_Daemons[Index].m_Service;
+  call(Index, [Service](Node &Self, TimePoint Now) {
+    Self.onTargetReady(Service, 4, Now);
+  });
+}
+
+void NodeRig::killDaemon(std::size_t Index) {
+  Daemon &Value = m_Daemons[Index];
+  if (!Value.m_Alive)
+    return;
+  Value.m_Alive = Value.m_Paused = false;
+  Value.m_Node.reset();
+  Value.m_Inbox.clear();
+  Value.m_TickAt = TimePoint::max();
+  for (auto &[Handle, Attempt] : Value.m_Open)
+    if (const auto It = m_Callers.find(Handle); It != m_Callers.end())
+      retryLater(It->second, milliseconds(1000));
+  Value.m_Open.clear();
+  std::erase_if(m_Orders, [Index](const auto &Entry) {
+    return Entry.second.m_Daemon == Index;
+  });
+}
+
+void NodeRig::resumeDaemon(std::size_t Index) {
+  Daemon &Value = m_Daemons[Index];
+  if (!Value.m_Alive || !Value.m_Paused)
+    return;
+  Value.m_Paused = false;
+  for (EventQueue::Action &Waiting : std::exchange(Value.m_Inbox, {}))
+    Waiting();
+  scheduleTick(Index);
+}
+
+void NodeRig::call(std::size_t Index,
+                   std::function<void(Node &, TimePoint)> Event) {
+  Daemon &Value = m_Daemons[Index];
+  if (!Value.m_Alive || failed())
+    return;
+  if (Value.m_Paused) {
+    Value.m_Inbox.push_back([this, Index, Event, Run = Value.m_Run] {
+      if (m_Daemons[Index].m_Run == Run)
+        call(Index, Event);
+    });
+    return;
+  }
+  Event(*Value.m_Node, localTime(Value));
+  afterCall(Index);
+}
+
+void NodeRig::afterCall(std::size_t Index) {
+  for (Effect &Value : m_Daemons[Index].m_Node->takeEffects())
+    carryOut(Index, std::move(Value));
+  checkOwners();
+  checkVersions(Index);
+  if (Daemon &Value = m_Daemons[Index];
+      Value.m_ShuttingDown && Value.m_Node->drained()) {
+    m_Oracle.note("drained " + std::to_string(Index));
+    if (!Value.m_Open.empty())
+      m_Oracle.fail("drained with open requests");
+    killDaemon(Index);
+    return;
+  }
+  scheduleTick(Index);
+}
+
+void NodeRig::scheduleTick(std::size_t Index) {
+  Daemon &Value = m_Daemons[Index];
+  const TimePoint Local = Value.m_Node->nextWake();
+  if (Local == TimePoint::max())
+    return;
+  const TimePoint Wake = std::max(trueTime(Value, Local) + microseconds(1),
+                                  m_Queue.now() + microseconds(50));
+  if (Wake >= Value.m_TickAt && Value.m_TickAt > m_Queue.now())
+    return;
+  Value.m_TickAt = Wake;
+  m_Queue.at(Wake, [this, Index, Wake, Run = Value.m_Run] {
+    Daemon &Self = m_Daemons[Index];
+    if (Self.m_Run != Run || !Self.m_Alive || Self.m_Paused ||
+        Self.m_TickAt != Wake)
+      return;
+    Self.m_TickAt = TimePoint::max();
+    call(Index, [](Node &Each, TimePoint Now) { Each.onTick(Now); });
+  });
+}
+
+void NodeRig::carryOut(std::size_t Index, Effect Value) {
+  const unsigned Run = m_Daemons[Index].m_Run;
+  if (auto *Control = std::get_if<SendControl>(&Value)) {
+    send(Index, Control->m_To, std::move(Control->m_Message));
+  } else if (auto *Request = std::get_if<SendRequest>(&Value)) {
+    send(Index, Request->m_To, std::move(Request->m_Message));
+  } else if (auto *Read = std::get_if<ReadTable>(&Value)) {
+    m_Table.read(Index, Read->m_Read,
+                 [this, Index, Run, Ticket = Read->m_Ticket](TableReply Reply) {
+                   if (m_Daemons[Index].m_Run == Run)
+                     call(Index, [Ticket, Reply](Node &Self, TimePoint Now) {
+                       Self.onTableReply(Ticket, Reply, Now);
+                     });
+                 });
+  } else if (auto *Commit = std::get_if<CommitTable>(&Value)) {
+    m_Table.commit(
+        Index, Commit->m_Transaction,
+        [this, Index, Run, Ticket = Commit->m_Ticket](TableReply Reply) {
+          if (m_Daemons[Index].m_Run == Run)
+            call(Index, [Ticket, Reply](Node &Self, TimePoint Now) {
+              Self.onTableReply(Ticket, Reply, Now);
+            });
+        });
+  } else if (auto *Order = std::get_if<StartOrder>(&Value)) {
+    startOrder(Index, std::move(*Order));
+  } else if (auto *Cancel = std::get_if<CancelOrder>(&Value)) {
+    m_Queue.after(milliseconds(1), [this, Index, Run, Order = Cancel->m_Order] {
+      reportOrder(Index, Run, Order, OrderEnd::Aborted, {}, m_Queue.now());
+    });
+  } else if (auto *Answer = std::get_if<AnswerCaller>(&Value)) {
+    answer(Index, *Answer);
+  } else if (auto *Reset = std::get_if<ResetPeer>(&Value)) {
+    m_Oracle.note("reset " + std::to_string(Index) + " to " +
+                  Reset->m_Peer.value());
+    m_Network.reset(Index, indexOf(Reset->m_Peer));
+  }
+}
+
+void NodeRig::send(std::size_t From, const PeerAddress &To,
+                   PeerMessage Message) {
+  const std::size_t Index = indexOf(To);
+  if (Index == m_Daemons.size())
+    return;
+  if (!m_Daemons[Index].m_Alive) {
+    // The connection is refused.
+    const unsigned Run = m_Daemons[From].m_Run;
+    m_Queue.after(milliseconds(1), [this, From, To, Run] {
+      if (m_Daemons[From].m_Run == Run)
+        call(From,
+             [To](Node &Self, TimePoint Now) { Self.onPeerLost(To, Now); });
+    });
+    return;
+  }
+  m_Network.send(From, Index, Message);
+}
+
+void NodeRig::startOrder(std::size_t Index, StartOrder Order) {
+  Daemon &Value = m_Daemons[Index];
+  checkNewWork(Index, Order);
+  const TimePoint End = trueTime(Value, Order.m_Deadline);
+  const std::string Key =
+      Order.m_Meta.m_Service == Keyed ? Order.m_Meta.m_Key : "";
+  for (const auto &[Id, Other] : m_Orders)
+    if (!Key.empty() && Other.m_Key == Key && Other.m_Daemon != Index &&
+        Other.m_Deadline > m_Queue.now())
+      m_Oracle.fail("orders for " + Key + " at " + std::to_string(Index) +
+                    " and " + std::to_string(Other.m_Daemon));
+  const OrderId Id = Order.m_Order;
+  m_Orders[{Index, Id.value()}] = {Index, Key, End};
+  const unsigned Run = Value.m_Run;
+  const TimePoint Started = m_Queue.now();
+  Order.m_Deadline = End;
+  Value.m_Target->start(
+      Order, [this, Index, Run, Id, Started](OrderEnd How, HttpAnswer Http) {
+        reportOrder(Index, Run, Id, How, Http, Started);
+      });
+  m_Queue.at(End, [this, Index, Run, Id, Started] {
+    reportOrder(Index, Run, Id, OrderEnd::Aborted, {}, Started);
+  });
+}
+
+void NodeRig::reportOrder(std::size_t Index, unsigned Run, OrderId Order,
+                          OrderEnd End, const HttpAnswer &Http,
+                          TimePoint Started) {
+  if (m_Daemons[Index].m_Run != Run ||
+      m_Orders.erase({Index, Order.value()}) == 0)
+    return;
+  OrderReport Report;
+  Report.m_Order = Order;
+  Report.m_End = End;
+  Report.m_Http = Http;
+  Report.m_Latency = m_Queue.now() - Started;
+  call(Index,
+       [Report](Node &Self, TimePoint Now) { Self.onOrderEnd(Report, Now); });
+}
+
+void NodeRig::answer(std::size_t Index, const AnswerCaller &Answer) {
+  Daemon &Value = m_Daemons[Index];
+  const auto It = Value.m_Open.find(Answer.m_Request);
+  if (It == Value.m_Open.end()) {
+    m_Oracle.fail("answer to no open request");
+    return;
+  }
+  CallerAttempt Attempt = It->second;
+  Value.m_Open.erase(It);
+  Attempt.m_Calm = calm() && m_CalmSince <= Attempt.m_Sent;
+  if (localTime(Value) > Attempt.m_Deadline + AnswerSlack &&
+      m_CalmSince <= Attempt.m_Sent)
+    m_Oracle.fail("answer after the deadline: " + Attempt.m_Tag);
+  m_Oracle.onAnswer(Attempt, Answer);
+  const auto Known = m_Callers.find(Answer.m_Request);
+  if (Known == m_Callers.end())
+    return;
+  const std::shared_ptr<Caller> Who = Known->second;
+  m_Callers.erase(Known);
+  const bool Proven =
+      Answer.m_Outcome == Outcome::NotRun || Answer.m_Outcome == Outcome::Wait;
+  if (Proven && Who->m_Unproven == Attempt.m_Sent)
+    Who->m_Unproven.reset();
+  if (Answer.m_Outcome != Outcome::Done)
+    retryLater(Who, milliseconds(1000));
+}
+
+void NodeRig::checkOwners() {
+  for (const std::string &Key : m_Keys) {
+    std::string Owners;
+    int Count = 0;
+    for (std::size_t I = 0; I < m_Daemons.size(); ++I) {
+      const Daemon &Value = m_Daemons[I];
+      if (!Value.m_Alive || Value.m_Service != Keyed)
+        continue;
+      const Permit Answer = Value.m_Node->coordinator().permit(
+          Keyed, hashKey(Key), localTime(Value));
+      if (!Answer.m_Granted)
+        continue;
+      ++Count;
+      Owners += " " + std::to_string(I);
+    }
+    if (Count > 1)
+      m_Oracle.fail("two owners of " + Key + ":" + Owners);
+  }
+}
+
+void NodeRig::checkVersions(std::size_t Index) {
+  Daemon &Value = m_Daemons[Index];
+  const auto Held = Value.m_Node->coordinator().config();
+  const ConfigVersion Now = Held ? Held->m_Version : ConfigVersion();
+  if (Now < Value.m_Config)
+    m_Oracle.fail("configuration fell at " + std::to_string(Index));
+  Value.m_Config = Now;
+}
+
+void NodeRig::checkNewWork(std::size_t Index, const StartOrder &Order) {
+  const Daemon &Value = m_Daemons[Index];
+  const TimePoint Now = m_Queue.now();
+  m_Oracle.note("start " + Order.m_Http.m_Path + " at " +
+                std::to_string(Index) + " epoch " +
+                std::to_string(Order.m_Epoch.value()));
+  if (Value.m_LeavingSince && Now > *Value.m_LeavingSince + LeaveBound)
+    m_Oracle.fail("new work at leaving target " + std::to_string(Index));
+  const auto Out = m_OutSince.find(Value.m_Domain);
+  if (Out != m_OutSince.end() && calm() &&
+      Now > std::max(Out->second, m_CalmSince) + DomainOutBound)
+    m_Oracle.fail("new work in the domain taken out at " +
+                  std::to_string(Index));
+}
+
+} // namespace balsamwheel::testing
--- /dev/null
+++ b/tests/node_rig.h
@@ -0,0 +1,159 @@
+// Several nodes over fakes of everything around them, with skewed clocks,
+// faults on command, and an oracle that watches.
+#pragma once
+
+#include "fake_network.h"
+#include "fake_table.h"
+#include "fake_target.h"
+#include "node_oracle.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace balsamwheel::testing {
+
+struct RigOptions {
+  std::uint64_t m_Seed = 1;
+  std::uint32_t m_GroupSize = 16;
+  HandoverMode m_Handover = HandoverMode::SwitchThenResolve;
+};
+
+/// What the fuzzers draw. Operands are reduced to what exists.
+enum class RigAction : std::uint8_t {
+  Run,
+  Request,
+  Burst,
+  Pause,
+  Resume,
+  Kill,
+  Restart,
+  CutPeer,
+  CutTable,
+  TableDown,
+  TableSlow,
+  TableAmbiguous,
+  Silence,
+  Loss,
+  Doubles,
+  Late,
+  FreezeTarget,
+  ThawTarget,
+  RestartTarget,
+  LeaveTarget,
+  DomainOut,
+  DomainIn,
+  Drain,
+  Race,
+  Shutdown,
+  Heal,
+  Settle,
+  Count
+};
+
+class NodeRig {
+public:
+  explicit NodeRig(RigOptions Options);
+
+  /// Performs one action. Deterministic in the seed and the operands.
+  void perform(RigAction Kind, std::uint64_t First, std::uint64_t Second);
+  void run(Duration Time);
+  /// Ends every fault, waits, and expects that every key is served.
+  void settle();
+
+  bool failed() const { return !m_Oracle.violations().empty(); }
+  const NodeOracle &oracle() const { return m_Oracle; }
+  std::size_t requests() const { return m_Attempts; }
+  static std::string nameOf(RigAction Kind);
+
+private:
+  struct Daemon {
+    std::unique_ptr<Node> m_Node;
+    std::unique_ptr<FakeTarget> m_Target;
+    std::string m_Domain;
+    ServiceName m_Service;
+    PeerAddress m_Peer;
+    /// Local time = m_Offset + m_Rate * true time.
+    double m_Rate = 1;
+    Duration m_Offset{0};
+    unsigned m_Run = 0;
+    bool m_Alive = false;
+    bool m_Paused = false;
+    bool m_ShuttingDown = false;
+    bool m_TargetAnnounced = false;
+    std::optional<TimePoint> m_LeavingSince;
+    std::vector<EventQueue::Action> m_Inbox;
+    TimePoint m_TickAt = TimePoint::max();
+    ConfigVersion m_Config;
+    std::map<RequestHandle, CallerAttempt> m_Open;
+  };
+
+  /// An order at a target, from its start to its end or deadline.
+  struct ActiveOrder {
+    std::size_t m_Daemon = 0;
+    std::string m_Key;
+    TimePoint m_Deadline;
+  };
+
+  /// A request as its caller keeps it over its attempts.
+  struct Caller {
+    RequestMeta m_Meta;
+    /// When the first attempt that may have run was sent.
+    std::optional<TimePoint> m_Unproven;
+  };
+
+  TimePoint localTime(const Daemon &Value) const;
+  TimePoint trueTime(const Daemon &Value, TimePoint Local) const;
+  std::size_t indexOf(const PeerAddress &Peer) const;
+
+  void startDaemon(std::size_t Index);
+  void announceTarget(std::size_t Index);
+  void killDaemon(std::size_t Index);
+  void resumeDaemon(std::size_t Index);
+  /// Hands an event to a node, now or when it is resumed.
+  void call(std::size_t Index, std::function<void(Node &, TimePoint)> Event);
+  void afterCall(std::size_t Index);
+  void scheduleTick(std::size_t Index);
+  void carryOut(std::size_t Index, Effect Value);
+  void send(std::size_t From, const PeerAddress &To, PeerMessage Message);
+  void startOrder(std::size_t Index, StartOrder Order);
+  void reportOrder(std::size_t Index, unsigned Run, OrderId Order, OrderEnd End,
+                   const HttpAnswer &Http, TimePoint Started);
+  void answer(std::size_t Index, const AnswerCaller &Answer);
+
+  void request(std::uint64_t First, std::uint64_t Second);
+  void sendAttempt(const std::shared_ptr<Caller> &Who, std::size_t Index,
+                   Duration Limit);
+  void retryLater(const std::shared_ptr<Caller> &Who, Duration Limit);
+  void changeConfig(const std::function<void(Config &)> &Change);
+  void raceConfigs(std::uint64_t First);
+  Config currentConfig() const;
+  void heal();
+  void markFault() { m_CalmSince = TimePoint::max(); }
+  bool calm() const { return m_CalmSince <= m_Queue.now(); }
+
+  void checkOwners();
+  void checkVersions(std::size_t Index);
+  void checkNewWork(std::size_t Index, const StartOrder &Order);
+  void checkServed();
+
+  RigOptions m_Options;
+  Dice m_Dice;
+  EventQueue m_Queue;
+  NodeOracle m_Oracle;
+  FakeTable m_Table;
+  FakeNetwork m_Network;
+  std::vector<Daemon> m_Daemons;
+  std::vector<std::string> m_Keys;
+  std::map<std::pair<std::size_t, std::uint64_t>, ActiveOrder> m_Orders;
+  std::map<RequestHandle, std::shared_ptr<Caller>> m_Callers;
+  std::map<std::string, TimePoint> m_OutSince;
+  TimePoint m_CalmSince;
+  std::uint64_t m_LastHandle = 0;
+  std::size_t m_Attempts = 0;
+  std::size_t m_Ids = 0;
+  bool m_Ending = false;
+};
+
+} // namespace balsamwheel::testing
--- /dev/null
+++ b/tests/node_rig_actions.cpp
@@ -0,0 +1,332 @@
+// What the fuzzers can do to the rig: callers, faults, operators.
+#include "node_rig.h"
+
+#include "balsamwheel/detail/coordination/head_row.h"
+
+#include <algorithm>
+#include <array>
+
+namespace balsamwheel::testing {
+
+namespace {
+
+const ServiceName Keyed("timetables");
+const ServiceName Pool("orders");
+constexpr Duration SettleTime = std::chrono::seconds(4);
+constexpr Duration StuckTime = std::chrono::milliseconds(100);
+constexpr std::uint32_t MostAttempts = 5;
+constexpr std::size_t BurstSize = 12;
+
+} // namespace
+
+std::string NodeRig::nameOf(RigAction Kind) {
+  static constexpr std::array Names{
+      "run",        "request",    "burst",          "pause",
+      "resume",     "kill",       "restart",        "cut-peer",
+      "cut-table",  "table-down", "table-slow",     "table-ambiguous",
+      "silence",    "loss",       "doubles",        "late",
+      "freeze",     "thaw",       "restart-target", "leave-target",
+      "domain-out", "domain-in",  "drain",          "race",
+      "shutdown",   "heal",       "settle"};
+  return Names.at(static_cast<std::size_t>(Kind));
+}
+
+void NodeRig::run(Duration Time) {
+  const TimePoint End = m_Queue.now() + Time;
+  while (!failed() && m_Queue.step(End)) {
+  }
+}
+
+void NodeRig::perform(RigAction Kind, std::uint64_t First,
+                      std::uint64_t Second) {
+  const std::size_t Index = First % m_Daemons.size();
+  const std::size_t Other = Second % m_Daemons.size();
+  Daemon &Value = m_Daemons[Index];
+  m_Oracle.note("== " + nameOf(Kind) + " " + std::to_string(Index) + " " +
+                std::to_string(Other));
+  switch (Kind) {
+  case RigAction::Run:
+    run(milliseconds(First % 400));
+    break;
+  case RigAction::Request:
+    request(First, Second);
+    break;
+  case RigAction::Burst:
+    for (std::size_t I = 0; I < BurstSize; ++I)
+      request(First / 7 + I * 5, Second / 3 + I);
+    break;
+  case RigAction::Pause:
+    markFault();
+    Value.m_Paused = Value.m_Alive;
+    if (Second % 2 == 0)
+      Value.m_Target->freeze();
+    break;
+  case RigAction::Resume:
+    resumeDaemon(Index);
+    break;
+  case RigAction::Kill:
+    markFault();
+    killDaemon(Index);
+    if (Second % 2 == 0)
+      Value.m_Target->restart();
+    break;
+  case RigAction::Restart:
+    if (!Value.m_Alive)
+      startDaemon(Index);
+    break;
+  case RigAction::CutPeer:
+    markFault();
+    m_Network.cut(Index, Other);
+    if (Second % 3 != 0)
+      m_Network.cut(Other, Index);
+    break;
+  case RigAction::CutTable:
+    markFault();
+    m_Table.m_CutOff[Index] = true;
+    break;
+  case RigAction::TableDown:
+    markFault();
+    m_Table.m_Down = First % 3 != 0;
+    break;
+  case RigAction::TableSlow:
+    markFault();
+    m_Table.m_Delay = milliseconds(1 + First % 1000);
+    break;
+  case RigAction::TableAmbiguous:
+    markFault();
+    m_Table.m_AmbiguousPercent = First % 60;
+    break;
+  case RigAction::Silence:
+    markFault();
+    m_Network.silence(Index, Other);
+    break;
+  case RigAction::Loss:
+    markFault();
+    m_Network.m_LossPercent = First % 30;
+    break;
+  case RigAction::Doubles:
+    markFault();
+    m_Network.m_DoublePercent = First % 40;
+    break;
+  case RigAction::Late:
+    markFault();
+    m_Network.m_LatePercent = First % 40;
+    m_Network.m_LateDelay = milliseconds(1 + Second % 3000);
+    break;
+  case RigAction::FreezeTarget:
+    markFault();
+    Value.m_Target->freeze();
+    break;
+  case RigAction::ThawTarget:
+    Value.m_Target->thaw();
+    break;
+  case RigAction::RestartTarget:
+    markFault();
+    Value.m_Target->restart();
+    announceTarget(Index);
+    break;
+  case RigAction::LeaveTarget:
+    if (!Value.m_LeavingSince && Value.m_Alive && !Value.m_Paused)
+      Value.m_LeavingSince = m_Queue.now();
+    call(Index, [](Node &Self, TimePoint Now) { Self.onTargetLeaving(Now); });
+    break;
+  case RigAction::DomainOut:
+    changeConfig([&Value](Config &Next) {
+      Next.m_DomainsOut = {DomainName(Value.m_Domain)};
+    });
+    break;
+  case RigAction::DomainIn:
+    changeConfig([](Config &Next) { Next.m_DomainsOut.clear(); });
+    break;
+  case RigAction::Drain:
+    changeConfig([Index, Second](Config &Next) {
+      Next.m_Draining.clear();
+      if (Second % 2 == 0)
+        Next.m_Draining = {InstanceName("instance" + std::to_string(Index))};
+    });
+    break;
+  case RigAction::Race:
+    raceConfigs(First);
+    break;
+  case RigAction::Shutdown:
+    if (Value.m_Alive && !Value.m_Paused) {
+      Value.m_ShuttingDown = true;
+      Value.m_LeavingSince = m_Queue.now();
+      call(Index, [](Node &Self, TimePoint Now) { Self.beginShutdown(Now); });
+    }
+    break;
+  case RigAction::Heal:
+    heal();
+    break;
+  case RigAction::Settle:
+    settle();
+    break;
+  case RigAction::Count:
+    break;
+  }
+}
+
+void NodeRig::request(std::uint64_t First, std::uint64_t Second) {
+  const bool Divided = Second % 4 != 0;
+  const bool Idempotent = First % 2 == 0;
+  auto Who = std::make_shared<Caller>();
+  Who->m_Meta.m_Id = RequestId("id" + std::to_string(++m_Ids));
+  Who->m_Meta.m_Service = Divided ? Keyed : Pool;
+  Who->m_Meta.m_Class = ClassName(Idempotent ? "read" : "write");
+  Who->m_Meta.m_Idempotent = Idempotent;
+  if (Divided)
+    Who->m_Meta.m_Key = m_Keys[(First / 2) % m_Keys.size()];
+  Who->m_Meta.m_Attempt = 0;
+  sendAttempt(Who, (Second / 4) % m_Daemons.size(),
+              milliseconds(200 + First % 1800));
+}
+
+void NodeRig::sendAttempt(const std::shared_ptr<Caller> &Who, std::size_t Index,
+                          Duration Limit) {
+  Daemon &Value = m_Daemons[Index];
+  if (!Value.m_Alive || Value.m_ShuttingDown) {
+    // The caller knows that it reached nobody.
+    retryLater(Who, Limit);
+    return;
+  }
+  ++m_Attempts;
+  const TimePoint Now = m_Queue.now();
+  RequestMeta &Meta = Who->m_Meta;
+  ++Meta.m_Attempt;
+  Meta.m_FirstAttemptAge =
+      Who->m_Unproven ? Now - *Who->m_Unproven : Duration(0);
+  if (!Who->m_Unproven)
+    Who->m_Unproven = Now;
+  IncomingRequest Incoming;
+  Incoming.m_Handle = RequestHandle(++m_LastHandle);
+  Incoming.m_Meta = Meta;
+  Incoming.m_Http.m_Path =
+      Meta.m_Id.value() + "/" + std::to_string(Meta.m_Attempt);
+  CallerAttempt Attempt;
+  Attempt.m_Id = Meta.m_Id;
+  Attempt.m_Tag = Incoming.m_Http.m_Path;
+  Attempt.m_Idempotent = Meta.m_Idempotent;
+  Attempt.m_Sent = Now;
+  Attempt.m_Daemon = Index;
+  Attempt.m_Run = Value.m_Run;
+  m_Callers[Incoming.m_Handle] = Who;
+  m_Oracle.note("request " + Attempt.m_Tag + " at " + std::to_string(Index) +
+                " " + Meta.m_Key);
+  // The daemon counts the deadline from when it reads the request.
+  call(Index, [this, Index, Incoming, Attempt, Limit](Node &Self,
+                                                      TimePoint Local) mutable {
+    Incoming.m_Deadline = Local + Limit;
+    Attempt.m_Deadline = Incoming.m_Deadline;
+    m_Daemons[Index].m_Open[Incoming.m_Handle] = Attempt;
+    Self.onCallerRequest(Incoming, Local);
+  });
+  // A caller without an answer gives up a little after its deadline and may
+  // try another daemon.
+  m_Queue.after(Limit + StuckTime, [this, Who, Handle = Incoming.m_Handle] {
+    const auto It = m_Callers.find(Handle);
+    if (It == m_Callers.end())
+      return;
+    m_Callers.erase(It);
+    retryLater(Who, milliseconds(1000));
+  });
+}
+
+void NodeRig::retryLater(const std::shared_ptr<Caller> &Who, Duration Limit) {
+  if (m_Ending || Who->m_Meta.m_Attempt >= MostAttempts || m_Dice.chance(30))
+    return;
+  const std::size_t Index = m_Dice.below(m_Daemons.size());
+  m_Queue.after(m_Dice.between(milliseconds(5), milliseconds(1500)),
+                [this, Who, Index, Limit] { sendAttempt(Who, Index, Limit); });
+}
+
+Config NodeRig::currentConfig() const {
+  return configFromRow(m_Table.get(ConfigHeadRow)).value_or(Config{});
+}
+
+void NodeRig::changeConfig(const std::function<void(Config &)> &Change) {
+  const Row Current = m_Table.get(ConfigHeadRow);
+  const Config Base = currentConfig();
+  Config Next = Base;
+  Change(Next);
+  Next.m_Version = ConfigVersion(Base.m_Version.value() + 1);
+  Transaction Commit =
+      makeConfigCommit(Current, Base, Next, WriteId(m_Dice.below(1ULL << 62U)));
+  appendHeadBump(Commit, *parseHeadRow(m_Table.get(HeadRowKey)),
+                 {{ConfigHeadRow, Next.m_Version.value()}});
+  if (m_Table.commitNow(Commit).m_Status != TableStatus::Ok)
+    return;
+  std::map<std::string, TimePoint> OutSince;
+  for (const DomainName &Out : Next.m_DomainsOut) {
+    const auto Known = m_OutSince.find(Out.value());
+    OutSince[Out.value()] =
+        Known == m_OutSince.end() ? m_Queue.now() : Known->second;
+  }
+  m_OutSince = OutSince;
+}
+
+void NodeRig::raceConfigs(std::uint64_t First) {
+  // Two operators start from the same version; the loser must get a conflict.
+  const Row Current = m_Table.get(ConfigHeadRow);
+  const Config Base = currentConfig();
+  const Row Head = m_Table.get(HeadRowKey);
+  int Accepted = 0;
+  for (const char *Name : {"x", "y"}) {
+    Config Next = Base;
+    Next.m_Version = ConfigVersion(Base.m_Version.value() + 1);
+    Next.m_Manifest.m_Deployment = Name + std::to_string(First % 10);
+    Transaction Commit = makeConfigCommit(Current, Base, Next,
+                                          WriteId(m_Dice.below(1ULL << 62U)));
+    appendHeadBump(Commit, *parseHeadRow(Head),
+                   {{ConfigHeadRow, Next.m_Version.value()}});
+    Accepted += m_Table.commitNow(Commit).m_Status == TableStatus::Ok ? 1 : 0;
+  }
+  if (Accepted != 1)
+    m_Oracle.fail("racing operators: accepted " + std::to_string(Accepted));
+}
+
+void NodeRig::heal() {
+  m_Table.heal();
+  m_Network.heal();
+  for (std::size_t I = 0; I < m_Daemons.size(); ++I) {
+    Daemon &Value = m_Daemons[I];
+    Value.m_Target->thaw();
+    Value.m_Target->m_Cold = false;
+    if (!Value.m_Alive)
+      startDaemon(I);
+    resumeDaemon(I);
+    if (!Value.m_ShuttingDown)
+      announceTarget(I);
+  }
+}
+
+void NodeRig::settle() {
+  heal();
+  changeConfig([](Config &Next) {
+    Next.m_DomainsOut.clear();
+    Next.m_Draining.clear();
+  });
+  run(SettleTime);
+  // A daemon that was shutting down may have left meanwhile.
+  checkServed();
+  // Orders and messages from before are gone by now.
+  run(SettleTime);
+  m_CalmSince = m_Queue.now();
+}
+
+void NodeRig::checkServed() {
+  for (const std::string &Key : m_Keys) {
+    const bool Served = std::ranges::any_of(m_Daemons, [&](const Daemon &Each) {
+      return Each.m_Alive && Each.m_Node->coordinator()
+                                 .permit(Keyed, hashKey(Key), localTime(Each))
+                                 .m_Granted;
+    });
+    if (!Served && !failed())
+      m_Oracle.fail("not served after 4 s without faults: " + Key);
+  }
+  for (const Daemon &Each : m_Daemons)
+    for (const auto &[Handle, Attempt] : Each.m_Open)
+      if (localTime(Each) > Attempt.m_Deadline + StuckTime)
+        m_Oracle.fail("no answer to " + Attempt.m_Tag);
+}
+
+} // namespace balsamwheel::testing
