--- a/src/load/admission.cpp
+++ b/src/load/admission.cpp
@@ -47,8 +47,10 @@
   std::uint32_t running() const;
   std::size_t queued() const { return m_Queues.size(); }
   Duration expectedWait(Urgency Class) const;
+  TimePoint nextWake() const;
 
 private:
+  AdmissionDecision refusal(Urgency Class, Duration Wait) const;
   bool canStart(Urgency Class) const;
   std::uint32_t slotsOpenTo(Urgency Class) const;
   bool isExpected(Urgency Class) const;
@@ -87,15 +89,21 @@
   m_Limit.noteSaturated();
   const Duration Wait = expectedWait(Class);
   if (!queueHasRoom(Class))
-    return {AdmissionVerdict::Refused, std::max(Wait, MinRetryAfter)};
+    return refusal(Class, Wait);
   const Duration Late = Wait + timeNeeded(Class) - (Deadline - Now);
   if (Late > Duration(0))
-    return {AdmissionVerdict::Refused,
-            std::max(std::min(Late, Wait), MinRetryAfter)};
+    return refusal(Class, std::min(Late, Wait));
   m_Queues.push(Request, Class, Deadline);
   return {AdmissionVerdict::Queued, Duration(0)};
 }
 
+// The queue shortens only when an order ends, so one more is waited for.
+AdmissionDecision AdmissionGate::Impl::refusal(Urgency Class,
+                                               Duration Wait) const {
+  return {AdmissionVerdict::Refused,
+          std::max(Wait + serviceTime(Class), MinRetryAfter)};
+}
+
 std::optional<RequestHandle> AdmissionGate::Impl::next(TimePoint Now) {
   m_Now = Now;
   for (const Urgency Class : ByUrgency) {
@@ -113,6 +121,7 @@
 }
 
 std::vector<RequestHandle> AdmissionGate::Impl::expire(TimePoint Now) {
+  m_Now = Now;
   for (const Urgency Class : ByUrgency)
     dropDoomed(Class, Now);
   return std::exchange(m_Doomed, {});
@@ -155,6 +164,14 @@
   return Work / static_cast<Duration::rep>(Open > Lost ? Open - Lost : 1);
 }
 
+TimePoint AdmissionGate::Impl::nextWake() const {
+  const std::optional<TimePoint> Deadline = m_Queues.firstDeadline();
+  if (!Deadline)
+    return TimePoint::max();
+  const TimePoint Resume = m_Limit.pausedUntil();
+  return m_Now < Resume ? std::min(*Deadline, Resume) : *Deadline;
+}
+
 // Urgent requests may use every slot, others all but the reserved ones. A
 // small limit keeps one slot that every class may use.
 std::uint32_t AdmissionGate::Impl::slotsOpenTo(Urgency Class) const {
@@ -175,6 +192,8 @@
 bool AdmissionGate::Impl::canStart(Urgency Class) const {
   if (running() >= limit() || runningFrom(Class) >= slotsOpenTo(Class))
     return false;
+  if (m_Now < m_Limit.pausedUntil())
+    return false;
   return Class != Urgency::Bulk || limit() > 1 || !isExpected(Urgency::Urgent);
 }
 
@@ -273,4 +292,6 @@
   return m_Impl->expectedWait(Class);
 }
 
+TimePoint AdmissionGate::nextWake() const { return m_Impl->nextWake(); }
+
 } // namespace balsamwheel
--- a/src/load/latency_trend.h
+++ b/src/load/latency_trend.h
@@ -24,13 +24,14 @@
 public:
   /// Adds one latency.
   ///
-  /// \param WindowSize samples that close the current window.
+  /// \param WindowSize samples that a window has at least.
   /// \returns a verdict when the window closed.
-  std::optional<LatencyVerdict> add(Duration Latency, std::uint32_t WindowSize);
+  std::optional<LatencyVerdict> add(Duration Latency, std::uint32_t WindowSize,
+                                    TimePoint Now);
   /// Drops the samples of the open window.
   void restartWindow();
-  /// Takes the mean of the last closed window as the new baseline.
-  void rebase();
+  /// The target became slower for another reason than congestion.
+  void scaleBaseline(double Factor);
 
   /// Typical uncongested latency; 0 before the first window closed.
   Duration baseline() const;
@@ -40,16 +41,25 @@
   Duration deviation() const;
 
 private:
-  LatencyVerdict judge(double Mean) const;
+  LatencyVerdict closeWindow();
+  bool unhealthyForLong() const;
+  bool surelyCongested(std::uint32_t WindowSize) const;
+  double congestedMean(std::uint32_t Count) const;
+  double healthyMean(std::uint32_t Count) const;
+  double noise(std::uint32_t Count) const;
   void moveBaseline(double Mean);
 
   // All in microseconds; 0 while nothing is known.
   double m_Baseline = 0;
   double m_RecentMean = 0;
   double m_Deviation = 0;
-  double m_LastWindowMean = 0;
   double m_WindowSum = 0;
+  double m_WindowDeviation = 0;
   std::uint32_t m_WindowCount = 0;
+  TimePoint m_WindowStart;
+  // Windows since the last healthy one, and the sum of their means.
+  std::uint32_t m_UnhealthyInRow = 0;
+  double m_UnhealthySum = 0;
 };
 
 } // namespace balsamwheel
