--- a/bench/policy/event_loop.h
+++ b/bench/policy/event_loop.h
@@ -47,7 +47,7 @@
     }
   };
 
-  TimePoint m_Now{};
+  TimePoint m_Now;
   std::uint64_t m_NextSequence = 0;
   std::priority_queue<Event> m_Events;
 };
--- a/bench/policy/experiments.cpp
+++ b/bench/policy/experiments.cpp
@@ -202,6 +202,7 @@
   Options.m_Picker.m_Hedge = false;
   const SlowedRun NoHedge = runSlowed(Options);
   Lines Result;
+  Result.reserve(Baselines.size() + 2);
   const auto Add = [&](const char *Name, double P99Ratio) {
     Result.push_back({.m_Experiment = "slowed-targets",
                       .m_Measure = "p99 with 1 of 3 slowed 10x over none",
