Follow the daemon's settings and the examples in the bench

The settings of the daemon landed with other names and sections than agreed, and the examples name domains and classes; the cluster, the scenarios' baselines and the paths follow them.

--- a/bench/commands.cpp
+++ b/bench/commands.cpp
@@ -26,7 +26,7 @@
   std::vector<const char *> Raw{Options.program().c_str()};
   for (const std::string &Argument : Arguments)
     Raw.push_back(Argument.c_str());
-  const auto Result = Options.parse(static_cast<int>(Raw.size()), Raw.data());
+  auto Result = Options.parse(static_cast<int>(Raw.size()), Raw.data());
   if (Result.count("help") == 0)
     return Result;
   std::cout << Options.help();
--- a/bench/core/cluster.h
+++ b/bench/core/cluster.h
@@ -13,8 +13,14 @@
 
 namespace balsamwheel::bench {
 
-/// Settings of the daemons' "policy" block; empty for the defaults.
-using PolicySettings = std::vector<std::pair<std::string, std::string>>;
+/// A section of a daemon's settings and lines for it.
+struct SettingsSection {
+  std::string m_Name;
+  std::vector<std::string> m_Lines;
+};
+
+/// Settings that differ from the daemon's defaults.
+using PolicySettings = std::vector<SettingsSection>;
 
 struct ClusterOptions {
   Deployment m_Deployment;
@@ -54,6 +60,10 @@
   /// \throws std::runtime_error when that takes too long.
   void start();
   std::vector<Server> &servers() { return m_Servers; }
+  /// Full name of the domain with this suffix.
+  std::string domain(const std::string &Suffix) const {
+    return m_Options.m_Deployment.m_DomainPrefix + "-" + Suffix;
+  }
   std::size_t indexOf(const std::string &Instance) const;
   std::vector<std::size_t> indicesOf(const std::string &Domain) const;
   /// "host:port" of every daemon's caller interface.
--- a/bench/core/deployment.cpp
+++ b/bench/core/deployment.cpp
@@ -9,14 +9,16 @@
 
 using std::chrono::seconds;
 
-constexpr std::array Domains{"domain-a", "domain-b", "domain-c"};
+constexpr std::array DomainSuffixes{"-a", "-b", "-c"};
 
 void addServers(Deployment &Target, const std::string &Service, int Count) {
-  for (int Index = 0; Index < Count; ++Index)
+  for (int Index = 0; Index < Count; ++Index) {
+    const std::size_t Domain = Target.m_Servers.size() % DomainSuffixes.size();
     Target.m_Servers.push_back(
         {.m_Instance = Service + "-" + std::to_string(Index + 1),
          .m_Service = Service,
-         .m_Domain = Domains.at(Target.m_Servers.size() % Domains.size())});
+         .m_Domain = Target.m_DomainPrefix + DomainSuffixes.at(Domain)});
+  }
 }
 
 LoadStream keyedRead(const std::string &Service, const std::string &Class,
@@ -30,6 +32,14 @@
   return Stream;
 }
 
+LoadStream lookup(const std::string &Service, const std::string &Class,
+                  double Rate) {
+  LoadStream Stream =
+      keyedRead(Service, Class, "/" + Service + "/internal", Rate);
+  Stream.m_Deadline = std::chrono::milliseconds(500);
+  return Stream;
+}
+
 LoadStream keyedWrite(const std::string &Service, const std::string &Class,
                       const std::string &Path, double Rate) {
   LoadStream Stream = keyedRead(Service, Class, Path, Rate);
@@ -50,12 +60,14 @@
 Deployment makeValpadana() {
   Deployment Result;
   Result.m_Name = "valpadana";
+  Result.m_DomainPrefix = "valpadana";
+  Result.m_Region = "po-valley";
   addServers(Result, "timetables", 6);
   addServers(Result, "announcements", 5);
   addServers(Result, "calendars", 3);
   Result.m_Streams = {
       keyedRead("timetables", "read", "/timetables", 200),
-      keyedRead("timetables", "lookup", "/lookup", 60),
+      lookup("timetables", "lookup", 60),
       keyedRead("announcements", "read", "/announcements", 40),
       keyedWrite("announcements", "register", "/announcements", 40),
       download("calendars", "download", 15),
@@ -66,13 +78,15 @@
 Deployment makeEtnaVerde() {
   Deployment Result;
   Result.m_Name = "etna-verde";
+  Result.m_DomainPrefix = "etna";
+  Result.m_Region = "sicily";
   addServers(Result, "availability", 6);
   addServers(Result, "orders", 5);
   addServers(Result, "documents", 3);
   Result.m_Streams = {
       keyedRead("availability", "check", "/availability", 200),
-      keyedRead("availability", "lookup", "/lookup", 60),
-      keyedRead("orders", "lookup", "/lookup", 40),
+      lookup("availability", "reservation", 60),
+      lookup("orders", "lookup", 40),
       keyedWrite("orders", "place", "/orders", 40),
       download("documents", "download", 15),
   };
--- a/bench/core/deployment.h
+++ b/bench/core/deployment.h
@@ -17,6 +17,9 @@
 
 struct Deployment {
   std::string m_Name;
+  /// Domains are named PREFIX-a, PREFIX-b and PREFIX-c.
+  std::string m_DomainPrefix;
+  std::string m_Region;
   std::vector<ServerPlan> m_Servers;
   /// Rates for the load factor 1.
   std::vector<LoadStream> m_Streams;
--- a/bench/core/http_server.cpp
+++ b/bench/core/http_server.cpp
@@ -211,7 +211,7 @@
   std::set<ExchangePtr> m_Open;
 };
 
-HttpServer::HttpServer(HttpServerOptions Options, ServerHandler Handler)
+HttpServer::HttpServer(const HttpServerOptions &Options, ServerHandler Handler)
     : m_Impl(std::make_unique<Impl>(Options, std::move(Handler))) {}
 
 HttpServer::~HttpServer() = default;
--- a/bench/core/http_server.h
+++ b/bench/core/http_server.h
@@ -53,7 +53,7 @@
 class HttpServer {
 public:
   /// \throws std::runtime_error when the port can't be opened.
-  HttpServer(HttpServerOptions Options, ServerHandler Handler);
+  HttpServer(const HttpServerOptions &Options, ServerHandler Handler);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/bench/core/platform_stand_in.cpp
+++ b/bench/core/platform_stand_in.cpp
@@ -63,12 +63,14 @@
 
 } // namespace
 
-PlatformStandIn::PlatformStandIn(HttpServerOptions Options)
-    : m_Server(std::move(Options), [this](ServerRequest Request, Reply Answer) {
-        handle(std::move(Request), Answer);
-      }) {}
-
-void PlatformStandIn::handle(ServerRequest Request, const Reply &Answer) {
+PlatformStandIn::PlatformStandIn(const HttpServerOptions &Options)
+    : m_Server(Options,
+               [this](const ServerRequest &Request, const Reply &Answer) {
+                 handle(Request, Answer);
+               }) {}
+
+void PlatformStandIn::handle(const ServerRequest &Request,
+                             const Reply &Answer) {
   if (Request.m_Path == "/v1/faults")
     return Answer->answer(setFaults(Request.m_Body));
   if (Request.m_Path == "/v1/counters")
--- a/bench/core/platform_stand_in.h
+++ b/bench/core/platform_stand_in.h
@@ -30,7 +30,7 @@
 
 class PlatformStandIn {
 public:
-  explicit PlatformStandIn(HttpServerOptions Options);
+  explicit PlatformStandIn(const HttpServerOptions &Options);
 
   std::uint16_t port() const { return m_Server.port(); }
 
@@ -44,7 +44,7 @@
     std::uint64_t m_Bytes = 0;
   };
 
-  void handle(ServerRequest Request, const Reply &Answer);
+  void handle(const ServerRequest &Request, const Reply &Answer);
   void handleStore(const ServerRequest &Request, const Reply &Answer);
   PlatformFault faultFor(const std::string &Instance);
   ServerAnswer apply(const ServerRequest &Request);
--- a/bench/core/scenarios.cpp
+++ b/bench/core/scenarios.cpp
@@ -11,11 +11,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const PolicySettings PlainBaseline{{"handover", "drain-then-switch"},
-                                   {"witnesses", "false"},
-                                   {"gate", "fixed"},
-                                   {"picker", "round-robin"},
-                                   {"hedge", "false"}};
+const SettingsSection PlainLeases{
+    "coordination", {"witnesses: false", "handover: drain_then_switch"}};
+const SettingsSection FixedGate{"admission", {"adaptive: false"}};
+const SettingsSection RoundRobin{"picker",
+                                 {"policy: round_robin", "hedge: false"}};
+const PolicySettings PlainBaseline{PlainLeases, FixedGate, RoundRobin};
 
 /// Index of the N-th server of the keyed service with most servers.
 constexpr std::size_t KeyedServer = 1;
@@ -50,14 +51,16 @@
           }};
 }
 
-TimedAction domainOut(Duration At, const std::string &Domain) {
-  return {At, "take " + Domain + " out",
-          [Domain](Rig &Target) { Target.takeDomainOut(Domain); }};
+TimedAction domainOut(Duration At, const std::string &Suffix) {
+  return {At, "take domain " + Suffix + " out", [Suffix](Rig &Target) {
+            Target.takeDomainOut(Target.cluster().domain(Suffix));
+          }};
 }
 
-TimedAction domainIn(Duration At, const std::string &Domain) {
-  return {At, "take " + Domain + " in",
-          [Domain](Rig &Target) { Target.takeDomainIn(Domain); }};
+TimedAction domainIn(Duration At, const std::string &Suffix) {
+  return {At, "take domain " + Suffix + " in", [Suffix](Rig &Target) {
+            Target.takeDomainIn(Target.cluster().domain(Suffix));
+          }};
 }
 
 TimedAction targetFault(Duration At, const std::string &Label,
@@ -85,9 +88,9 @@
 void raceOperators(Rig &Target) {
   std::vector<ChildProcess> Racing;
   for (int Round = 0; Round < 2; ++Round)
-    for (const char *Domain : {"domain-a", "domain-b", "domain-c"})
-      Racing.push_back(
-          Target.cluster().startOperator({"domain", "out", Domain}));
+    for (const char *Domain : {"a", "b", "c"})
+      Racing.push_back(Target.cluster().startOperator(
+          {"domain", "out", Target.cluster().domain(Domain)}));
   std::string Codes;
   for (ChildProcess &Each : Racing) {
     const auto Status = Each.wait(seconds(30));
@@ -98,8 +101,8 @@
     Target.note("configuration version " +
                 std::to_string(Version->m_Version.value()) + ", domains out " +
                 std::to_string(Version->m_DomainsOut.size()));
-  for (const char *Domain : {"domain-a", "domain-b", "domain-c"})
-    Target.takeDomainIn(Domain);
+  for (const char *Domain : {"a", "b", "c"})
+    Target.takeDomainIn(Target.cluster().domain(Domain));
 }
 
 Scenario make(const char *Name, const char *Help, Duration Length,
@@ -118,8 +121,8 @@
   std::vector<Scenario> Result;
   Result.push_back(make(
       "demo", "a server killed, a failure domain out and back", seconds(20),
-      {kill(seconds(4), KeyedServer), domainOut(seconds(9), "domain-c"),
-       domainIn(seconds(14), "domain-c")},
+      {kill(seconds(4), KeyedServer), domainOut(seconds(9), "c"),
+       domainIn(seconds(14), "c")},
       {}));
   Result.push_back(
       make("node-loss", "a server lost by SIGKILL, back later", seconds(20),
@@ -150,9 +153,9 @@
   Result.push_back(make("operator-race", "six operators at the same time",
                         seconds(16),
                         {{seconds(4), "operators race", &raceOperators}}, {}));
-  Result.push_back(make(
-      "domain-out-in", "a failure domain out and back", seconds(24),
-      {domainOut(seconds(6), "domain-b"), domainIn(seconds(14), "domain-b")}));
+  Result.push_back(
+      make("domain-out-in", "a failure domain out and back", seconds(24),
+           {domainOut(seconds(6), "b"), domainIn(seconds(14), "b")}));
   return Result;
 }
 
@@ -161,7 +164,7 @@
   Result.push_back(make("steady", "nothing happens", seconds(15), {}));
 
   Scenario Cold = make("cold-start", "every target starts cold", seconds(20),
-                       {}, {{"gate", "fixed"}});
+                       {}, {FixedGate});
   Cold.m_ColdTargets = true;
   Cold.m_TimeScale = 10;
   Result.push_back(std::move(Cold));
@@ -169,13 +172,13 @@
   Scenario SilentCold = make(
       "silent-cold", "two targets turn cold without a sign", seconds(20),
       {targetFault(seconds(5), "targets turn cold", {0, 6}, {{"cold", true}})},
-      {{"gate", "fixed"}});
+      {FixedGate});
   SilentCold.m_TimeScale = 10;
   Result.push_back(std::move(SilentCold));
 
-  Scenario Overload = make(
-      "overload-classes", "downloads at twice the capacity", seconds(20),
-      {scaleRate(seconds(6), "downloads rise", 14, true)}, {{"gate", "fixed"}});
+  Scenario Overload =
+      make("overload-classes", "downloads at twice the capacity", seconds(20),
+           {scaleRate(seconds(6), "downloads rise", 14, true)}, {FixedGate});
   Overload.m_TimeScale = 10;
   Result.push_back(std::move(Overload));
 
@@ -186,7 +189,7 @@
                         {{"slow_factor", 10}}),
             targetFault(seconds(18), "the target recovers", {13},
                         {{"slow_factor", 1}})},
-           {{"picker", "round-robin"}, {"hedge", "false"}});
+           {RoundRobin});
   Slowed.m_Deployment = "etna-verde";
   Slowed.m_LoadFactor = 2;
   Result.push_back(std::move(Slowed));
--- a/bench/core/target_stand_in.cpp
+++ b/bench/core/target_stand_in.cpp
@@ -18,25 +18,26 @@
 constexpr Duration AnnouncePeriod = std::chrono::seconds(1);
 constexpr char OrderPath[] = "/v1/orders/";
 
-/// Service time and answer size of the paths that begin with a prefix.
+/// Service time and answer size of the paths that contain a part.
 struct PathProfile {
-  std::string_view m_Prefix;
+  std::string_view m_Part;
   Duration m_Least;
   Duration m_Most;
   std::size_t m_BodySize;
 };
 
 using std::chrono::milliseconds;
+constexpr std::size_t DownloadSize = std::size_t{256} * 1024;
 constexpr std::array<PathProfile, 4> Profiles{{
-    {"/lookup", milliseconds(1), milliseconds(2), 200},
-    {"/calendars", milliseconds(10), milliseconds(20), 256 * 1024},
-    {"/documents", milliseconds(10), milliseconds(20), 256 * 1024},
+    {"/internal", milliseconds(1), milliseconds(2), 200},
+    {"/calendars", milliseconds(10), milliseconds(20), DownloadSize},
+    {"/documents", milliseconds(10), milliseconds(20), DownloadSize},
     {"", milliseconds(2), milliseconds(5), 400},
 }};
 
 const PathProfile &profileOf(const std::string &Path) {
   for (const PathProfile &Profile : Profiles)
-    if (Path.starts_with(Profile.m_Prefix))
+    if (Path.find(Profile.m_Part) != std::string::npos)
       return Profile;
   return Profiles.back();
 }
@@ -80,8 +81,9 @@
       m_Random(m_Options.m_Seed), m_Journal(m_Options.m_Journal) {
   m_Options.m_Http.m_MaxConnections = m_Options.m_Model.m_MaxInside;
   m_Server = std::make_unique<HttpServer>(
-      m_Options.m_Http, [this](ServerRequest Request, Reply Answer) {
-        handle(std::move(Request), Answer);
+      m_Options.m_Http,
+      [this](const ServerRequest &Request, const Reply &Answer) {
+        handle(Request, Answer);
       });
   m_ModelThread = std::thread([this] { runModel(); });
   if (!m_Options.m_Daemon.empty())
@@ -108,7 +110,7 @@
   announce(/*Leaving=*/true);
 }
 
-void TargetStandIn::handle(ServerRequest Request, const Reply &Answer) {
+void TargetStandIn::handle(const ServerRequest &Request, const Reply &Answer) {
   const std::string &Path = Request.m_Path;
   if (Path == "/v1/faults")
     return Answer->answer(setFaults(Request.m_Body));
--- a/bench/core/target_stand_in.h
+++ b/bench/core/target_stand_in.h
@@ -45,7 +45,7 @@
     std::size_t m_BodySize = 0;
   };
 
-  void handle(ServerRequest Request, const Reply &Answer);
+  void handle(const ServerRequest &Request, const Reply &Answer);
   void handleOrder(const ServerRequest &Request, const Reply &Answer);
   ServerAnswer cancel(const std::string &RequestId);
   ServerAnswer grant(const std::string &Body);
