--- a/bench/core/experiment_report.cpp
+++ b/bench/core/experiment_report.cpp
@@ -42,7 +42,8 @@
       << "  unavailable s per shard: p50 " << Seen.m_UnavailableSeconds.m_P50
       << ", p99 " << Seen.m_UnavailableSeconds.m_P99 << ", max "
       << Seen.m_UnavailableSeconds.m_Max << "; " << Seen.m_ShardsHit << " of "
-      << Seen.m_Shards << " shards hit\n"
+      << Seen.m_Shards << " shards hit, of these p50 "
+      << Seen.m_UnavailableSecondsHit.m_P50 << "\n"
       << "  imbalance " << Seen.m_Imbalance << " (peak to mean)\n"
       << "  churn " << Seen.m_OwnerChanges << " owner changes, "
       << Seen.m_ChurnShare << " per shard\n"
@@ -53,6 +54,13 @@
     Out << "  window " << Name << "\n";
     printClasses(Classes, Out);
   }
+  Out << "  orders by instance before the first action:";
+  for (const auto &[Instance, Orders] : Seen.m_OrdersByInstance)
+    Out << " " << Instance << " " << Orders;
+  Out << "\n  attempts not done:";
+  for (const auto &[Reason, Count] : Seen.m_Refusals)
+    Out << " [" << Reason << "] " << Count;
+  Out << "\n";
   for (const std::string &Note : Run.m_Notes)
     Out << "  note: " << Note << "\n";
   Out << "  violations: " << Run.m_Violations.size() << "\n";
@@ -83,6 +91,10 @@
      [](const RunResult &Run) {
        return Run.m_Measures.m_UnavailableSeconds.m_P50;
      }},
+    {"of shards hit, p50",
+     [](const RunResult &Run) {
+       return Run.m_Measures.m_UnavailableSecondsHit.m_P50;
+     }},
     {"unavailable s p99",
      [](const RunResult &Run) {
        return Run.m_Measures.m_UnavailableSeconds.m_P99;
--- a/bench/core/load_generator.cpp
+++ b/bench/core/load_generator.cpp
@@ -187,12 +187,22 @@
   }
 
   bool retry(RequestRecord &Record, Duration RetryAfter) {
-    if (Record.m_Attempts.size() >= m_Plan.m_MaxAttempts)
+    const TimePoint Again = now() + std::max(RetryAfter, LeastRetryDelay);
+    if (Record.m_Attempts.size() >= m_Plan.m_MaxAttempts ||
+        Again > Record.m_Intended + m_Plan.m_Patience || staysUnknown(Record))
       return false;
-    m_Retries.emplace(now() + std::max(RetryAfter, LeastRetryDelay), &Record);
+    m_Retries.emplace(Again, &Record);
     return true;
   }
 
+  bool staysUnknown(const RequestRecord &Record) const {
+    if (m_Plan.m_Streams[Record.m_Stream].m_Idempotent)
+      return false;
+    const auto Unknown = std::ranges::count(Record.m_Attempts, Answer::Unknown,
+                                            &Attempt::m_Answer);
+    return Unknown > m_Plan.m_UnknownRetries;
+  }
+
   void pause() {
     Duration Left = std::chrono::milliseconds(20);
     const TimePoint Now = now();
--- a/bench/core/load_plan.h
+++ b/bench/core/load_plan.h
@@ -34,7 +34,12 @@
   std::vector<std::string> m_Entrances;
   std::uint64_t m_Seed = 1;
   /// Sends of one request, the first included.
-  std::uint32_t m_MaxAttempts = 4;
+  std::uint32_t m_MaxAttempts = 200;
+  /// A caller gives up this long after the intended send.
+  Duration m_Patience = std::chrono::seconds(8);
+  /// Times that a caller asks again about a non-idempotent request after an
+  /// unknown outcome.
+  std::uint32_t m_UnknownRetries = 2;
   /// Share of requests that go straight to the owner once it is known.
   double m_HintShare = 0.7;
   /// The entrances are targets: an answer with status 200 is done.
--- a/bench/core/measures.cpp
+++ b/bench/core/measures.cpp
@@ -119,6 +119,12 @@
   return toSeconds(Sum);
 }
 
+Spread spreadOf(const std::vector<double> &Values) {
+  return {.m_P50 = quantile(Values, 0.50),
+          .m_P99 = quantile(Values, 0.99),
+          .m_Max = quantile(Values, 1.0)};
+}
+
 void measureUnavailable(const Observations &Observed, const Manifest &Services,
                         Measures &Result) {
   std::vector<double> Seconds;
@@ -127,19 +133,25 @@
   Result.m_Shards = Seconds.size();
   Result.m_ShardsHit = static_cast<std::size_t>(
       std::ranges::count_if(Seconds, [](double Each) { return Each > 0; }));
-  Result.m_UnavailableSeconds = {.m_P50 = quantile(Seconds, 0.50),
-                                 .m_P99 = quantile(Seconds, 0.99),
-                                 .m_Max = quantile(Seconds, 1.0)};
+  Result.m_UnavailableSeconds = spreadOf(Seconds);
+  std::erase_if(Seconds, [](double Each) { return Each <= 0; });
+  Result.m_UnavailableSecondsHit = spreadOf(Seconds);
 }
 
-double measureImbalance(const Observations &Observed,
-                        const TimeWindow &Window) {
-  std::map<std::string, std::vector<double>> Counts;
+void countByInstance(const Observations &Observed, const TimeWindow &Window,
+                     Measures &Result) {
   for (const InstanceExecutions &Instance : Observed.m_Instances)
-    Counts[Instance.m_Service].push_back(static_cast<double>(
+    Result.m_OrdersByInstance[Instance.m_Instance] = static_cast<std::uint64_t>(
         std::ranges::count_if(Instance.m_Orders, [&](const Execution &Order) {
           return Order.m_Start >= Window.m_From && Order.m_Start < Window.m_To;
-        })));
+        }));
+}
+
+double imbalanceOf(const Observations &Observed, const Measures &Result) {
+  std::map<std::string, std::vector<double>> Counts;
+  for (const InstanceExecutions &Instance : Observed.m_Instances)
+    Counts[Instance.m_Service].push_back(
+        static_cast<double>(Result.m_OrdersByInstance.at(Instance.m_Instance)));
   double Worst = 0;
   for (const auto &[Service, PerInstance] : Counts) {
     double Sum = 0;
@@ -175,6 +187,14 @@
                           static_cast<double>(Shards.size());
 }
 
+void countRefusals(const Observations &Observed, Measures &Result) {
+  for (const RequestRecord &Request : Observed.m_Requests)
+    for (const Attempt &Each : Request.m_Attempts)
+      if (Each.m_Answer != Answer::Done)
+        ++Result.m_Refusals[toString(Each.m_Answer) + std::string(" ") +
+                            Each.m_Reason];
+}
+
 void measureTotals(const Observations &Observed, Measures &Result) {
   std::size_t Done = 0;
   std::set<std::string_view> Ids;
@@ -231,10 +251,13 @@
     Result.m_Windows[Window.m_Name] =
         measureClasses(Observed, Window.m_From, Window.m_To);
   measureUnavailable(Observed, Version.m_Manifest, Result);
-  if (!Windows.empty())
-    Result.m_Imbalance = measureImbalance(Observed, Windows.front());
+  if (!Windows.empty()) {
+    countByInstance(Observed, Windows.front(), Result);
+    Result.m_Imbalance = imbalanceOf(Observed, Result);
+  }
   measureChurn(Observed, Result);
   measureTotals(Observed, Result);
+  countRefusals(Observed, Result);
   return Result;
 }
 
@@ -248,9 +271,13 @@
            {{"p50", Value.m_UnavailableSeconds.m_P50},
             {"p99", Value.m_UnavailableSeconds.m_P99},
             {"max", Value.m_UnavailableSeconds.m_Max},
+            {"hit_p50", Value.m_UnavailableSecondsHit.m_P50},
+            {"hit_p99", Value.m_UnavailableSecondsHit.m_P99},
             {"shards_hit", Value.m_ShardsHit},
             {"shards", Value.m_Shards}}},
           {"imbalance", Value.m_Imbalance},
+          {"orders_by_instance", Value.m_OrdersByInstance},
+          {"refusals", Value.m_Refusals},
           {"owner_changes", Value.m_OwnerChanges},
           {"churn_share", Value.m_ChurnShare},
           {"amplification", Value.m_Amplification},
--- a/bench/core/measures.h
+++ b/bench/core/measures.h
@@ -37,12 +37,18 @@
   std::map<std::string, ClassMeasures> m_Classes;
   /// By window and stream.
   std::map<std::string, std::map<std::string, ClassMeasures>> m_Windows;
-  /// Seconds without service, over all shards.
+  /// Seconds without service, over all shards that callers asked for.
   Spread m_UnavailableSeconds;
+  /// The same over shards with any such time.
+  Spread m_UnavailableSecondsHit;
   std::size_t m_ShardsHit = 0;
   std::size_t m_Shards = 0;
   /// Largest over mean orders per instance, worst service, first window.
   double m_Imbalance = 0;
+  /// Orders that each instance began in the first window.
+  std::map<std::string, std::uint64_t> m_OrdersByInstance;
+  /// Attempts that were not done, by answer and reason.
+  std::map<std::string, std::uint64_t> m_Refusals;
   /// Changes of the instance that serves a shard, over all shards.
   std::uint64_t m_OwnerChanges = 0;
   double m_ChurnShare = 0;
--- a/bench/core/scenarios.cpp
+++ b/bench/core/scenarios.cpp
@@ -223,7 +223,7 @@
             targetFault(seconds(13), "targets recover", {0, 1, 2, 3, 4, 5},
                         {{"slow_factor", 1}})});
   Storm.m_TimeScale = 5;
-  Storm.m_AdjustLoad = [](LoadPlan &Plan) { Plan.m_MaxAttempts = 10; };
+  Storm.m_AdjustLoad = [](LoadPlan &Plan) { Plan.m_Patience = seconds(3); };
   Result.push_back(std::move(Storm));
   return Result;
 }
