--- a/src/daemon/logging.cpp
+++ b/src/daemon/logging.cpp
@@ -2,11 +2,13 @@
 #include "daemon/logging.h"
 
 #include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/mdc.h>
 #include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
 
+#include <cctype>
 #include <memory>
 #include <utility>
 
@@ -55,12 +57,19 @@
   return Result;
 }
 
+log4cplus::SharedAppenderPtr makeAppender(const std::string &File) {
+  if (File.empty())
+    return log4cplus::SharedAppenderPtr(
+        new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                       /*immediateFlush=*/true));
+  return log4cplus::SharedAppenderPtr(
+      new log4cplus::FileAppender(File, std::ios_base::app));
+}
+
 } // namespace
 
 void configureLogging(const Settings &Given) {
-  log4cplus::SharedAppenderPtr Output(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                     /*immediateFlush=*/true));
+  log4cplus::SharedAppenderPtr Output = makeAppender(Given.m_LogFile);
   const std::string Instance = Given.m_Instance.value();
   if (Given.m_LogFormat == LogFormat::Json)
     Output->setLayout(std::make_unique<JsonLayout>(Instance));
--- a/src/daemon/program/main.cpp
+++ b/src/daemon/program/main.cpp
@@ -20,7 +20,7 @@
 enum ExitCode : int { Success = 0, BadUsage = 2, BadSettings = 3, NoStart = 4 };
 
 struct Arguments {
-  std::string m_Config;
+  std::string m_Settings;
   bool m_Check = false;
 };
 
@@ -30,7 +30,7 @@
       "balsamwheeld",
       "Routes requests to the owners of their keys, beside one target.\n"
       "Exit codes: 0 done, 2 bad usage, 3 bad settings, 4 cannot start.\n");
-  Options.add_options()("c,config", "Settings file (YAML)",
+  Options.add_options()("s,settings", "Settings file (YAML)",
                         cxxopts::value<std::string>(), "FILE")(
       "check", "Check the settings and exit")("h,help", "Show this help");
   try {
@@ -39,12 +39,12 @@
       std::cout << Options.help();
       return Success;
     }
-    if (Given.count("config") == 0 || !Given.unmatched().empty()) {
-      std::cerr << "balsamwheeld: --config FILE is needed, and nothing "
+    if (Given.count("settings") == 0 || !Given.unmatched().empty()) {
+      std::cerr << "balsamwheeld: --settings FILE is needed, and nothing "
                    "besides\n";
       return BadUsage;
     }
-    return Arguments{.m_Config = Given["config"].as<std::string>(),
+    return Arguments{.m_Settings = Given["settings"].as<std::string>(),
                      .m_Check = Given.count("check") > 0};
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "balsamwheeld: " << Error.what() << "\n";
@@ -87,11 +87,11 @@
   if (const auto *Code = std::get_if<ExitCode>(&Parsed))
     return *Code;
   const Arguments &Given = std::get<Arguments>(Parsed);
-  std::optional<Settings> Read = readSettings(Given.m_Config);
+  std::optional<Settings> Read = readSettings(Given.m_Settings);
   if (!Read)
     return BadSettings;
   if (Given.m_Check) {
-    std::cout << Given.m_Config << ": no faults\n";
+    std::cout << Given.m_Settings << ": no faults\n";
     return Success;
   }
   const sigset_t Signals = blockSignals();
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -21,9 +21,19 @@
              : "must be an IPv4 number and a port, as in 127.0.0.1:7000";
 }
 
+constexpr std::string_view UrlScheme = "http://";
+
+std::string checkUrl(const std::string &Text) {
+  return Text.starts_with(UrlScheme) &&
+                 checkAddress(Text.substr(UrlScheme.size())).empty()
+             ? std::string()
+             : "must be as in http://127.0.0.1:7000";
+}
+
 void readPlatform(SectionReader &In, Settings &Out) {
-  In.text("address", Out.m_PlatformAddress, true, checkAddress);
-  In.milliseconds("timeout_ms", Out.m_PlatformTimeout, 10, MaxMs);
+  std::string Url(UrlScheme);
+  In.text("platform", Url, true, checkUrl);
+  Out.m_PlatformAddress = Url.substr(UrlScheme.size());
 }
 
 void readLog(SectionReader &In, Settings &Out) {
@@ -34,11 +44,13 @@
                    {"warn", "warn"},
                    {"error", "error"}});
   using Formats = std::vector<std::pair<std::string, LogFormat>>;
+  In.text("file", Out.m_LogFile);
   In.choice("format", Out.m_LogFormat,
             Formats{{"text", LogFormat::Text}, {"json", LogFormat::Json}});
 }
 
 void readLimits(SectionReader &In, Settings &Out) {
+  In.milliseconds("platform_timeout_ms", Out.m_PlatformTimeout, 10, MaxMs);
   In.integer("caller_connections", Out.m_CallerConnections, 1, 60'000);
   In.integer("peer_connections", Out.m_PeerConnections, 1, 60'000);
   In.milliseconds("target_silence_ms", Out.m_TargetSilence, 100, MaxMs);
@@ -58,29 +70,31 @@
   In.milliseconds("head_poll_ms", Timing.m_HeadPollPeriod, 10, MaxMs);
   In.milliseconds("domain_out_grace_ms", Timing.m_DomainOutGrace, 0, MaxMs);
   In.integer("group_size", Out.m_GroupSize, 1, 64);
-  In.flag("witnesses", Out.m_UseWitnesses);
-  using Modes = std::vector<std::pair<std::string, HandoverMode>>;
-  In.choice("handover", Out.m_Handover,
-            Modes{{"switch_then_resolve", HandoverMode::SwitchThenResolve},
-                  {"drain_then_switch", HandoverMode::DrainThenSwitch}});
 }
 
 void readAdmission(SectionReader &In, AdmissionOptions &Out) {
-  In.flag("adaptive", Out.m_Adaptive);
   In.integer("reserved_urgent", Out.m_ReservedUrgent, 0, MaxCount);
   In.integer("reserved_interactive", Out.m_ReservedInteractive, 0, MaxCount);
   In.integer("cold_slots", Out.m_ColdSlots, 1, MaxCount);
 }
 
-void readPicker(SectionReader &In, PickerOptions &Out) {
+void readPolicy(SectionReader &In, NodeOptions &Out) {
+  using Modes = std::vector<std::pair<std::string, HandoverMode>>;
+  In.choice("handover", Out.m_Coordinator.m_Handover,
+            Modes{{"switch-then-resolve", HandoverMode::SwitchThenResolve},
+                  {"drain-then-switch", HandoverMode::DrainThenSwitch}});
+  In.flag("witnesses", Out.m_Coordinator.m_UseWitnesses);
+  using Gates = std::vector<std::pair<std::string, bool>>;
+  In.choice("gate", Out.m_Admission.m_Adaptive,
+            Gates{{"adaptive", true}, {"fixed", false}});
   using Policies = std::vector<std::pair<std::string, PickPolicy>>;
-  In.choice("policy", Out.m_Policy,
-            Policies{{"two_choices", PickPolicy::TwoChoices},
-                     {"least_loaded", PickPolicy::LeastLoaded},
-                     {"round_robin", PickPolicy::RoundRobin},
+  In.choice("picker", Out.m_Picker.m_Policy,
+            Policies{{"two-choices", PickPolicy::TwoChoices},
+                     {"least-loaded", PickPolicy::LeastLoaded},
+                     {"round-robin", PickPolicy::RoundRobin},
                      {"random", PickPolicy::Random}});
-  In.flag("hedge", Out.m_Hedge);
-  In.real("hedge_budget", Out.m_HedgeBudget, 0, 1);
+  In.flag("hedge", Out.m_Picker.m_Hedge);
+  In.real("hedge_budget", Out.m_Picker.m_HedgeBudget, 0, 1);
 }
 
 void readRetry(SectionReader &In, RetryBudgetOptions &Out) {
@@ -103,11 +117,11 @@
   readName(In, "instance", Out.m_Instance);
   readName(In, "domain", Out.m_Domain);
   readName(In, "region", Out.m_Region);
-  In.text("peer", Out.m_PeerListen, true, checkAddress);
-  In.text("callers", Out.m_CallerListen, true, checkAddress);
-  In.text("target", Out.m_TargetListen, true, checkAddress);
-  In.text("admin", Out.m_AdminListen, true, checkAddress);
-  In.section("platform", [&](SectionReader &S) { readPlatform(S, Out); });
+  In.text("peer_address", Out.m_PeerListen, true, checkAddress);
+  In.text("caller_address", Out.m_CallerListen, true, checkAddress);
+  In.text("target_address", Out.m_TargetListen, true, checkAddress);
+  In.text("admin_address", Out.m_AdminListen, true, checkAddress);
+  readPlatform(In, Out);
   In.section("log", [&](SectionReader &S) { readLog(S, Out); });
   In.section("limits", [&](SectionReader &S) { readLimits(S, Out); });
   NodeOptions &Node = Out.m_Node;
@@ -116,7 +130,7 @@
   });
   In.section("admission",
              [&](SectionReader &S) { readAdmission(S, Node.m_Admission); });
-  In.section("picker", [&](SectionReader &S) { readPicker(S, Node.m_Picker); });
+  In.section("policy", [&](SectionReader &S) { readPolicy(S, Node); });
   In.section("retry", [&](SectionReader &S) { readRetry(S, Node.m_Retry); });
   In.finish();
   Node.m_Coordinator.m_Instance = Out.m_Instance;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -33,6 +33,8 @@
   /// A shutdown that takes longer ends anyhow.
   Duration m_ShutdownLimit = std::chrono::seconds(60);
   std::string m_LogLevel = "info";
+  /// Standard error when empty.
+  std::string m_LogFile;
   LogFormat m_LogFormat = LogFormat::Text;
   NodeOptions m_Node;
 };
