--- a/src/adapters/target_http/target_link.cpp
+++ b/src/adapters/target_http/target_link.cpp
@@ -4,6 +4,7 @@
 #include "adapters/target_http/order.h"
 #include "runtime/boot_clock.h"
 
+#include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -21,6 +22,14 @@
 /// Connections beside those for orders: grants, cancels, load reports.
 constexpr long ControlConnections = 2;
 
+std::string escapePath(const std::string &Text) {
+  char *Escaped =
+      curl_easy_escape(nullptr, Text.data(), static_cast<int>(Text.size()));
+  std::string Result(Escaped);
+  curl_free(Escaped);
+  return Result;
+}
+
 } // namespace
 
 TargetLink::TargetLink(TargetLinkOptions Options, TargetHandlers Handlers,
@@ -108,8 +117,8 @@
     m_Handlers.m_OnEnd(std::move(Report));
     return;
   }
-  const std::string CancelUrl =
-      "http://" + Address + "/v1/orders/" + Order.m_Meta.m_Id.value();
+  const std::string CancelUrl = "http://" + Address + "/v1/orders/" +
+                                escapePath(Order.m_Meta.m_Id.value());
   Transfer Work = makeOrderTransfer(Address, std::move(Order));
   Work.m_Upload = std::move(Upload);
   Work.m_MakePipe = m_MakePipe;
