--- a/include/balsamwheel/detail/coordination/plan_runner.h
+++ b/include/balsamwheel/detail/coordination/plan_runner.h
@@ -22,6 +22,8 @@
   void onViewChanged(TimePoint Now);
   void onSettled(const std::vector<std::pair<ShardRef, Epoch>> &Shards,
                  TimePoint Now);
+  /// Reports of load came in: moves may be due.
+  void onLoadReported(TimePoint Now) { keepEarlier(m_EvaluateAt, Now); }
   void onTick(TimePoint Now);
   TimePoint nextWake() const;
   /// The members in the order in which they plan.
@@ -43,6 +45,7 @@
   SettledShards m_Settled;
   /// Sessions that the commit under way gives a shard to or takes one from.
   std::set<SessionId> m_Affected;
+  std::set<ServiceName> m_Balancing;
   bool m_Writing = false;
   /// When work was first noticed; none while there is none.
   std::optional<TimePoint> m_WorkSince;
--- a/include/balsamwheel/detail/coordination/planner.h
+++ b/include/balsamwheel/detail/coordination/planner.h
@@ -3,7 +3,7 @@
 
 #include "balsamwheel/detail/coordination/cluster_view.h"
 
-#include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +23,8 @@
   const ClusterView *m_View = nullptr;
   const SettledShards *m_Settled = nullptr;
   std::vector<LoadMove> m_LoadMoves;
+  /// Services whose counts are being balanced until all are at their share.
+  std::set<ServiceName> m_Balancing;
   /// Plan also the moves between live owners, which are paced.
   bool m_Paced = true;
 };
@@ -32,6 +34,8 @@
   std::vector<MapRow> m_Rows;
   /// Shards that get another owner.
   std::size_t m_Moves = 0;
+  /// Services to go on balancing in the next round.
+  std::set<ServiceName> m_Balancing;
   /// There are paced moves left for the next round.
   bool m_MoreLater = false;
 };
--- a/src/coordination/plan_runner.cpp
+++ b/src/coordination/plan_runner.cpp
@@ -90,7 +90,9 @@
     Request.m_Paced = true;
     if (m_LoadMoves)
       Request.m_LoadMoves = m_LoadMoves(Now);
+    Request.m_Balancing = m_Balancing;
     Next = planNextStep(Request);
+    m_Balancing = Next.m_Balancing;
   }
   if (Next.m_MoreLater)
     m_EvaluateAt = std::max(m_PacedAt, Now + RoundPeriod);
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -173,28 +173,37 @@
     return Result;
   }
 
+  bool isBalancing() const {
+    return m_Placement.isUnbalanced() ||
+           m_Request.m_Balancing.contains(m_Service.m_Name);
+  }
+
   void balanceCounts() {
-    const std::size_t Unsettled = unsettledCount();
-    // A balancing that began goes on until every count is at its share.
-    if (m_Evicting || (Unsettled == 0 && !m_Placement.isUnbalanced()))
+    if (m_Evicting || !isBalancing())
       return;
-    m_Result.m_MoreLater = true;
     const std::size_t Round =
         std::max(LeastBalanceMoves,
                  static_cast<std::size_t>(m_ShardCount * BalanceShare));
-    if (!m_Request.m_Paced || Unsettled >= Round)
-      return;
-    std::size_t Left = Round - Unsettled;
-    for (std::uint32_t Shard = 0; Shard < m_ShardCount && Left > 0; ++Shard) {
+    const std::size_t Unsettled = unsettledCount();
+    std::size_t Left = Unsettled >= Round ? 0 : Round - Unsettled;
+    bool MoreLater = Unsettled > 0;
+    for (std::uint32_t Shard = 0; Shard < m_ShardCount; ++Shard) {
       const SessionId Owner = entry(Shard).m_Owner;
       if (!isMovable(Shard) || !m_Placement.hasSurplus(Owner))
         continue;
+      MoreLater = true;
+      if (!m_Request.m_Paced || Left == 0)
+        break;
       const std::optional<SessionId> To = m_Placement.choose(shardHash(Shard));
       if (!To || *To == Owner)
         continue;
       assign(Shard, *To);
       --Left;
     }
+    if (!MoreLater)
+      return;
+    m_Result.m_MoreLater = true;
+    m_Result.m_Balancing.insert(m_Service.m_Name);
   }
 
   void storeRows() {
