--- a/include/balsamwheel/detail/node/context.h
+++ b/include/balsamwheel/detail/node/context.h
@@ -43,13 +43,17 @@
 
   std::deque<RequestMessage> &loopback() { return m_Loopback; }
 
-  /// Moves the coordinator's effects and the node's own out.
+  const Effects &effects() const { return m_Effects; }
+
+  /// Moves the coordinator's effects to the node's own.
+  void collectEffects() {
+    for (Effect &Value : m_Coordinator.takeEffects())
+      m_Effects.push_back(std::move(Value));
+  }
+
   Effects takeEffects() {
-    Effects Result = m_Coordinator.takeEffects();
-    for (Effect &Value : m_Effects)
-      Result.push_back(std::move(Value));
-    m_Effects.clear();
-    return Result;
+    collectEffects();
+    return std::exchange(m_Effects, {});
   }
 
   /// A new stream id, unique over all runs of all daemons.
@@ -60,9 +64,11 @@
     return m_LocalRequests;
   }
 
+  /// Remembers the session of the moment as one of this run's.
+  void noteSession() { m_OwnSessions.insert(m_Coordinator.session()); }
+
   /// Whether a session is this run's, now or earlier.
-  bool isOwnSession(SessionId Session) {
-    m_OwnSessions.insert(m_Coordinator.session());
+  bool isOwnSession(SessionId Session) const {
     return m_OwnSessions.contains(Session);
   }
 
--- a/include/balsamwheel/detail/node/entrance.h
+++ b/include/balsamwheel/detail/node/entrance.h
@@ -10,6 +10,7 @@
 #include "balsamwheel/detail/node/context.h"
 #include "balsamwheel/detail/node/member_history.h"
 #include "balsamwheel/detail/node/node.h"
+#include "balsamwheel/detail/node/peer_watch.h"
 #include "balsamwheel/detail/wire/request.h"
 
 #include <cstdint>
@@ -29,8 +30,10 @@
 /// not to run, and, for a later attempt, when the earlier ones are cleared.
 class Entrance {
 public:
-  Entrance(NodeContext &Context, const NodeOptions &Options, std::uint64_t Seed)
-      : m_Context(Context), m_ReceiptTimeout(Options.m_ReceiptTimeout),
+  Entrance(NodeContext &Context, PeerWatch &Watch, const NodeOptions &Options,
+           std::uint64_t Seed)
+      : m_Context(Context), m_Watch(Watch),
+        m_ReceiptTimeout(Options.m_ReceiptTimeout),
         m_Picker(Options.m_Picker, Seed), m_Budget(Options.m_Retry),
         m_History(Options.m_OutcomeMemory) {}
 
@@ -38,7 +41,6 @@
   void onCallerGone(RequestHandle Handle, TimePoint Now);
   void onReceipt(std::uint64_t Stream, TimePoint Now);
   void onReply(ForwardReply Reply, TimePoint Now);
-  void onProbeReply(std::uint64_t Nonce);
   void onPeerLost(const PeerAddress &Peer, TimePoint Now);
   void onTick(TimePoint Now);
   TimePoint nextWake() const;
@@ -151,7 +153,6 @@
                 TimePoint Now);
   void recover(RequestHandle Handle, Request &Value, std::size_t Index,
                TimePoint Now);
-  void resetPeer(const PeerAddress &Peer, TimePoint Now);
   Leg &openLeg(RequestHandle Handle, Request &Value, LegKind Kind,
                const Destination &To, TimePoint Now);
   Leg closeLeg(Request &Value, std::size_t Index);
@@ -169,6 +170,7 @@
               HttpAnswer Http = {}, SessionId Runner = SessionId());
 
   NodeContext &m_Context;
+  PeerWatch &m_Watch;
   Duration m_ReceiptTimeout;
   Picker m_Picker;
   RetryBudget m_Budget;
@@ -176,10 +178,6 @@
   std::unordered_map<RequestHandle, Request> m_Requests;
   std::unordered_map<std::uint64_t, RequestHandle> m_Streams;
   std::set<std::pair<TimePoint, RequestHandle>> m_Wakes;
-  std::uint64_t m_LastNonce = 0;
-  std::unordered_map<PeerAddress, std::uint64_t> m_Answered;
-  std::unordered_map<std::uint64_t, PeerAddress> m_Probes;
-  std::unordered_map<PeerAddress, TimePoint> m_Resets;
   TimePoint m_LastCall = TimePoint::min();
   TimePoint m_HistoryAt = TimePoint::min();
   /// Requests read until then may have waited since before a suspension.
--- a/src/node/entrance.cpp
+++ b/src/node/entrance.cpp
@@ -263,7 +263,6 @@
   Leg Closed = std::move(Value.m_Legs[Index]);
   Value.m_Legs.erase(Value.m_Legs.begin() + static_cast<std::ptrdiff_t>(Index));
   m_Streams.erase(Closed.m_Stream);
-  m_Probes.erase(Closed.m_Probe);
   m_Context.localRequests().erase(Closed.m_Stream);
   return Closed;
 }
--- a/src/node/entrance_silence.cpp
+++ b/src/node/entrance_silence.cpp
@@ -31,17 +31,14 @@
     return;
   }
   if (Each.m_Probe == 0) {
-    Each.m_Probe = ++m_LastNonce;
+    Each.m_Probe = m_Watch.probe(Each.m_Peer);
     Each.m_CheckAt = Now + Each.m_Patience;
-    m_Probes[Each.m_Probe] = Each.m_Peer;
-    m_Context.send(Each.m_Peer, Probe{.m_Nonce = Each.m_Probe});
     return;
   }
-  const bool Alive = m_Answered[Each.m_Peer] >= Each.m_Probe;
-  m_Probes.erase(Each.m_Probe);
+  const bool Alive = m_Watch.answered(Each.m_Peer, Each.m_Probe);
   Each.m_Probe = 0;
   if (!Alive)
-    resetPeer(Each.m_Peer, Now);
+    m_Watch.reset(Each.m_Peer, Now);
   if (Alive && Each.m_Receipt && Value.m_In.m_Meta.m_Idempotent) {
     Each.m_CheckAt = Now + LongSilence;
     return;
@@ -90,15 +87,6 @@
   m_Context.send(To.m_Peer, std::move(Query));
 }
 
-void Entrance::resetPeer(const PeerAddress &Peer, TimePoint Now) {
-  const auto [It, Inserted] = m_Resets.try_emplace(Peer, Now);
-  if (!Inserted && Now - It->second < m_ReceiptTimeout)
-    return;
-  It->second = Now;
-  m_Context.emit(ResetPeer{.m_Peer = Peer});
-  onPeerLost(Peer, Now);
-}
-
 void Entrance::onPeerLost(const PeerAddress &Peer, TimePoint Now) {
   // What was sent may be lost with the connection: ask soon, on a new one.
   for (auto &[Handle, Value] : m_Requests) {
@@ -113,12 +101,4 @@
   }
 }
 
-void Entrance::onProbeReply(std::uint64_t Nonce) {
-  const auto It = m_Probes.find(Nonce);
-  if (It == m_Probes.end())
-    return;
-  std::uint64_t &Answered = m_Answered[It->second];
-  Answered = std::max(Answered, Nonce);
-}
-
 } // namespace balsamwheel
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,13 +16,20 @@
 public:
   Impl(NodeOptions Options, std::uint64_t Seed)
       : m_Context(std::move(Options.m_Coordinator), Seed),
+        m_Watch(m_Context, Options.m_ReceiptTimeout),
         m_Executor(m_Context, Options),
-        m_Entrance(m_Context, Options, m_Context.random()) {}
+        m_Entrance(m_Context, m_Watch, Options, m_Context.random()) {
+    m_Watch.setOnReset([this](const PeerAddress &Peer, TimePoint Now) {
+      m_Entrance.onPeerLost(Peer, Now);
+    });
+  }
 
   template <typename Action> void at(TimePoint Now, Action &&Perform) {
     m_Entrance.noteTime(Now);
     Perform();
+    m_Context.noteSession();
     drainLoopback(Now);
+    watchControl(Now);
   }
 
   void onTick(TimePoint Now) {
@@ -31,6 +38,7 @@
       m_Executor.onTick(Now);
       drainLoopback(Now);
       m_Entrance.onTick(Now);
+      m_Watch.onTick(Now);
     });
   }
 
@@ -42,10 +50,11 @@
 
   TimePoint nextWake() const {
     return std::min({m_Context.coordinator().nextWake(), m_Executor.nextWake(),
-                     m_Entrance.nextWake()});
+                     m_Entrance.nextWake(), m_Watch.nextWake()});
   }
 
   NodeContext m_Context;
+  PeerWatch m_Watch;
   Executor m_Executor;
   Entrance m_Entrance;
 
@@ -73,9 +82,23 @@
               TimePoint /*Now*/) {
     m_Context.send(From, ProbeReply{.m_Nonce = Message.m_Nonce});
   }
-  void handle(const ProbeReply &Message, const PeerAddress & /*From*/,
+  void handle(const ProbeReply &Message, const PeerAddress &From,
               TimePoint /*Now*/) {
-    m_Entrance.onProbeReply(Message.m_Nonce);
+    m_Watch.onProbeReply(From, Message.m_Nonce);
+  }
+
+  /// Checks the connections that carry the coordinator's messages; those have
+  /// no receipts of their own.
+  void watchControl(TimePoint Now) {
+    const std::size_t Known = m_Context.effects().size();
+    m_Context.collectEffects();
+    std::vector<PeerAddress> Peers;
+    for (std::size_t I = Known; I < m_Context.effects().size(); ++I)
+      if (const auto *Sent = std::get_if<SendControl>(&m_Context.effects()[I]))
+        Peers.push_back(Sent->m_To);
+    for (const PeerAddress &Peer : Peers)
+      if (!m_Context.isSelf(Peer))
+        m_Watch.onSent(Peer, Now);
   }
 
   void drainLoopback(TimePoint Now) {
