--- a/include/balsamwheel/detail/node/executor.h
+++ b/include/balsamwheel/detail/node/executor.h
@@ -81,6 +81,8 @@
     OrderId m_Order;
     /// The head of a long answer was passed on.
     bool m_Answering = false;
+    /// Its order was told to end; how long it took says nothing.
+    bool m_Cancelled = false;
   };
 
   using JobHandle = RequestHandle;
@@ -92,6 +94,8 @@
     Duration m_RetryAfter{0};
   };
 
+  /// Frees the slot of an ended order and shows the gate how it went.
+  void teachGate(const Job &Value, const OrderReport &Report, TimePoint Now);
   /// Fills in what the configuration says; false for an unknown service.
   bool classify(Job &Value, TimePoint Now) const;
   /// Checks a non-idempotent id; false when the forward was settled here.
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -458,8 +458,10 @@
     if (Value.m_Stream != Stream || Value.m_From != From)
       continue;
     if (Value.m_Stage == Stage::Running) {
-      if (Value.m_Meta.m_Idempotent)
+      if (Value.m_Meta.m_Idempotent) {
+        Value.m_Cancelled = true;
         m_Context.emit(CancelOrder{.m_Order = Value.m_Order});
+      }
       return;
     }
     if (Value.m_Stage == Stage::Queued)
@@ -490,13 +492,7 @@
   if (Value.m_Shard)
     m_Context.coordinator().orderFinished(*Value.m_Shard, Value.m_Key,
                                           Value.m_Epoch, Now);
-  const bool Shed = Report.m_End == OrderEnd::Shed;
-  const bool Failed = Report.m_End == OrderEnd::Failed ||
-                      Report.m_End == OrderEnd::Aborted ||
-                      Report.m_End == OrderEnd::NotSent;
-  m_Gate->finished(
-      Value.m_Urgency,
-      {.m_Latency = Report.m_Latency, .m_Failed = Failed, .m_Shed = Shed}, Now);
+  teachGate(Value, Report, Now);
   Verdict Result{Outcome::Unknown, Reason::TargetFailed};
   switch (Report.m_End) {
   case OrderEnd::Answered:
@@ -519,6 +515,22 @@
   drainQueue(Now);
 }
 
+void Executor::teachGate(const Job &Value, const OrderReport &Report,
+                         TimePoint Now) {
+  if (Value.m_Cancelled && Report.m_End == OrderEnd::Aborted) {
+    m_Gate->released(Value.m_Urgency);
+    return;
+  }
+  const bool Failed = Report.m_End == OrderEnd::Failed ||
+                      Report.m_End == OrderEnd::Aborted ||
+                      Report.m_End == OrderEnd::NotSent;
+  m_Gate->finished(Value.m_Urgency,
+                   {.m_Latency = Report.m_Latency,
+                    .m_Failed = Failed,
+                    .m_Shed = Report.m_End == OrderEnd::Shed},
+                   Now);
+}
+
 void Executor::onTargetReady(const ServiceName &Service, std::uint32_t Slots,
                              TimePoint Now) {
   m_TargetService = Service;
