Add relays, partitions and silent connections to the bench

A daemon can now state another address to its peers than it listens on, so that a relay of the bench may stand between, and names its instance to the platform, so that the stand-in may fail for some clients only. Both are additive.

--- a/bench/core/cluster.cpp
+++ b/bench/core/cluster.cpp
@@ -40,6 +40,10 @@
     Server Each;
     Each.m_Plan = Plan;
     Each.m_PeerPort = pickFreePort();
+    if (m_Options.m_Relays) {
+      Each.m_RelayPort = pickFreePort();
+      m_Relays.add(Each.m_RelayPort, Each.m_PeerPort);
+    }
     Each.m_CallerPort = pickFreePort();
     Each.m_AnnouncePort = pickFreePort();
     Each.m_AdminPort = pickFreePort();
@@ -48,6 +52,7 @@
     std::filesystem::create_directories(Each.m_Folder);
     m_Servers.push_back(std::move(Each));
   }
+  m_Relays.start();
 }
 
 Cluster::~Cluster() {
@@ -94,6 +99,9 @@
        << "domain: " << Each.m_Plan.m_Domain << "\n"
        << "region: " << m_Options.m_Deployment.m_Region << "\n"
        << "peer: " << local(Each.m_PeerPort) << "\n"
+       << (Each.m_RelayPort == 0
+               ? std::string()
+               : "peer_advertised: " + local(Each.m_RelayPort) + "\n")
        << "callers: " << local(Each.m_CallerPort) << "\n"
        << "target: " << local(Each.m_AnnouncePort) << "\n"
        << "admin: " << local(Each.m_AdminPort) << "\n"
@@ -219,6 +227,24 @@
   return Result;
 }
 
+void Cluster::isolate(const std::vector<std::size_t> &Indices,
+                      bool FromPlatform) {
+  std::set<std::uint16_t> Ports;
+  nlohmann::json Names = nlohmann::json::array();
+  for (const std::size_t Index : Indices) {
+    Ports.insert(m_Servers.at(Index).m_RelayPort);
+    Names.push_back(m_Servers.at(Index).m_Plan.m_Instance);
+  }
+  m_Relays.isolate(std::move(Ports));
+  if (FromPlatform)
+    setPlatformFault({{"mode", "down"}, {"peers", std::move(Names)}});
+}
+
+void Cluster::healPartition() {
+  m_Relays.heal();
+  setPlatformFault({{"mode", "ok"}});
+}
+
 void Cluster::setPlatformFault(const nlohmann::json &Fault) {
   postJson(platformUrl() + "/v1/faults", Fault);
 }
--- a/bench/core/cluster.h
+++ b/bench/core/cluster.h
@@ -5,6 +5,7 @@
 #include "bench/core/deployment.h"
 #include "bench/core/oracle.h"
 #include "bench/core/process.h"
+#include "bench/core/relay.h"
 
 #include <filesystem>
 #include <nlohmann/json.hpp>
@@ -32,12 +33,16 @@
   std::uint64_t m_Seed = 1;
   double m_TimeScale = 1;
   bool m_ColdTargets = false;
+  /// Daemons reach each other through relays.
+  bool m_Relays = false;
 };
 
 /// One daemon and the target beside it.
 struct Server {
   ServerPlan m_Plan;
   std::uint16_t m_PeerPort = 0;
+  /// Where its relay listens; 0 without relays.
+  std::uint16_t m_RelayPort = 0;
   std::uint16_t m_CallerPort = 0;
   std::uint16_t m_AnnouncePort = 0;
   std::uint16_t m_AdminPort = 0;
@@ -78,6 +83,10 @@
   ProgramResult operate(std::vector<std::string> Arguments);
   /// Starts the operators' command line and does not wait.
   ChildProcess startOperator(std::vector<std::string> Arguments);
+  RelayHub &relays() { return m_Relays; }
+  /// Cuts servers off from all other daemons, and from the platform if asked.
+  void isolate(const std::vector<std::size_t> &Indices, bool FromPlatform);
+  void healPartition();
   void setPlatformFault(const nlohmann::json &Fault);
   void setTargetFault(std::size_t Index, const nlohmann::json &Fault);
 
@@ -103,6 +112,7 @@
   std::filesystem::path m_Folder;
   std::uint16_t m_PlatformPort = 0;
   ChildProcess m_Platform;
+  RelayHub m_Relays;
   std::vector<Server> m_Servers;
   bool m_KeepFolder = false;
 };
--- a/bench/core/experiment.cpp
+++ b/bench/core/experiment.cpp
@@ -106,7 +106,8 @@
       .m_Policy = Policy == "baseline" ? Course.m_Baseline : PolicySettings{},
       .m_Seed = Options.m_Seed,
       .m_TimeScale = Course.m_TimeScale,
-      .m_ColdTargets = Course.m_ColdTargets};
+      .m_ColdTargets = Course.m_ColdTargets,
+      .m_Relays = Course.m_Relays};
   Out << Course.m_Name << ", " << Options.m_Deployment << ", " << Policy
       << ", seed " << Options.m_Seed << ": starting "
       << Servers->m_Servers.size() << " servers" << std::endl;
--- /dev/null
+++ b/bench/core/relay.cpp
@@ -0,0 +1,257 @@
+// A poll loop over listeners and pairs of sockets.
+#include "bench/core/relay.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <atomic>
+#include <fcntl.h>
+#include <list>
+#include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace balsamwheel::bench {
+
+namespace {
+
+constexpr int PollMillis = 20;
+constexpr std::size_t ChunkSize = std::size_t{64} * 1024;
+constexpr int ListenBacklog = 512;
+
+sockaddr_in loopback(std::uint16_t Port) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return Address;
+}
+
+int openSocket() { return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0); }
+
+void prepare(int Socket) {
+  const int On = 1;
+  setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  fcntl(Socket, F_SETFL, fcntl(Socket, F_GETFL) | O_NONBLOCK);
+}
+
+struct Listener {
+  int m_Socket = -1;
+  std::uint16_t m_ListenPort = 0;
+  std::uint16_t m_ServerPort = 0;
+};
+
+/// One direction of a connection. Invariant: m_Pending is sent before more is
+/// read.
+struct Direction {
+  int m_From = -1;
+  int m_To = -1;
+  std::string m_Pending;
+};
+
+struct Connection {
+  Direction m_Forth;
+  Direction m_Back;
+  std::uint16_t m_To = 0;
+  /// Port that the opener says it listens on; 0 until its greeting.
+  std::uint16_t m_From = 0;
+  bool m_Silent = false;
+  bool m_Closed = false;
+};
+
+/// Finds "127.0.0.1:PORT" in a greeting.
+std::uint16_t portInGreeting(const std::string &Bytes) {
+  const std::string Host = "127.0.0.1:";
+  const std::size_t Found = Bytes.find(Host);
+  if (Found == std::string::npos)
+    return 0;
+  return static_cast<std::uint16_t>(
+      std::strtoul(Bytes.c_str() + Found + Host.size(), nullptr, 10));
+}
+
+} // namespace
+
+class RelayHub::Impl {
+public:
+  ~Impl() {
+    m_Stopping = true;
+    if (m_Thread.joinable())
+      m_Thread.join();
+    for (const Connection &Each : m_Connections)
+      closeBoth(Each);
+    for (const Listener &Each : m_Listeners)
+      close(Each.m_Socket);
+  }
+
+  void add(std::uint16_t ListenPort, std::uint16_t ServerPort) {
+    const int Socket = openSocket();
+    const int On = 1;
+    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+    const sockaddr_in Address = loopback(ListenPort);
+    if (bind(Socket, reinterpret_cast<const sockaddr *>(&Address),
+             sizeof(Address)) != 0 ||
+        listen(Socket, ListenBacklog) != 0)
+      throw std::runtime_error("a relay cannot listen");
+    prepare(Socket);
+    m_Listeners.push_back({Socket, ListenPort, ServerPort});
+  }
+
+  void start() {
+    m_Thread = std::thread([this] {
+      while (!m_Stopping)
+        step();
+    });
+  }
+
+  void silenceOpenConnections() {
+    const std::lock_guard Lock(m_Mutex);
+    for (Connection &Each : m_Connections)
+      Each.m_Silent = true;
+  }
+
+  void isolate(std::set<std::uint16_t> Ports) {
+    const std::lock_guard Lock(m_Mutex);
+    m_Isolated = std::move(Ports);
+  }
+
+  std::size_t openConnections() const {
+    const std::lock_guard Lock(m_Mutex);
+    return m_Connections.size();
+  }
+
+private:
+  static void closeBoth(const Connection &Each) {
+    close(Each.m_Forth.m_From);
+    close(Each.m_Forth.m_To);
+  }
+
+  bool isHeld(const Connection &Each) const {
+    if (Each.m_Silent)
+      return true;
+    return Each.m_From != 0 &&
+           m_Isolated.contains(Each.m_From) != m_Isolated.contains(Each.m_To);
+  }
+
+  void step() {
+    std::vector<pollfd> Polled = collect();
+    poll(Polled.data(), Polled.size(), PollMillis);
+    const std::lock_guard Lock(m_Mutex);
+    for (const Listener &Each : m_Listeners)
+      acceptAll(Each);
+    for (Connection &Each : m_Connections)
+      if (!isHeld(Each))
+        pump(Each);
+    m_Connections.remove_if([](const Connection &Each) {
+      if (Each.m_Closed)
+        closeBoth(Each);
+      return Each.m_Closed;
+    });
+  }
+
+  std::vector<pollfd> collect() {
+    const std::lock_guard Lock(m_Mutex);
+    std::vector<pollfd> Result;
+    for (const Listener &Each : m_Listeners)
+      Result.push_back({Each.m_Socket, POLLIN, 0});
+    for (const Connection &Each : m_Connections) {
+      if (isHeld(Each))
+        continue;
+      for (const Direction *Way : {&Each.m_Forth, &Each.m_Back})
+        if (Way->m_Pending.empty())
+          Result.push_back({Way->m_From, POLLIN, 0});
+        else
+          Result.push_back({Way->m_To, POLLOUT, 0});
+    }
+    return Result;
+  }
+
+  void acceptAll(const Listener &From) {
+    while (true) {
+      const int Opener = accept4(From.m_Socket, nullptr, nullptr, SOCK_CLOEXEC);
+      if (Opener < 0)
+        return;
+      const int Server = openSocket();
+      const sockaddr_in Address = loopback(From.m_ServerPort);
+      if (connect(Server, reinterpret_cast<const sockaddr *>(&Address),
+                  sizeof(Address)) != 0) {
+        close(Opener);
+        close(Server);
+        continue;
+      }
+      prepare(Opener);
+      prepare(Server);
+      Connection Opened;
+      Opened.m_Forth = {Opener, Server, {}};
+      Opened.m_Back = {Server, Opener, {}};
+      Opened.m_To = From.m_ListenPort;
+      m_Connections.push_back(std::move(Opened));
+    }
+  }
+
+  void pump(Connection &Each) {
+    if (!forward(Each, Each.m_Forth) || !forward(Each, Each.m_Back))
+      Each.m_Closed = true;
+  }
+
+  /// Returns false when the connection has ended.
+  bool forward(Connection &Each, Direction &Way) {
+    if (Way.m_Pending.empty()) {
+      std::array<char, ChunkSize> Chunk{};
+      const ssize_t Count = read(Way.m_From, Chunk.data(), Chunk.size());
+      if (Count == 0)
+        return false;
+      if (Count < 0)
+        return errno == EAGAIN || errno == EINTR;
+      Way.m_Pending.assign(Chunk.data(), static_cast<std::size_t>(Count));
+      if (Each.m_From == 0 && &Way == &Each.m_Forth) {
+        Each.m_From = portInGreeting(Way.m_Pending);
+        if (isHeld(Each))
+          return true;
+      }
+    }
+    const ssize_t Sent = send(Way.m_To, Way.m_Pending.data(),
+                              Way.m_Pending.size(), MSG_NOSIGNAL);
+    if (Sent < 0)
+      return errno == EAGAIN || errno == EINTR;
+    Way.m_Pending.erase(0, static_cast<std::size_t>(Sent));
+    return true;
+  }
+
+  /// Guards the members below, but for m_Listeners once started.
+  mutable std::mutex m_Mutex;
+  std::vector<Listener> m_Listeners;
+  std::list<Connection> m_Connections;
+  std::set<std::uint16_t> m_Isolated;
+  std::atomic<bool> m_Stopping = false;
+  std::thread m_Thread;
+};
+
+RelayHub::RelayHub() : m_Impl(std::make_unique<Impl>()) {}
+
+RelayHub::~RelayHub() = default;
+
+void RelayHub::add(std::uint16_t ListenPort, std::uint16_t ServerPort) {
+  m_Impl->add(ListenPort, ServerPort);
+}
+
+void RelayHub::start() { m_Impl->start(); }
+
+void RelayHub::silenceOpenConnections() { m_Impl->silenceOpenConnections(); }
+
+void RelayHub::isolate(std::set<std::uint16_t> ListenPorts) {
+  m_Impl->isolate(std::move(ListenPorts));
+}
+
+void RelayHub::heal() { m_Impl->isolate({}); }
+
+std::size_t RelayHub::openConnections() const {
+  return m_Impl->openConnections();
+}
+
+} // namespace balsamwheel::bench
--- a/bench/core/rig.h
+++ b/bench/core/rig.h
@@ -66,6 +66,8 @@
   /// Multiplies the service times of targets.
   double m_TimeScale = 1;
   bool m_ColdTargets = false;
+  /// Daemons reach each other through relays.
+  bool m_Relays = false;
   /// Changes the mix; may be empty.
   std::function<void(LoadPlan &)> m_AdjustLoad;
   std::string m_Deployment = "valpadana";
--- a/bench/core/scenarios.cpp
+++ b/bench/core/scenarios.cpp
@@ -159,6 +159,35 @@
   return Result;
 }
 
+std::vector<Scenario> networkScenarios() {
+  Scenario Partition = make(
+      "partition", "a server, then a failure domain, cut off", seconds(28),
+      {{seconds(4), "cut a server off from all daemons",
+        [](Rig &Target) { Target.cluster().isolate({KeyedServer}, false); }},
+       {seconds(10), "heal",
+        [](Rig &Target) { Target.cluster().healPartition(); }},
+       {seconds(14), "cut a domain off from daemons and table",
+        [](Rig &Target) {
+          Cluster &Servers = Target.cluster();
+          Servers.isolate(Servers.indicesOf(Servers.domain("b")), true);
+        }},
+       {seconds(21), "heal",
+        [](Rig &Target) { Target.cluster().healPartition(); }}});
+  Partition.m_Relays = true;
+  Scenario Silent =
+      make("silent-connections", "open connections go silent, new ones work",
+           seconds(20),
+           {{seconds(5), "connections go silent",
+             [](Rig &Target) {
+               Target.cluster().relays().silenceOpenConnections();
+             }},
+            {seconds(12), "connections go silent again", [](Rig &Target) {
+               Target.cluster().relays().silenceOpenConnections();
+             }}});
+  Silent.m_Relays = true;
+  return {std::move(Partition), std::move(Silent)};
+}
+
 std::vector<Scenario> loadScenarios() {
   std::vector<Scenario> Result;
   Result.push_back(make("steady", "nothing happens", seconds(15), {}));
@@ -233,6 +262,7 @@
 const std::vector<Scenario> &scenarios() {
   static const std::vector<Scenario> All = [] {
     std::vector<Scenario> Result = faultScenarios();
+    std::ranges::move(networkScenarios(), std::back_inserter(Result));
     std::ranges::move(loadScenarios(), std::back_inserter(Result));
     return Result;
   }();
--- a/src/adapters/peer_tcp/tcp_transport.cpp
+++ b/src/adapters/peer_tcp/tcp_transport.cpp
@@ -36,6 +36,11 @@
   std::vector<std::uint8_t> m_Frame;
 };
 
+const PeerAddress &advertised(const TcpTransportOptions &Options) {
+  return Options.m_Advertised.value().empty() ? Options.m_Listen
+                                              : Options.m_Advertised;
+}
+
 } // namespace
 
 class TcpTransport::Impl final : public ACE_Event_Handler,
@@ -220,7 +225,7 @@
       return nullptr;
     Connection &Result = adopt(std::move(Added));
     Result.setPeer(Peer);
-    Result.queue(encode(Hello{.m_Listen = m_Options.m_Listen}));
+    Result.queue(encode(Hello{.m_Listen = advertised(m_Options)}));
     m_ByPeer[Peer] = &Result;
     m_Reactor.schedule_timer(this, &Result, ConnectTimeout);
     return &Result;
--- a/src/adapters/peer_tcp/tcp_transport.h
+++ b/src/adapters/peer_tcp/tcp_transport.h
@@ -10,8 +10,10 @@
 namespace balsamwheel::peer_tcp {
 
 struct TcpTransportOptions {
-  /// "host:port" to listen on and to state to peers.
+  /// "host:port" to listen on.
   PeerAddress m_Listen;
+  /// "host:port" to state to peers; empty for m_Listen.
+  PeerAddress m_Advertised;
   /// Most open connections, in both directions together.
   std::size_t m_MaxConnections = 2048;
   /// Bytes waiting for one peer; messages beyond are dropped and the
--- a/src/adapters/platform_http/platform_client.cpp
+++ b/src/adapters/platform_http/platform_client.cpp
@@ -67,7 +67,8 @@
   Transfer Result;
   Result.m_Method = std::move(Method);
   Result.m_Url = "http://" + m_Options.m_Address + Path;
-  Result.m_Headers = {"Content-Type: application/json"};
+  Result.m_Headers = {"Content-Type: application/json",
+                      "Balsamwheel-Instance: " + m_Options.m_Instance};
   Result.m_Body = std::move(Body);
   Result.m_BodyLength = Result.m_Body.size();
   Result.m_Deadline = runtime::bootNow() + m_Options.m_Timeout;
--- a/src/adapters/platform_http/platform_client.h
+++ b/src/adapters/platform_http/platform_client.h
@@ -13,6 +13,8 @@
 struct PlatformClientOptions {
   /// "host:port".
   std::string m_Address;
+  /// Name of this daemon's instance, sent with every request.
+  std::string m_Instance;
   /// No answer within this time leaves a commit ambiguous.
   Duration m_Timeout = std::chrono::seconds(2);
   long m_MaxConnections = 4;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -104,6 +104,8 @@
   readName(In, "domain", Out.m_Domain);
   readName(In, "region", Out.m_Region);
   In.text("peer", Out.m_PeerListen, true, checkAddress);
+  Out.m_PeerAdvertised = Out.m_PeerListen;
+  In.text("peer_advertised", Out.m_PeerAdvertised, false, checkAddress);
   In.text("callers", Out.m_CallerListen, true, checkAddress);
   In.text("target", Out.m_TargetListen, true, checkAddress);
   In.text("admin", Out.m_AdminListen, true, checkAddress);
@@ -122,7 +124,7 @@
   Node.m_Coordinator.m_Instance = Out.m_Instance;
   Node.m_Coordinator.m_Domain = Out.m_Domain;
   Node.m_Coordinator.m_Region = Out.m_Region;
-  Node.m_Coordinator.m_Peer = PeerAddress(Out.m_PeerListen);
+  Node.m_Coordinator.m_Peer = PeerAddress(Out.m_PeerAdvertised);
   Node.m_Coordinator.m_CallerAddress = Out.m_CallerListen;
   return Out;
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -18,6 +18,8 @@
   RegionName m_Region;
   /// "host:port" for other daemons.
   std::string m_PeerListen;
+  /// "host:port" where other daemons reach m_PeerListen.
+  std::string m_PeerAdvertised;
   /// "host:port" for callers.
   std::string m_CallerListen;
   /// "host:port" where the target announces itself.
