Test callers' connections and bodies between daemons

Cause: streaming and refusals had only been tried by hand. Change: tests of the caller server and of body streams with credits, damage and lost connections; a refused request without a body keeps its connection; a closed inbox blocks no thread during shutdown; counters of order ends are looked up once. Conclusion: bodies are whole or visibly cut.

--- a/src/adapters/caller_http/caller_server.cpp
+++ b/src/adapters/caller_http/caller_server.cpp
@@ -85,6 +85,7 @@
   static bool suspendUntilAnswer(CallerExchange &Exchange);
   void handOver(CallerExchange &Exchange);
   MHD_Result refuse(CallerExchange &Exchange, const Refusal &Why);
+  MHD_Result refuseHead(CallerExchange &Exchange, const Refusal &Why);
   MHD_Result respond(CallerExchange &Exchange);
   MHD_Result queue(CallerExchange &Exchange, unsigned Status,
                    const ResponsePtr &Response);
@@ -210,11 +211,24 @@
   const std::shared_ptr<const Config> Known = m_Handlers.m_Config();
   auto Parsed = parseRequest(Head, Known.get(), freshId(Exchange));
   if (const auto *Why = std::get_if<Refusal>(&Parsed))
-    return refuse(Exchange, *Why);
+    return refuseHead(Exchange, *Why);
   Exchange.m_Parsed = std::get<ParsedRequest>(std::move(Parsed));
   return MHD_YES;
 }
 
+MHD_Result CallerServer::Impl::refuseHead(CallerExchange &Exchange,
+                                          const Refusal &Why) {
+  // Answering before the body has come closes the connection, so a request
+  // without a body is answered once it is complete.
+  if (MHD_lookup_connection_value(Exchange.m_Connection, MHD_HEADER_KIND,
+                                  "Content-Length") != nullptr ||
+      MHD_lookup_connection_value(Exchange.m_Connection, MHD_HEADER_KIND,
+                                  "Transfer-Encoding") != nullptr)
+    return refuse(Exchange, Why);
+  Exchange.m_Refusal = Why;
+  return MHD_YES;
+}
+
 MHD_Result CallerServer::Impl::readBody(CallerExchange &Exchange,
                                         std::string_view Data,
                                         std::size_t &Left) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -146,6 +146,7 @@
   /// Ends all threads but the calling one. Bodies fail first, so that no
   /// thread waits for another.
   void stop() {
+    m_Shared.m_Inbox.close();
     m_Admin.stop();
     m_Callers.stop();
     m_Bodies.failAll();
--- a/src/daemon/inbox.h
+++ b/src/daemon/inbox.h
@@ -6,8 +6,11 @@
 #include "runtime/event_waker.h"
 #include "runtime/mailbox.h"
 
+#include <atomic>
+#include <chrono>
 #include <functional>
-#include <string>
+#include <thread>
+#include <utility>
 #include <variant>
 
 namespace balsamwheel::daemon {
@@ -80,8 +83,14 @@
 
   /// False when full.
   bool tryPost(Event &Value) { return m_Mailbox.tryPush(Value); }
-  /// Waits for room. Not for the core thread.
-  void post(Event Value) { m_Mailbox.push(std::move(Value)); }
+  /// Waits for room, unless nobody takes events any more. Not for the core
+  /// thread.
+  void post(Event Value) {
+    while (!m_Closed && !m_Mailbox.tryPush(Value))
+      std::this_thread::sleep_for(FullDelay);
+  }
+  /// The core thread takes nothing more.
+  void close() { m_Closed = true; }
 
   bool tryTake(Event &Value) { return m_Mailbox.tryPop(Value); }
   /// Sleeps until something is posted or \p Until.
@@ -95,9 +104,11 @@
 
 private:
   static constexpr std::size_t DefaultCapacity = 8192;
+  static constexpr std::chrono::microseconds FullDelay{100};
 
   runtime::EventWaker m_Waker;
   runtime::Mailbox<Event, runtime::EventWaker> m_Mailbox;
+  std::atomic<bool> m_Closed{false};
 };
 
 } // namespace balsamwheel::daemon
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -3,7 +3,6 @@
 
 #include <prometheus/text_serializer.h>
 
-#include <array>
 #include <vector>
 
 namespace balsamwheel::daemon {
@@ -104,7 +103,13 @@
       m_TargetLoad(addGauge("balsamwheel_target_reported_load",
                             "Load as the target reports it.")),
       m_TargetHealthy(addGauge("balsamwheel_target_reported_healthy",
-                               "Health as the target reports it.")) {}
+                               "Health as the target reports it.")) {
+  for (const OrderEnd End :
+       {OrderEnd::Answered, OrderEnd::Shed, OrderEnd::NotSent, OrderEnd::Failed,
+        OrderEnd::Aborted})
+    m_Orders.at(static_cast<std::size_t>(End)) =
+        &m_OrderFamily.Add({{"end", nameOf(End)}});
+}
 
 prometheus::Counter &Metrics::addCounter(const char *Name, const char *Help) {
   return prometheus::BuildCounter()
@@ -150,7 +155,7 @@
 }
 
 void Metrics::orderEnded(OrderEnd End, Duration Latency) {
-  m_OrderFamily.Add({{"end", nameOf(End)}}).Increment();
+  m_Orders.at(static_cast<std::size_t>(End))->Increment();
   m_OrderLatency.Observe(toSeconds(Latency));
 }
 
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -9,6 +9,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -67,6 +68,8 @@
   prometheus::Family<prometheus::Counter> &m_OutcomeFamily;
   prometheus::Family<prometheus::Counter> &m_RefusedFamily;
   prometheus::Family<prometheus::Counter> &m_OrderFamily;
+  /// Indexed by OrderEnd.
+  std::array<prometheus::Counter *, 5> m_Orders{};
   prometheus::Histogram &m_OrderLatency;
   prometheus::Counter &m_ControlMessages;
   prometheus::Counter &m_RequestMessages;
--- /dev/null
+++ b/tests/unit-body-streams.cpp
@@ -0,0 +1,183 @@
+// Long bodies between daemons: credits, order, loss, damage.
+#include "daemon/body_streams.h"
+#include "runtime/boot_clock.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+
+using namespace balsamwheel;
+using namespace balsamwheel::daemon;
+using runtime::BodyPipePtr;
+using runtime::PipeState;
+
+namespace {
+
+const PeerAddress Owner("owner");
+const PeerAddress Entrance("entrance");
+
+/// Two daemons joined by a queue of messages that the test delivers.
+struct Pair {
+  struct Letter {
+    PeerAddress m_From;
+    BodyMessage m_Message;
+  };
+
+  /// Delivers everything that is on the way.
+  void deliver() {
+    while (!m_Way.empty()) {
+      Letter Next = std::move(m_Way.front());
+      m_Way.pop_front();
+      if (auto *Chunk = std::get_if<BodyChunk>(&Next.m_Message);
+          Chunk && m_Edit)
+        m_Edit(*Chunk);
+      BodyStreams &To = Next.m_From == Owner ? m_Entrance : m_Owner;
+      To.onMessage(Next.m_From, std::move(Next.m_Message));
+    }
+  }
+
+  BodyStreams::Send sendFrom(const PeerAddress &From) {
+    return [this, From](const PeerAddress &, PeerMessage Message) {
+      m_Way.push_back({From, std::get<BodyMessage>(std::move(Message))});
+    };
+  }
+
+  std::deque<Letter> m_Way;
+  std::function<void(BodyChunk &)> m_Edit;
+  BodyStreams m_Owner{sendFrom(Owner), 100};
+  BodyStreams m_Entrance{sendFrom(Entrance), 500};
+};
+
+/// What arrived of a body.
+struct Transport {
+  std::string m_Received;
+  PipeState m_End = PipeState::Open;
+};
+
+/// Moves a body from the owner to the entrance.
+Transport carry(Pair &Daemons, const std::string &Body, std::size_t PrefixSize,
+                std::size_t ReadSize) {
+  const std::string Prefix = Body.substr(0, PrefixSize);
+  const BodyPipePtr Source = Daemons.m_Owner.make(Prefix, Body.size());
+  const std::uint64_t Local =
+      Daemons.m_Entrance.adopt(Owner, Source->id(), Prefix, Body.size());
+  const BodyPipePtr Sink = Daemons.m_Entrance.claim(Local);
+  Transport Result{.m_Received = Prefix};
+  std::size_t Written = Prefix.size();
+  bool Finished = false;
+  while (Sink->state() == PipeState::Open) {
+    const std::size_t Part =
+        std::min<std::size_t>(40'000, Body.size() - Written);
+    if (Part > 0 &&
+        Source->tryWrite(std::string_view(Body).substr(Written, Part)))
+      Written += Part;
+    if (Written == Body.size() && !std::exchange(Finished, true))
+      Source->finish();
+    Daemons.deliver();
+    Result.m_Received += Sink->take(ReadSize);
+  }
+  Result.m_End = Sink->state();
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("a body arrives whole for any sizes") {
+  CHECK(rc::check([] {
+    const auto Size = *rc::gen::inRange<std::size_t>(1, 2'000'000);
+    const auto Prefix = *rc::gen::inRange<std::size_t>(0, Size);
+    const auto ReadSize = *rc::gen::inRange<std::size_t>(20'000, 300'000);
+    std::string Body(Size, 'a');
+    for (std::size_t I = 0; I < Size; I += 997)
+      Body[I] = static_cast<char>('a' + I % 26);
+    Pair Daemons;
+    const Transport Result = carry(Daemons, Body, Prefix, ReadSize);
+    RC_ASSERT(Result.m_End == PipeState::Ended);
+    RC_ASSERT(Result.m_Received == Body);
+  }));
+}
+
+TEST_CASE("a sender stops when the receiver's credit is spent") {
+  Pair Daemons;
+  const BodyPipePtr Source = Daemons.m_Owner.make("", std::nullopt);
+  const std::uint64_t Local =
+      Daemons.m_Entrance.adopt(Owner, Source->id(), "", std::nullopt);
+  const BodyPipePtr Sink = Daemons.m_Entrance.claim(Local);
+  std::size_t Written = 0;
+  const std::string Part(40'000, 'x');
+  for (int I = 0; I < 100; ++I) {
+    if (Source->tryWrite(Part))
+      Written += Part.size();
+    Daemons.deliver();
+  }
+  // One window under way to the reader, and one pipe of the writer.
+  CHECK(Written <= 2 * runtime::DefaultPipeCapacity + 2 * Part.size());
+  std::size_t Read = 0;
+  while (Read < Written) {
+    Read += Sink->take(100'000).size();
+    Daemons.deliver();
+  }
+  CHECK(Read == Written);
+}
+
+TEST_CASE("damage on the way is noticed") {
+  for (const bool Lose : {false, true}) {
+    Pair Daemons;
+    int Count = 0;
+    Daemons.m_Edit = [&Count, Lose](BodyChunk &Chunk) {
+      if (++Count != 2)
+        return;
+      if (Lose)
+        Chunk.m_Bytes.pop_back();
+      else
+        Chunk.m_Bytes.front() ^= 1;
+    };
+    CHECK(carry(Daemons, std::string(500'000, 'b'), 10, 100'000).m_End ==
+          PipeState::Failed);
+  }
+}
+
+TEST_CASE("a lost connection fails the bodies under way on both sides") {
+  Pair Daemons;
+  const BodyPipePtr Source = Daemons.m_Owner.make("", 1'000'000);
+  const BodyPipePtr Sink = Daemons.m_Entrance.claim(
+      Daemons.m_Entrance.adopt(Owner, Source->id(), "", 1'000'000));
+  Source->tryWrite("abc");
+  Daemons.deliver();
+  Daemons.m_Entrance.onPeerLost(Owner);
+  Daemons.m_Owner.onPeerLost(Entrance);
+  CHECK(Sink->state() == PipeState::Failed);
+  CHECK(Source->state() == PipeState::Failed);
+}
+
+TEST_CASE("a reader that gives up stops the sender") {
+  Pair Daemons;
+  const BodyPipePtr Source = Daemons.m_Owner.make("", std::nullopt);
+  const BodyPipePtr Sink = Daemons.m_Entrance.claim(
+      Daemons.m_Entrance.adopt(Owner, Source->id(), "", std::nullopt));
+  Daemons.deliver();
+  Sink->abandon();
+  Daemons.deliver();
+  CHECK(Source->state() == PipeState::Failed);
+}
+
+TEST_CASE("an unknown body is refused") {
+  Pair Daemons;
+  const BodyPipePtr Sink = Daemons.m_Entrance.claim(
+      Daemons.m_Entrance.adopt(Owner, 12345, "", std::nullopt));
+  Daemons.deliver();
+  CHECK(Sink->state() == PipeState::Failed);
+  CHECK(Daemons.m_Entrance.claim(999) == nullptr);
+}
+
+TEST_CASE("pipes that nobody reads expire, ended ones are forgotten") {
+  Pair Daemons;
+  const BodyPipePtr Unread = Daemons.m_Owner.make("", std::nullopt);
+  Daemons.m_Owner.expire(runtime::bootNow());
+  CHECK(Unread->state() == PipeState::Open);
+  Daemons.m_Owner.expire(runtime::bootNow() + std::chrono::minutes(1));
+  CHECK(Unread->state() == PipeState::Failed);
+  Daemons.m_Owner.expire(runtime::bootNow());
+  CHECK(Daemons.m_Owner.size() == 0);
+}
--- /dev/null
+++ b/tests/unit-caller-server.cpp
@@ -0,0 +1,309 @@
+// The interface for callers: answers, refusals, long bodies, cut answers.
+#include "adapters/caller_http/caller_server.h"
+#include "adapters/http_client/transfer_loop.h"
+#include "runtime/boot_clock.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <future>
+
+using namespace balsamwheel;
+using namespace balsamwheel::caller_http;
+using namespace balsamwheel::http_client;
+
+namespace {
+
+Config makeConfig() {
+  RequestClass Class;
+  Class.m_Name = ClassName("read");
+  Class.m_Deadline = std::chrono::seconds(10);
+  Service Documents;
+  Documents.m_Name = ServiceName("documents");
+  Documents.m_MaxBodyBytes = 10'000'000;
+  Documents.m_Classes = {Class};
+  Config Result;
+  Result.m_Manifest.m_Services = {Documents};
+  return Result;
+}
+
+/// A server whose requests are answered by a function of the test.
+class Fixture {
+public:
+  /// Runs on the server's thread.
+  using Handler = std::function<void(CallerServer &, IncomingRequest)>;
+
+  explicit Fixture(Handler Handle)
+      : m_Handle(std::move(Handle)),
+        m_Server({.m_Listen = "127.0.0.1:0"}, handlers()), m_Loop({}) {
+    REQUIRE_FALSE(m_Server.start());
+  }
+
+  TransferResult call(Transfer Work) {
+    Work.m_Url = "http://127.0.0.1:" + std::to_string(m_Server.port()) +
+                 (Work.m_Url.empty() ? "/documents/1" : Work.m_Url);
+    Work.m_Deadline = runtime::bootNow() + std::chrono::seconds(10);
+    auto Promise = std::make_shared<std::promise<TransferResult>>();
+    auto Future = Promise->get_future();
+    Work.m_OnEnd = [Promise](TransferResult Result) {
+      Promise->set_value(std::move(Result));
+    };
+    m_Loop.submit(std::move(Work));
+    REQUIRE(Future.wait_for(std::chrono::seconds(20)) ==
+            std::future_status::ready);
+    return Future.get();
+  }
+
+  TransferResult get(const std::string &Path) {
+    Transfer Work;
+    Work.m_Url = Path;
+    return call(std::move(Work));
+  }
+
+  runtime::BodyPipePtr makePipe(std::string_view Prefix,
+                                std::optional<std::uint64_t> Length) {
+    runtime::BodyPipeOptions Options;
+    Options.m_Id = 77;
+    Options.m_Prefix = Prefix;
+    Options.m_Length = Length;
+    m_Pipe = std::make_shared<runtime::BodyPipe>(Options);
+    return m_Pipe;
+  }
+
+  CallerHandlers handlers() {
+    return {
+        .m_Config = [] { return std::make_shared<const Config>(makeConfig()); },
+        .m_OnRequest =
+            [this](IncomingRequest &Request) {
+              ++m_Requests;
+              if (!m_Handle)
+                return false;
+              m_Handle(m_Server, std::move(Request));
+              return true;
+            },
+        .m_OnGone = [this](RequestHandle) { ++m_Gone; },
+        .m_MakePipe =
+            [this](std::string_view Prefix,
+                   std::optional<std::uint64_t> Length) {
+              return makePipe(Prefix, Length);
+            },
+        .m_OnRefused = {}};
+  }
+
+  Handler m_Handle;
+  std::atomic<int> m_Requests{0};
+  std::atomic<int> m_Gone{0};
+  runtime::BodyPipePtr m_Pipe;
+  CallerServer m_Server;
+  TransferLoop m_Loop;
+};
+
+AnswerCaller makeAnswer(RequestHandle Request, std::string Body) {
+  AnswerCaller Answer;
+  Answer.m_Request = Request;
+  Answer.m_Outcome = Outcome::Done;
+  Answer.m_OwnerHint = "127.0.0.1:9";
+  Answer.m_Http.m_Status = 201;
+  Answer.m_Http.m_Headers = {{"X-Test", "1"}, {"Connection", "close"}};
+  Answer.m_Http.m_BodyLength = Body.size();
+  Answer.m_Http.m_Body = std::move(Body);
+  return Answer;
+}
+
+std::string headerOf(const TransferResult &Result, std::string_view Name) {
+  for (const auto &[Key, Value] : Result.m_Answer.m_Headers)
+    if (Key == Name)
+      return Value;
+  return {};
+}
+
+/// Writes a body of \p Size bytes into a pipe from a thread of its own.
+std::thread writeBody(runtime::BodyPipePtr Pipe, std::size_t Size, bool Cut) {
+  return std::thread([Pipe, Size, Cut] {
+    const std::string Part(50'000, 'p');
+    for (std::size_t At = 0; At < Size;) {
+      if (Pipe->tryWrite(std::string_view(Part).substr(0, Size - At)))
+        At += std::min(Part.size(), Size - At);
+      else
+        std::this_thread::yield();
+    }
+    if (Cut)
+      Pipe->fail();
+    else
+      Pipe->finish();
+  });
+}
+
+} // namespace
+
+TEST_CASE("an answer passes with status, headers, owner and request id") {
+  Fixture Setup([](CallerServer &Server, IncomingRequest Request) {
+    CHECK(Request.m_Http.m_Method == "POST");
+    CHECK(Request.m_Http.m_Path == "/documents/a%20b?x=1");
+    CHECK(Request.m_Http.m_Body == "body");
+    Server.answer(makeAnswer(Request.m_Handle, "hello"), nullptr);
+  });
+  Transfer Work;
+  Work.m_Method = "POST";
+  Work.m_Url = "/documents/a%20b?x=1";
+  Work.m_Body = "body";
+  Work.m_Headers = {"Balsamwheel-Request-Id: mine"};
+  const TransferResult Result = Setup.call(std::move(Work));
+  CHECK(Result.m_Answer.m_Status == 201);
+  CHECK(Result.m_Answer.m_Body == "hello");
+  CHECK(headerOf(Result, "X-Test") == "1");
+  CHECK(headerOf(Result, "Balsamwheel-Outcome") == "done");
+  CHECK(headerOf(Result, "Balsamwheel-Owner") == "127.0.0.1:9");
+  CHECK(headerOf(Result, "Balsamwheel-Request-Id") == "mine");
+  CHECK(headerOf(Result, "Connection").empty());
+}
+
+TEST_CASE("an answer from another thread wakes the connection") {
+  std::thread Answerer;
+  Fixture Setup([&Answerer](CallerServer &Server, IncomingRequest Request) {
+    Answerer = std::thread([&Server, Handle = Request.m_Handle] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(30));
+      Server.answer(makeAnswer(Handle, "late"), nullptr);
+    });
+  });
+  CHECK(Setup.get("/documents/1").m_Answer.m_Body == "late");
+  Answerer.join();
+}
+
+TEST_CASE("other outcomes come as JSON with the time to wait") {
+  Fixture Setup([](CallerServer &Server, IncomingRequest Request) {
+    AnswerCaller Answer;
+    Answer.m_Request = Request.m_Handle;
+    Answer.m_Outcome = Request.m_Http.m_Path == "/documents/lost"
+                           ? Outcome::Unknown
+                           : Outcome::Wait;
+    Answer.m_Reason = Reason::Overloaded;
+    Answer.m_RetryAfter = std::chrono::milliseconds(1200);
+    Server.answer(std::move(Answer), nullptr);
+  });
+  const TransferResult Wait = Setup.get("/documents/1");
+  CHECK(Wait.m_Answer.m_Status == 503);
+  CHECK(headerOf(Wait, "Retry-After") == "2");
+  const auto Body = nlohmann::json::parse(Wait.m_Answer.m_Body);
+  CHECK(Body["outcome"] == "wait");
+  CHECK(Body["reason"] == "overloaded");
+  CHECK(Body["retry_after_ms"] == 1200);
+  CHECK(Body["request_id"] == headerOf(Wait, "Balsamwheel-Request-Id"));
+  CHECK(Setup.get("/documents/lost").m_Answer.m_Status == 504);
+}
+
+TEST_CASE("bad input is answered here and the connection stays usable") {
+  Fixture Setup([](CallerServer &Server, IncomingRequest Request) {
+    Server.answer(makeAnswer(Request.m_Handle, "ok"), nullptr);
+  });
+  const TransferResult Unknown = Setup.get("/nothing/1");
+  CHECK(Unknown.m_Answer.m_Status == 404);
+  CHECK(headerOf(Unknown, "Connection").empty());
+  Transfer Large;
+  Large.m_Method = "POST";
+  Large.m_Body = std::string(10'000'001, 'x');
+  CHECK(Setup.call(std::move(Large)).m_Answer.m_Status == 413);
+  Transfer Headers;
+  Headers.m_Headers = {"X-Long: " + std::string(100'000, 'h')};
+  const auto Status = Setup.call(std::move(Headers)).m_Answer.m_Status;
+  CHECK((Status == 413 || Status == 414 || Status == 431));
+  CHECK(Setup.m_Requests == 0);
+  CHECK(Setup.get("/documents/1").m_Answer.m_Status == 201);
+}
+
+TEST_CASE("a core without room makes callers wait") {
+  Fixture Setup({});
+  const TransferResult Result = Setup.get("/documents/1");
+  CHECK(Result.m_Answer.m_Status == 503);
+  CHECK(headerOf(Result, "Balsamwheel-Outcome") == "wait");
+}
+
+TEST_CASE("a long answer streams whole, a cut one is no answer") {
+  constexpr std::size_t Size = 2'000'000;
+  for (const bool Cut : {false, true}) {
+    std::thread Writer;
+    Fixture Setup({});
+    Setup.m_Handle = [&](CallerServer &Server, IncomingRequest Request) {
+      AnswerCaller Answer = makeAnswer(Request.m_Handle, "ab");
+      Answer.m_Http.m_BodyLength = Size + 2;
+      Answer.m_Http.m_BodyStream = 77;
+      auto Pipe = Setup.makePipe("ab", Size + 2);
+      Writer = writeBody(Pipe, Cut ? Size / 2 : Size, Cut);
+      Server.answer(std::move(Answer), Pipe);
+    };
+    const TransferResult Result = Setup.get("/documents/1");
+    Writer.join();
+    if (Cut) {
+      CHECK(Result.m_End == TransferEnd::Broken);
+      continue;
+    }
+    CHECK(Result.m_End == TransferEnd::Answered);
+    CHECK(Result.m_Answer.m_Body == "ab" + std::string(Size, 'p'));
+  }
+}
+
+TEST_CASE("an answer whose rest is gone aborts the connection") {
+  Fixture Setup([](CallerServer &Server, IncomingRequest Request) {
+    AnswerCaller Answer = makeAnswer(Request.m_Handle, "ab");
+    Answer.m_Http.m_BodyLength = 100'000;
+    Answer.m_Http.m_BodyStream = 5;
+    Server.answer(std::move(Answer), nullptr);
+  });
+  CHECK(Setup.get("/documents/1").m_End == TransferEnd::Broken);
+}
+
+TEST_CASE("a long request body is handed over early and streams") {
+  std::promise<std::string> Received;
+  std::thread Reader;
+  Fixture Setup({});
+  Setup.m_Handle = [&](CallerServer &Server, IncomingRequest Request) {
+    CHECK(Request.m_Http.m_Body.size() <= InlineBodyLimit);
+    CHECK(Request.m_Http.m_BodyLength == 3'000'000);
+    CHECK(Request.m_Http.m_BodyStream == 77);
+    Reader = std::thread(
+        [&, Body = Request.m_Http.m_Body, Handle = Request.m_Handle]() mutable {
+          while (Setup.m_Pipe->state() == runtime::PipeState::Open) {
+            Body += Setup.m_Pipe->take(100'000);
+            std::this_thread::yield();
+          }
+          Received.set_value(std::move(Body));
+          Server.answer(makeAnswer(Handle, "stored"), nullptr);
+        });
+  };
+  Transfer Work;
+  Work.m_Method = "PUT";
+  Work.m_Body = std::string(3'000'000, 'u');
+  const TransferResult Result = Setup.call(std::move(Work));
+  Reader.join();
+  CHECK(Result.m_Answer.m_Body == "stored");
+  CHECK(Received.get_future().get() == std::string(3'000'000, 'u'));
+}
+
+TEST_CASE("an answer before the end of an upload still arrives") {
+  Fixture Setup([](CallerServer &Server, IncomingRequest Request) {
+    AnswerCaller Answer;
+    Answer.m_Request = Request.m_Handle;
+    Answer.m_Outcome = Outcome::NotRun;
+    Answer.m_Reason = Reason::Overloaded;
+    Server.answer(std::move(Answer), nullptr);
+  });
+  Transfer Work;
+  Work.m_Method = "PUT";
+  Work.m_Body = std::string(3'000'000, 'u');
+  const TransferResult Result = Setup.call(std::move(Work));
+  CHECK(Result.m_Answer.m_Status == 503);
+  CHECK(Setup.m_Requests == 1);
+}
+
+TEST_CASE("stopping aborts requests that wait") {
+  std::promise<void> Arrived;
+  Fixture Setup([&Arrived](CallerServer &, const IncomingRequest &) {
+    Arrived.set_value();
+  });
+  std::thread Stopper([&] {
+    Arrived.get_future().wait();
+    Setup.m_Server.stop();
+  });
+  CHECK(Setup.get("/documents/1").m_End == TransferEnd::Broken);
+  Stopper.join();
+}
