Let the target stand-in announce itself once a second only

Cause: each finished order woke the announcing thread, so the stand-in announced itself with every order and cost the daemon a connection each. Change: the wait ends by time or stop only.

--- a/bench/core/target_stand_in.cpp
+++ b/bench/core/target_stand_in.cpp
@@ -299,7 +299,7 @@
       announce(/*Leaving=*/false);
     Lock.lock();
     if (!m_Stopped)
-      m_Changed.wait_for(Lock, AnnouncePeriod);
+      m_Changed.wait_for(Lock, AnnouncePeriod, [this] { return m_Stopped; });
   }
 }
 
