--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,9 +39,11 @@
             randomSeed() >> 1U),
         m_Gate(m_Shared, m_Bodies),
         m_Peers({.m_Listen = PeerAddress(m_Settings.m_PeerListen),
+                 .m_Advertised = PeerAddress(m_Settings.m_PeerAdvertised),
                  .m_MaxConnections = m_Settings.m_PeerConnections},
                 m_Gate.handlers()),
         m_Platform({.m_Address = m_Settings.m_PlatformAddress,
+                    .m_Instance = m_Settings.m_Instance.value(),
                     .m_Timeout = m_Settings.m_PlatformTimeout}),
         m_Target({.m_Listen = m_Settings.m_TargetListen,
                   .m_SilenceLimit = m_Settings.m_TargetSilence},
@@ -146,6 +148,7 @@
   /// Ends all threads but the calling one. Bodies fail first, so that no
   /// thread waits for another.
   void stop() {
+    m_Shared.m_Inbox.close();
     m_Admin.stop();
     m_Callers.stop();
     m_Bodies.failAll();
