Keep a group at one write in each heartbeat period

Cause: in crowded groups waiting for the next write took longer than the timeout of members, who turned to other writers; the conflicts delayed the first writer further, and the state held itself up. Change: writes may follow after 120 ms, so that a straggler is served within the timeout; others than the first in rank read the row before they write and acknowledge what already stands there; a writer is preferred only after two failovers in a row.

--- a/include/balsamwheel/detail/coordination/group_leader.h
+++ b/include/balsamwheel/detail/coordination/group_leader.h
@@ -47,6 +47,7 @@
 
   GroupRow currentRow(std::uint32_t Group) const;
   bool isWriterFor(SessionId Session) const;
+  bool isFirst() const;
   /// Grows with each failure of the table in a row.
   Duration retryDelay();
   void flush(TimePoint Now);
@@ -59,7 +60,12 @@
   void onCommitted(CommitResult Result, const std::vector<Row> &Rows,
                    bool Structural, TimePoint Now);
   void acknowledgeAll(TimePoint Now);
-  void dropServed(const GroupRow &Row);
+  void acknowledge(const GroupRow &Row, const GroupMember &Value,
+                   TimePoint Now);
+  /// Acknowledges heartbeats that another writer put into the row.
+  void releaseServed(TimePoint Now);
+  /// The head row was read lately enough to acknowledge.
+  bool knowsHead(TimePoint Now) const;
   void observe(const GroupRow &Row, TimePoint Now);
   void askWitnesses(const GroupRow &Row, TimePoint Now);
   /// Notes members whose address a newer session listens at.
--- a/include/balsamwheel/detail/coordination/membership.h
+++ b/include/balsamwheel/detail/coordination/membership.h
@@ -99,6 +99,8 @@
   TimePoint m_ExtendAt = Never;
   std::size_t m_Attempt = 0;
   std::size_t m_JoinRounds = 0;
+  /// Heartbeats in a row that needed another writer.
+  std::size_t m_Failovers = 0;
   /// Goes first in the order of writers for a while.
   SessionId m_Preferred;
   TimePoint m_PreferUntil{};
--- a/src/coordination/group_leader.cpp
+++ b/src/coordination/group_leader.cpp
@@ -11,8 +11,9 @@
 
 /// Heartbeats that come within this time share a write.
 constexpr Duration BatchDelay = std::chrono::milliseconds(60);
-/// Least time between two writes of the row.
-constexpr Duration LeastFlushGap = std::chrono::milliseconds(240);
+/// Least time between two writes of the row; with the batch delay it stays
+/// below the time after which members turn to another writer.
+constexpr Duration LeastFlushGap = std::chrono::milliseconds(120);
 constexpr Duration RetryDelay = std::chrono::milliseconds(200);
 /// So many members, first in order, write the row for others.
 constexpr std::ptrdiff_t MostWriters = 4;
@@ -89,6 +90,11 @@
   return std::distance(Order.begin(), Own) < MostWriters;
 }
 
+bool GroupLeader::isFirst() const {
+  const std::vector<SessionId> Order = leaderOrder(currentRow(m_Group));
+  return Order.empty() || Order.front() == m_Context->m_Session;
+}
+
 Duration GroupLeader::retryDelay() {
   const Duration Delay = RetryDelay * (1U << std::min(m_Failures, 2U));
   ++m_Failures;
@@ -106,7 +112,10 @@
     m_FlushAt = Now + BatchDelay;
     return;
   }
-  if (Now - m_Poller->freshAt() <= m_Context->m_Options.m_Timing.m_Lease / 2) {
+  const bool Fresh =
+      Now - m_Poller->freshAt() <= m_Context->m_Options.m_Timing.m_Lease / 2;
+  // Others look first whether the one in front has written meanwhile.
+  if (Fresh && isFirst()) {
     flushWithFreshView(Now);
     return;
   }
@@ -123,6 +132,7 @@
 void GroupLeader::flushWithFreshView(TimePoint Now) {
   GroupRow Row = currentRow(m_Group);
   observe(Row, Now);
+  releaseServed(Now);
   const bool HadWork = !m_Pending.empty() || m_RemoveSelf;
   bool Structural = applyHeartbeats(Row);
   Structural = expelSilent(Row, Now) || Structural;
@@ -259,7 +269,6 @@
   // live member would bar its extension.
   askWitnesses(currentRow(m_Group), Now);
   acknowledgeAll(Now);
-  dropServed(currentRow(m_Group));
   if (!m_Pending.empty())
     m_FlushAt = Now + LeastFlushGap;
   if (m_RemoveSelf && m_Removed) {
@@ -268,30 +277,48 @@
   }
 }
 
+void GroupLeader::acknowledge(const GroupRow &Row, const GroupMember &Value,
+                              TimePoint Now) {
+  HeartbeatAck Ack;
+  Ack.m_Group = m_Group;
+  Ack.m_Session = Value.m_Member.m_Session;
+  Ack.m_SequenceCommitted = Value.m_Sequence;
+  Ack.m_GroupRow = Row.m_Version;
+  Ack.m_Head = m_Context->m_View.completeHead();
+  m_Acknowledge(Value.m_Member.m_Peer, Ack, Now);
+}
+
+bool GroupLeader::knowsHead(TimePoint Now) const {
+  return Now - m_Poller->freshAt() <= m_Context->m_Options.m_Timing.m_Lease;
+}
+
 void GroupLeader::acknowledgeAll(TimePoint Now) {
   for (auto &[To, Refusal] : std::exchange(m_Refusals, {}))
     m_Acknowledge(To, Refusal, Now);
-  if (Now - m_Poller->freshAt() > m_Context->m_Options.m_Timing.m_Lease)
-    return;
   const GroupRow Row = currentRow(m_Group);
-  for (const GroupMember &Value : Row.m_Members) {
-    HeartbeatAck Ack;
-    Ack.m_Group = m_Group;
-    Ack.m_Session = Value.m_Member.m_Session;
-    Ack.m_SequenceCommitted = Value.m_Sequence;
-    Ack.m_GroupRow = Row.m_Version;
-    Ack.m_Head = m_Context->m_View.completeHead();
-    m_Acknowledge(Value.m_Member.m_Peer, Ack, Now);
-  }
-}
-
-void GroupLeader::dropServed(const GroupRow &Row) {
+  if (knowsHead(Now))
+    for (const GroupMember &Value : Row.m_Members)
+      acknowledge(Row, Value, Now);
   std::erase_if(m_Pending, [&Row](const auto &Item) {
     const GroupMember *Known = Row.find(Item.first);
     return Known && Known->m_Sequence >= Item.second.m_Heartbeat.m_Sequence;
   });
 }
 
+void GroupLeader::releaseServed(TimePoint Now) {
+  const GroupRow Row = currentRow(m_Group);
+  for (auto Next = m_Pending.begin(); Next != m_Pending.end();) {
+    const GroupMember *Known = Row.find(Next->first);
+    if (!Known || Known->m_Sequence < Next->second.m_Heartbeat.m_Sequence) {
+      ++Next;
+      continue;
+    }
+    if (knowsHead(Now))
+      acknowledge(Row, *Known, Now);
+    Next = m_Pending.erase(Next);
+  }
+}
+
 void GroupLeader::observe(const GroupRow &Row, TimePoint Now) {
   for (const GroupMember &Value : Row.m_Members)
     m_Judge.observe(Value, Now);
@@ -321,7 +348,7 @@
   m_Pushed = Complete;
   if (m_Context->m_Changed.m_Members)
     noteReplaced(currentRow(m_Group), Now);
-  dropServed(currentRow(m_Group));
+  releaseServed(Now);
 }
 
 void GroupLeader::pushChanges() {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t SelfWriteInterval = 8;
 /// A member that wrote while earlier ones in order failed goes first so long.
 constexpr Duration PreferenceTime = std::chrono::seconds(5);
+/// Heartbeats in a row that the first writer left unanswered before that.
+constexpr std::size_t FailoversToPrefer = 2;
 /// Leaving the group is given up after this time.
 constexpr Duration LeaveTimeout = std::chrono::seconds(2);
 constexpr std::size_t MostGroupDoublings = 6;
@@ -240,7 +242,8 @@
                           TimePoint Now) {
   m_State = State::Joined;
   m_AckedRow = std::max(m_AckedRow, Message.m_GroupRow);
-  if (m_Attempt > 1)
+  m_Failovers = m_Attempt > 1 ? m_Failovers + 1 : 0;
+  if (m_Failovers >= FailoversToPrefer)
     prefer(From, Now);
   const bool Behind = m_Context->m_View.completeHead() < Message.m_Head;
   const bool WasBehind = m_Context->m_View.completeHead() < m_HeadNamed;
