Test the command line against the platform stand-in

Cause: the commands had no tests. Change: commits, races, outages, a lost answer, failure domains and usage. Conclusion: a race of two operators leaves one winner and one conflict.

--- /dev/null
+++ b/tests/unit-cli.cpp
@@ -0,0 +1,200 @@
+// The operators' command line against the platform stand-in.
+#include "bench/core/http_client.h"
+#include "bench/core/platform_stand_in.h"
+#include "cli/command_line.h"
+#include "cli/error.h"
+#include "cli/remaining_capacity.h"
+#include "cli/table_session.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <sstream>
+
+using namespace balsamwheel;
+using namespace balsamwheel::cli;
+
+namespace {
+
+struct Output {
+  int m_Code = 0;
+  std::string m_Out;
+  std::string m_Err;
+};
+
+/// A platform and the command line pointed at it.
+class Rig {
+public:
+  Rig() : m_Platform({}) {}
+
+  Output run(std::vector<std::string> Arguments) {
+    Arguments.insert(Arguments.begin(),
+                     {"--platform", address(), "--table-timeout", "400"});
+    std::ostringstream Out;
+    std::ostringstream Err;
+    const int Code = runCommandLine(Arguments, Out, Err);
+    return {Code, Out.str(), Err.str()};
+  }
+
+  void setFault(const std::string &Body) {
+    bench::ClientRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Url = "http://" + address() + "/v1/faults";
+    Request.m_Body = Body;
+    REQUIRE(bench::sendRequest(Request).m_Status == 200);
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(m_Platform.port());
+  }
+
+private:
+  bench::PlatformStandIn m_Platform;
+};
+
+/// A manifest file that is removed again.
+class ManifestFile {
+public:
+  explicit ManifestFile(const std::string &Slots) {
+    std::ofstream(m_Path)
+        << "deployment: test\n"
+           "failure_domains: [{name: a, region: r}, {name: b, region: r}]\n"
+           "services:\n"
+           "  - name: orders\n"
+           "    divided_by_key: true\n"
+           "    shards: 16\n"
+           "    limits: {slots: "
+        << Slots
+        << ", connections: 50}\n"
+           "    classes: [{name: read}]\n";
+  }
+  ~ManifestFile() { std::remove(m_Path.c_str()); }
+  const std::string m_Path = "unit-cli-manifest.yaml";
+};
+
+int codeOf(CliError Error) { return static_cast<int>(Error); }
+
+} // namespace
+
+TEST_CASE("a manifest is committed against its base and shown") {
+  Rig Subject;
+  const ManifestFile File("4");
+  const Output Committed =
+      Subject.run({"manifest", "commit", File.m_Path, "--base", "0"});
+  CHECK(Committed.m_Code == 0);
+  CHECK(Committed.m_Out.find("version 1") != std::string::npos);
+
+  const Output Shown = Subject.run({"--json", "manifest", "show"});
+  const auto Document = nlohmann::json::parse(Shown.m_Out);
+  CHECK(Document.at("version") == 1);
+  CHECK(Document.at("deployment") == "test");
+}
+
+TEST_CASE("a commit against an old base is a conflict that changes nothing") {
+  Rig Subject;
+  const ManifestFile File("4");
+  REQUIRE(
+      Subject.run({"manifest", "commit", File.m_Path, "--base", "0"}).m_Code ==
+      0);
+  const Output Second =
+      Subject.run({"manifest", "commit", File.m_Path, "--base", "0"});
+  CHECK(Second.m_Code == codeOf(CliError::Conflict));
+  CHECK(Second.m_Err.find("nothing was changed") != std::string::npos);
+  const Output Status = Subject.run({"--json", "status"});
+  CHECK(nlohmann::json::parse(Status.m_Out).at("version") == 1);
+}
+
+TEST_CASE("of two operators at the same time one wins") {
+  Rig Subject;
+  const ManifestFile File("4");
+  const auto Race = [&] {
+    return Subject.run({"manifest", "commit", File.m_Path, "--base", "0"})
+        .m_Code;
+  };
+  auto First = std::async(std::launch::async, Race);
+  auto Second = std::async(std::launch::async, Race);
+  const int Codes = First.get() + Second.get();
+  CHECK(Codes == codeOf(CliError::Conflict));
+}
+
+TEST_CASE("failure domains go out and in by new versions") {
+  Rig Subject;
+  const ManifestFile File("4");
+  REQUIRE(
+      Subject.run({"manifest", "commit", File.m_Path, "--base", "0"}).m_Code ==
+      0);
+  CHECK(Subject.run({"domain", "out", "a"}).m_Code == 0);
+  const Output Status = Subject.run({"--json", "status"});
+  CHECK(nlohmann::json::parse(Status.m_Out).at("domains").at("a") == "out");
+  CHECK(Subject.run({"domain", "out", "a"}).m_Out.find("nothing was changed") !=
+        std::string::npos);
+  CHECK(Subject.run({"domain", "in", "a"}).m_Code == 0);
+  CHECK(Subject.run({"domain", "out", "nowhere"}).m_Code ==
+        codeOf(CliError::InvalidInput));
+}
+
+TEST_CASE("the number of shards cannot be changed under way") {
+  Rig Subject;
+  const ManifestFile File("4");
+  REQUIRE(
+      Subject.run({"manifest", "commit", File.m_Path, "--base", "0"}).m_Code ==
+      0);
+  {
+    std::ifstream In(File.m_Path);
+    std::stringstream Text;
+    Text << In.rdbuf();
+    std::string Changed = Text.str();
+    Changed.replace(Changed.find("shards: 16"), 10, "shards: 32");
+    std::ofstream(File.m_Path) << Changed;
+  }
+  CHECK(
+      Subject.run({"manifest", "commit", File.m_Path, "--base", "1"}).m_Code ==
+      codeOf(CliError::InvalidInput));
+}
+
+TEST_CASE("a table that is down changes nothing and says so") {
+  Rig Subject;
+  const ManifestFile File("4");
+  Subject.setFault(R"({"mode":"down"})");
+  const Output Result =
+      Subject.run({"manifest", "commit", File.m_Path, "--base", "0"});
+  CHECK(Result.m_Code == codeOf(CliError::Unreachable));
+  CHECK(Result.m_Err.find("nothing was changed") != std::string::npos);
+}
+
+TEST_CASE("a commit whose answer was lost is recognised as made") {
+  Rig Subject;
+  TableSession Table(Subject.address(), std::chrono::milliseconds(5000));
+  const RowKey Marker("marker");
+  const Transaction Commit{.m_Id = WriteId(42),
+                           .m_Conditions = {{Marker, RowVersion()}},
+                           .m_Writes = {{Marker, R"({"write_id": 42})"}}};
+  Subject.setFault(R"({"mode":"ambiguous"})");
+  auto Result = std::async(std::launch::async,
+                           [&] { return Table.commit(Commit, Marker); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  Subject.setFault(R"({"mode":"ok"})");
+  CHECK_FALSE(Result.get());
+  const auto Rows = Table.read({.m_Keys = {Marker}, .m_Prefixes = {}});
+  REQUIRE(Rows.has_value());
+  CHECK(Rows->at(0).m_Value == R"({"write_id": 42})");
+}
+
+TEST_CASE("wrong usage is told apart from failures") {
+  Rig Subject;
+  CHECK(Subject.run({"domain"}).m_Code == codeOf(CliError::Usage));
+  CHECK(Subject.run({"route", "orders"}).m_Code == codeOf(CliError::Usage));
+  CHECK(Subject.run({"--nonsense"}).m_Code == codeOf(CliError::Usage));
+  CHECK(Subject.run({"--help"}).m_Code == 0);
+  CHECK(Subject.run({"manifest", "check", "no-such-file"}).m_Code ==
+        codeOf(CliError::InvalidInput));
+}
+
+TEST_CASE("what remains bears the load up to the bearable share") {
+  CHECK_FALSE(isShort(7, 10));
+  CHECK(isShort(9, 10));
+  CHECK(isShort(0, 0));
+}
