--- a/bench/core/cluster.cpp
+++ b/bench/core/cluster.cpp
@@ -40,6 +40,10 @@
     Server Each;
     Each.m_Plan = Plan;
     Each.m_PeerPort = pickFreePort();
+    if (m_Options.m_Relays) {
+      Each.m_RelayPort = pickFreePort();
+      m_Relays.add(Each.m_RelayPort, Each.m_PeerPort);
+    }
     Each.m_CallerPort = pickFreePort();
     Each.m_AnnouncePort = pickFreePort();
     Each.m_AdminPort = pickFreePort();
@@ -48,6 +52,7 @@
     std::filesystem::create_directories(Each.m_Folder);
     m_Servers.push_back(std::move(Each));
   }
+  m_Relays.start();
 }
 
 Cluster::~Cluster() {
@@ -92,28 +97,30 @@
   std::ofstream File(Each.m_Folder / "settings.yaml");
   File << "instance: " << Each.m_Plan.m_Instance << "\n"
        << "domain: " << Each.m_Plan.m_Domain << "\n"
-       << "region: region-1\n"
-       << "peer_address: " << local(Each.m_PeerPort) << "\n"
-       << "caller_address: " << local(Each.m_CallerPort) << "\n"
-       << "target_address: " << local(Each.m_AnnouncePort) << "\n"
-       << "admin_address: " << local(Each.m_AdminPort) << "\n"
-       << "platform: " << platformUrl() << "\n"
-       << "log:\n  level: info\n  format: json\n  file: "
-       << (Each.m_Folder / "daemon.jsonl").string() << "\n";
-  if (m_Options.m_Policy.empty())
-    return;
-  File << "policy:\n";
-  for (const auto &[Name, Value] : m_Options.m_Policy)
-    File << "  " << Name << ": " << Value << "\n";
+       << "region: " << m_Options.m_Deployment.m_Region << "\n"
+       << "peer: " << local(Each.m_PeerPort) << "\n"
+       << (Each.m_RelayPort == 0
+               ? std::string()
+               : "peer_advertised: " + local(Each.m_RelayPort) + "\n")
+       << "callers: " << local(Each.m_CallerPort) << "\n"
+       << "target: " << local(Each.m_AnnouncePort) << "\n"
+       << "admin: " << local(Each.m_AdminPort) << "\n"
+       << "platform:\n  address: " << local(m_PlatformPort) << "\n"
+       << "log:\n  level: info\n  format: json\n";
+  for (const SettingsSection &Section : m_Options.m_Policy) {
+    File << Section.m_Name << ":\n";
+    for (const std::string &Line : Section.m_Lines)
+      File << "  " << Line << "\n";
+  }
 }
 
 void Cluster::startServer(std::size_t Index, bool Cold) {
   Server &Each = m_Servers.at(Index);
   writeSettings(Each);
-  Each.m_Daemon = ChildProcess(
-      {.m_Command = {m_Options.m_Programs / "balsamwheeld", "--settings",
-                     Each.m_Folder / "settings.yaml"},
-       .m_Log = Each.m_Folder / "daemon.log"});
+  Each.m_Daemon =
+      ChildProcess({.m_Command = {m_Options.m_Programs / "balsamwheeld",
+                                  "--config", Each.m_Folder / "settings.yaml"},
+                    .m_Log = Each.m_Folder / "daemon.log"});
   std::vector<std::string> Command{
       m_Options.m_Programs / "balsamwheel-bench",
       "target",
@@ -220,6 +227,24 @@
   return Result;
 }
 
+void Cluster::isolate(const std::vector<std::size_t> &Indices,
+                      bool FromPlatform) {
+  std::set<std::uint16_t> Ports;
+  nlohmann::json Names = nlohmann::json::array();
+  for (const std::size_t Index : Indices) {
+    Ports.insert(m_Servers.at(Index).m_RelayPort);
+    Names.push_back(m_Servers.at(Index).m_Plan.m_Instance);
+  }
+  m_Relays.isolate(std::move(Ports));
+  if (FromPlatform)
+    setPlatformFault({{"mode", "down"}, {"peers", std::move(Names)}});
+}
+
+void Cluster::healPartition() {
+  m_Relays.heal();
+  setPlatformFault({{"mode", "ok"}});
+}
+
 void Cluster::setPlatformFault(const nlohmann::json &Fault) {
   postJson(platformUrl() + "/v1/faults", Fault);
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -18,6 +18,8 @@
   RegionName m_Region;
   /// "host:port" for other daemons.
   std::string m_PeerListen;
+  /// "host:port" where other daemons reach m_PeerListen.
+  std::string m_PeerAdvertised;
   /// "host:port" for callers.
   std::string m_CallerListen;
   /// "host:port" where the target announces itself.
@@ -33,6 +35,8 @@
   /// A shutdown that takes longer ends anyhow.
   Duration m_ShutdownLimit = std::chrono::seconds(60);
   std::string m_LogLevel = "info";
+  /// Standard error when empty.
+  std::string m_LogFile;
   LogFormat m_LogFormat = LogFormat::Text;
   NodeOptions m_Node;
 };
