Follow the daemon's renamed settings in the bench

Cause: the daemon took over the names that had been agreed (peer_address, policy and so on), and the command line landed with host:port for the platform. Change: the cluster writes these.

--- a/bench/core/cluster.cpp
+++ b/bench/core/cluster.cpp
@@ -98,29 +98,30 @@
   File << "instance: " << Each.m_Plan.m_Instance << "\n"
        << "domain: " << Each.m_Plan.m_Domain << "\n"
        << "region: " << m_Options.m_Deployment.m_Region << "\n"
-       << "peer: " << local(Each.m_PeerPort) << "\n"
+       << "peer_address: " << local(Each.m_PeerPort) << "\n"
        << (Each.m_RelayPort == 0
                ? std::string()
                : "peer_advertised: " + local(Each.m_RelayPort) + "\n")
-       << "callers: " << local(Each.m_CallerPort) << "\n"
-       << "target: " << local(Each.m_AnnouncePort) << "\n"
-       << "admin: " << local(Each.m_AdminPort) << "\n"
-       << "platform:\n  address: " << local(m_PlatformPort) << "\n"
-       << "log:\n  level: info\n  format: json\n";
-  for (const SettingsSection &Section : m_Options.m_Policy) {
-    File << Section.m_Name << ":\n";
-    for (const std::string &Line : Section.m_Lines)
-      File << "  " << Line << "\n";
-  }
+       << "caller_address: " << local(Each.m_CallerPort) << "\n"
+       << "target_address: " << local(Each.m_AnnouncePort) << "\n"
+       << "admin_address: " << local(Each.m_AdminPort) << "\n"
+       << "platform: " << platformUrl() << "\n"
+       << "log:\n  level: info\n  format: json\n  file: "
+       << (Each.m_Folder / "daemon.jsonl").string() << "\n";
+  if (m_Options.m_Policy.empty())
+    return;
+  File << "policy:\n";
+  for (const auto &[Name, Value] : m_Options.m_Policy)
+    File << "  " << Name << ": " << Value << "\n";
 }
 
 void Cluster::startServer(std::size_t Index, bool Cold) {
   Server &Each = m_Servers.at(Index);
   writeSettings(Each);
-  Each.m_Daemon =
-      ChildProcess({.m_Command = {m_Options.m_Programs / "balsamwheeld",
-                                  "--config", Each.m_Folder / "settings.yaml"},
-                    .m_Log = Each.m_Folder / "daemon.log"});
+  Each.m_Daemon = ChildProcess(
+      {.m_Command = {m_Options.m_Programs / "balsamwheeld", "--settings",
+                     Each.m_Folder / "settings.yaml"},
+       .m_Log = Each.m_Folder / "daemon.log"});
   std::vector<std::string> Command{
       m_Options.m_Programs / "balsamwheel-bench",
       "target",
@@ -155,7 +156,7 @@
 
 ProgramResult Cluster::operate(std::vector<std::string> Arguments) {
   std::vector<std::string> Command{m_Options.m_Programs / "balsamwheel",
-                                   "--platform", platformUrl()};
+                                   "--platform", local(m_PlatformPort)};
   Command.insert(Command.end(), Arguments.begin(), Arguments.end());
   return runProgram(
       {.m_Command = std::move(Command), .m_Log = m_Folder / "operator.log"},
@@ -164,7 +165,7 @@
 
 ChildProcess Cluster::startOperator(std::vector<std::string> Arguments) {
   std::vector<std::string> Command{m_Options.m_Programs / "balsamwheel",
-                                   "--platform", platformUrl()};
+                                   "--platform", local(m_PlatformPort)};
   Command.insert(Command.end(), Arguments.begin(), Arguments.end());
   return ChildProcess(
       {.m_Command = std::move(Command), .m_Log = m_Folder / "operator.log"});
--- a/bench/core/cluster.h
+++ b/bench/core/cluster.h
@@ -14,14 +14,8 @@
 
 namespace balsamwheel::bench {
 
-/// A section of a daemon's settings and lines for it.
-struct SettingsSection {
-  std::string m_Name;
-  std::vector<std::string> m_Lines;
-};
-
-/// Settings that differ from the daemon's defaults.
-using PolicySettings = std::vector<SettingsSection>;
+/// Lines of the settings' "policy" section; empty for the defaults.
+using PolicySettings = std::vector<std::pair<std::string, std::string>>;
 
 struct ClusterOptions {
   Deployment m_Deployment;
--- a/bench/core/scenarios.cpp
+++ b/bench/core/scenarios.cpp
@@ -11,12 +11,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const SettingsSection PlainLeases{
-    "coordination", {"witnesses: false", "handover: drain_then_switch"}};
-const SettingsSection FixedGate{"admission", {"adaptive: false"}};
-const SettingsSection RoundRobin{"picker",
-                                 {"policy: round_robin", "hedge: false"}};
-const PolicySettings PlainBaseline{PlainLeases, FixedGate, RoundRobin};
+const PolicySettings FixedGate{{"gate", "fixed"}};
+const PolicySettings RoundRobin{{"picker", "round-robin"}, {"hedge", "false"}};
+const PolicySettings PlainBaseline{{"handover", "drain-then-switch"},
+                                   {"witnesses", "false"},
+                                   {"gate", "fixed"},
+                                   {"picker", "round-robin"},
+                                   {"hedge", "false"}};
 
 /// Index of the N-th server of the keyed service with most servers.
 constexpr std::size_t KeyedServer = 1;
@@ -193,7 +194,7 @@
   Result.push_back(make("steady", "nothing happens", seconds(15), {}));
 
   Scenario Cold = make("cold-start", "every target starts cold", seconds(20),
-                       {}, {FixedGate});
+                       {}, FixedGate);
   Cold.m_ColdTargets = true;
   Cold.m_TimeScale = 10;
   Result.push_back(std::move(Cold));
@@ -201,13 +202,13 @@
   Scenario SilentCold = make(
       "silent-cold", "two targets turn cold without a sign", seconds(20),
       {targetFault(seconds(5), "targets turn cold", {0, 6}, {{"cold", true}})},
-      {FixedGate});
+      FixedGate);
   SilentCold.m_TimeScale = 10;
   Result.push_back(std::move(SilentCold));
 
   Scenario Overload =
       make("overload-classes", "downloads at twice the capacity", seconds(20),
-           {scaleRate(seconds(6), "downloads rise", 14, true)}, {FixedGate});
+           {scaleRate(seconds(6), "downloads rise", 14, true)}, FixedGate);
   Overload.m_TimeScale = 10;
   Result.push_back(std::move(Overload));
 
@@ -218,7 +219,7 @@
                         {{"slow_factor", 10}}),
             targetFault(seconds(18), "the target recovers", {13},
                         {{"slow_factor", 1}})},
-           {RoundRobin});
+           RoundRobin);
   Slowed.m_Deployment = "etna-verde";
   Slowed.m_LoadFactor = 2;
   Result.push_back(std::move(Slowed));
