Split the large files of the coordination and satisfy the linter

Change: extension by witnesses, expulsion, and load reports are files of their own; no behaviour changes.

--- a/include/balsamwheel/detail/coordination/expulsion.h
+++ b/include/balsamwheel/detail/coordination/expulsion.h
@@ -44,13 +44,13 @@
 private:
   struct Record {
     std::uint64_t m_Sequence = 0;
-    TimePoint m_Since{};
+    TimePoint m_Since;
     std::set<SessionId> m_Promises;
   };
   struct WitnessSet {
     std::vector<SessionId> m_Witnesses;
     /// Grants of a witness that left before may hold for a lease more.
-    TimePoint m_Since{};
+    TimePoint m_Since;
   };
 
   /// Witnesses that surely have no grant outstanding and make none.
--- a/include/balsamwheel/detail/coordination/group_leader.h
+++ b/include/balsamwheel/detail/coordination/group_leader.h
@@ -89,14 +89,14 @@
   bool m_RemoveSelf = false;
   std::function<void(bool Ok)> m_Removed;
   TimePoint m_FlushAt = Never;
-  TimePoint m_LastFlush{};
-  TimePoint m_LedAt{};
+  TimePoint m_LastFlush;
+  TimePoint m_LedAt;
   TimePoint m_PollAt = Never;
   TimePoint m_JudgeAt = Never;
   std::uint32_t m_Polls = 0;
   /// The next group's row as seen last, and since when it stands so.
   RowVersion m_WatchedVersion;
-  TimePoint m_WatchedSince{};
+  TimePoint m_WatchedSince;
   /// Head version up to which the group's members were sent changes.
   RowVersion m_Pushed;
 };
--- a/include/balsamwheel/detail/coordination/head_poller.h
+++ b/include/balsamwheel/detail/coordination/head_poller.h
@@ -36,7 +36,7 @@
 
   CoordinationContext *m_Context;
   bool m_Busy = false;
-  TimePoint m_FreshAt{};
+  TimePoint m_FreshAt;
   std::vector<Done> m_Waiting;
   std::vector<Queued> m_Queued;
 };
--- a/include/balsamwheel/detail/coordination/lease.h
+++ b/include/balsamwheel/detail/coordination/lease.h
@@ -43,11 +43,11 @@
   Duration m_Lease;
   /// The longest time that witnesses may extend past the last commit.
   Duration m_ExtensionLimit;
-  TimePoint m_End{};
+  TimePoint m_End;
   bool m_Extended = false;
   std::uint64_t m_Sequence = 0;
   std::uint64_t m_Committed = 0;
-  TimePoint m_CommittedSent{};
+  TimePoint m_CommittedSent;
   /// Send times of the last renewals.
   std::map<std::uint64_t, TimePoint> m_Sent;
   std::map<std::uint64_t, std::set<SessionId>> m_Grants;
--- a/include/balsamwheel/detail/coordination/load_balancer.h
+++ b/include/balsamwheel/detail/coordination/load_balancer.h
@@ -28,13 +28,13 @@
 private:
   struct Kept {
     OwnerReport m_Report;
-    TimePoint m_At{};
+    TimePoint m_At;
   };
   struct Budget {
     std::vector<TimePoint> m_Moves;
     /// Since when the load has been out of bounds; none while within.
     std::optional<TimePoint> m_UnevenSince;
-    TimePoint m_NotBefore{};
+    TimePoint m_NotBefore;
   };
   struct Owner {
     SessionId m_Session;
--- a/include/balsamwheel/detail/coordination/load_tracker.h
+++ b/include/balsamwheel/detail/coordination/load_tracker.h
@@ -29,7 +29,7 @@
     double m_Rate = 0;
   };
 
-  TimePoint m_PeriodBegin{};
+  TimePoint m_PeriodBegin;
   std::unordered_map<ShardRef, Load> m_Shards;
 };
 
--- a/include/balsamwheel/detail/coordination/membership.h
+++ b/include/balsamwheel/detail/coordination/membership.h
@@ -92,7 +92,7 @@
   std::uint64_t m_EntrySequence = 1;
   TimePoint m_RetryAt = Never;
   TimePoint m_BeatAt = Never;
-  TimePoint m_LastBeat{};
+  TimePoint m_LastBeat;
   std::uint64_t m_Beats = 0;
   /// When the current heartbeat goes to the next member.
   TimePoint m_NextAttemptAt = Never;
@@ -103,7 +103,7 @@
   std::size_t m_Failovers = 0;
   /// Goes first in the order of writers for a while.
   SessionId m_Preferred;
-  TimePoint m_PreferUntil{};
+  TimePoint m_PreferUntil;
   /// Row version of the last acknowledged commit.
   RowVersion m_AckedRow;
   /// Head version that the previous acknowledgement named.
--- a/include/balsamwheel/detail/coordination/ownership.h
+++ b/include/balsamwheel/detail/coordination/ownership.h
@@ -57,7 +57,7 @@
     bool m_Active = false;
     /// The former owner's part is over.
     bool m_Resolved = false;
-    TimePoint m_ActiveSince{};
+    TimePoint m_ActiveSince;
     /// Keys with orders still running at the former owner.
     std::unordered_set<KeyHash> m_Waiting;
   };
--- a/include/balsamwheel/detail/coordination/plan_runner.h
+++ b/include/balsamwheel/detail/coordination/plan_runner.h
@@ -50,7 +50,7 @@
   /// When work was first noticed; none while there is none.
   std::optional<TimePoint> m_WorkSince;
   TimePoint m_EvaluateAt = Never;
-  TimePoint m_PacedAt{};
+  TimePoint m_PacedAt;
 };
 
 } // namespace balsamwheel
--- a/include/balsamwheel/detail/coordination/witness.h
+++ b/include/balsamwheel/detail/coordination/witness.h
@@ -36,7 +36,7 @@
   struct Record {
     /// An extension of this witness, or of one whose place it took, may last
     /// until then.
-    TimePoint m_GrantedUntil{};
+    TimePoint m_GrantedUntil;
     /// Highest sequence for which a promise was given; 0 if none.
     std::uint64_t m_Promised = 0;
   };
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -2,8 +2,7 @@
 #include "balsamwheel/detail/coordination/coordinator.h"
 
 #include "balsamwheel/detail/coordination/context.h"
-#include "balsamwheel/detail/coordination/load_balancer.h"
-#include "balsamwheel/detail/coordination/load_tracker.h"
+#include "balsamwheel/detail/coordination/load_reporter.h"
 #include "balsamwheel/detail/coordination/membership.h"
 #include "balsamwheel/detail/coordination/ownership.h"
 #include "balsamwheel/detail/coordination/plan_runner.h"
@@ -26,12 +25,6 @@
 /// A shutdown waits at least so long, for the others to learn of it.
 constexpr Duration LeaveDelay = std::chrono::seconds(1);
 
-/// Load is reported in this period, or less often in a large cluster: the
-/// planner receives all reports.
-constexpr Duration LeastLoadPeriod = std::chrono::seconds(2);
-constexpr Duration LoadPeriodPerMember = std::chrono::milliseconds(50);
-constexpr std::size_t ReportedShards = 8;
-
 constexpr Duration PendingRetry = std::chrono::milliseconds(20);
 
 } // namespace
@@ -40,19 +33,16 @@
 public:
   Impl(CoordinatorOptions Options, std::uint64_t Seed)
       : m_Context(std::move(Options), Seed), m_Membership(m_Context),
-        m_Ownership(m_Context), m_Planner(m_Context, m_Membership.poller()) {
+        m_Ownership(m_Context), m_Planner(m_Context, m_Membership.poller()),
+        m_Load(m_Context, m_Planner) {
     m_Membership.m_OnNewSession = [this] {
       m_Ownership.reset();
       m_Load.clear();
     };
-    m_Planner.m_LoadMoves = [this](TimePoint Now) {
-      return m_Balancer.takeMoves(m_Context.m_View, 2 * loadPeriod(), Now);
-    };
   }
 
   void start(TimePoint Now) {
-    m_Load.endPeriod(Now);
-    m_LoadReportAt = Now + LeastLoadPeriod;
+    m_Load.start(Now);
     m_Membership.start(Now);
     dispatchChanges(Now);
   }
@@ -65,8 +55,7 @@
     m_Planner.onTick(Now);
     if (Now >= m_ReportAt)
       report(Now);
-    if (Now >= m_LoadReportAt)
-      reportLoad(Now);
+    m_Load.onTick(Now);
     if (m_ShutdownAt != Never)
       continueShutdown(Now);
     dispatchChanges(Now);
@@ -77,7 +66,7 @@
     keepEarlier(Wake, m_Ownership.nextWake());
     keepEarlier(Wake, m_Planner.nextWake());
     keepEarlier(Wake, m_ReportAt);
-    keepEarlier(Wake, m_LoadReportAt);
+    keepEarlier(Wake, m_Load.nextWake());
     return Wake;
   }
 
@@ -202,7 +191,7 @@
   Membership m_Membership;
   Ownership m_Ownership;
   PlanRunner m_Planner;
-  LoadTracker m_Load;
+  LoadReporter m_Load;
 
 private:
   static Permit refuse(Reason Why) {
@@ -268,7 +257,7 @@
               TimePoint Now) {
     m_Planner.onSettled(Message.m_Settled, Now);
     if (Message.m_Settled.empty())
-      onLoad(Message, Now);
+      m_Load.onReport(Message, Now);
   }
 
   /// Passes changes of the view on to the parts until there are none.
@@ -327,32 +316,6 @@
       m_Context.sendTo(To, std::move(Message));
   }
 
-  Duration loadPeriod() const {
-    const auto Members = static_cast<int>(m_Context.m_View.memberCount());
-    return std::max(LeastLoadPeriod, LoadPeriodPerMember * Members);
-  }
-
-  void onLoad(const OwnerReport &Message, TimePoint Now) {
-    m_Balancer.onReport(Message, Now);
-    m_Planner.onLoadReported(Now);
-  }
-
-  void reportLoad(TimePoint Now) {
-    m_LoadReportAt = Now + loadPeriod();
-    m_Load.endPeriod(Now);
-    const std::vector<SessionId> Order = m_Planner.order();
-    if (Order.empty() || !m_Membership.isJoined())
-      return;
-    OwnerReport Message;
-    Message.m_From = m_Context.m_Session;
-    Message.m_Hottest = m_Load.hottest(ReportedShards);
-    Message.m_TotalRate = m_Load.total();
-    if (Order.front() == m_Context.m_Session)
-      onLoad(Message, Now);
-    else
-      m_Context.sendTo(Order.front(), std::move(Message));
-  }
-
   /// Leaves the group once no shard and no order is left, or no heir came.
   void continueShutdown(TimePoint Now) {
     const bool NoHeirs = Now - m_ShutdownAt >= HeirTimeout;
@@ -366,9 +329,7 @@
   ServiceName m_Service;
   bool m_TargetLeaving = false;
   TimePoint m_ShutdownAt = Never;
-  LoadBalancer m_Balancer;
   TimePoint m_ReportAt = Never;
-  TimePoint m_LoadReportAt = Never;
   std::size_t m_Reports = 0;
   /// From then on no new work is accepted.
   TimePoint m_NoNewWorkAt = Never;
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -12,9 +12,6 @@
 /// The next heartbeat comes so long before the leader's next write.
 constexpr Duration BeatLead = std::chrono::milliseconds(60);
 constexpr Duration BeatJitter = std::chrono::milliseconds(40);
-/// Extension is asked for when less than this share of the lease is left.
-constexpr double ExtensionShare = 0.45;
-constexpr Duration ExtensionRetry = std::chrono::milliseconds(250);
 constexpr Duration ExtensionLimit = std::chrono::hours(1);
 /// Other members that get a heartbeat before this session writes itself.
 constexpr std::size_t MostRelays = 2;
@@ -269,114 +266,12 @@
   m_PreferUntil = Now + PreferenceTime;
 }
 
-void Membership::scheduleExtension() {
-  const CoordinationTiming &Timing = m_Context->m_Options.m_Timing;
-  const auto Left =
-      std::chrono::duration_cast<Duration>(Timing.m_Lease * ExtensionShare);
-  m_ExtendAt =
-      m_Context->m_Options.m_UseWitnesses ? m_Lease.end() - Left : Never;
-}
-
-void Membership::askExtension(TimePoint Now) {
-  scheduleExtension();
-  if (m_State != State::Joined || m_ExtendAt > Now)
-    return;
-  m_ExtendAt = Now + ExtensionRetry;
-  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
-  const GroupMember *Own = Group ? Group->find(m_Context->m_Session) : nullptr;
-  if (!Own)
-    return;
-  m_Lease.startRenewal(Now);
-  ExtendRequest Request;
-  Request.m_Session = m_Context->m_Session;
-  Request.m_Sequence = m_Lease.sequence();
-  Request.m_SequenceCommitted = m_Lease.committed();
-  Request.m_Group = m_Group;
-  Request.m_GroupRow = m_AckedRow;
-  Request.m_ConfigApplied = m_Context->m_View.configVersion();
-  Request.m_MapSeen = m_Context->m_View.completeHead().value();
-  for (SessionId Witness : Own->m_Witnesses)
-    m_Context->sendTo(Witness, Request);
-}
-
-void Membership::onExtendRequest(const ExtendRequest &Message, TimePoint Now) {
-  const GroupRow *Group = m_Context->m_View.findGroup(Message.m_Group);
-  const GroupMember *Subject = Group ? Group->find(Message.m_Session) : nullptr;
-  if (!Subject)
-    return;
-  const RowVersion Seen(Message.m_MapSeen);
-  const bool Behind = Seen < m_Context->m_View.completeHead();
-  if (Behind)
-    m_Context->send(Subject->m_Member.m_Peer,
-                    Changes{m_Context->m_View.completeHead(),
-                            m_Context->m_View.rowsSince(Seen)});
-  const bool Named =
-      std::ranges::count(Subject->m_Witnesses, m_Context->m_Session) > 0;
-  const bool MayGrant =
-      m_State == State::Joined && m_Lease.holds(Now) && Named && !Behind;
-  ExtendReply Reply;
-  Reply.m_Session = Message.m_Session;
-  Reply.m_Witness = m_Context->m_Session;
-  Reply.m_Sequence = Message.m_Sequence;
-  Reply.m_Granted =
-      MayGrant &&
-      m_Witness.grant(Message.m_Session, Message.m_SequenceCommitted, Now);
-  m_Context->send(Subject->m_Member.m_Peer, Reply);
-}
-
-void Membership::onExtendReply(const ExtendReply &Message, TimePoint Now) {
-  if (m_State != State::Joined || !Message.m_Granted ||
-      Message.m_Session != m_Context->m_Session)
-    return;
-  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
-  const GroupMember *Own = Group ? Group->find(m_Context->m_Session) : nullptr;
-  if (!Own)
-    return;
-  m_Lease.onGrant(Message.m_Sequence, Message.m_Witness, Own->m_Witnesses);
-  if (m_Lease.holds(Now))
-    scheduleExtension();
-}
-
-PromiseReply Membership::answerPromise(const PromiseRequest &Message,
-                                       TimePoint Now) {
-  PromiseReply Reply;
-  Reply.m_Subject = Message.m_Subject;
-  Reply.m_Witness = m_Context->m_Session;
-  Reply.m_Sequence = Message.m_Sequence;
-  Reply.m_Group = Message.m_Group;
-  Reply.m_GroupRow = Message.m_GroupRow;
-  Reply.m_Promised =
-      Message.m_Sequence != 0 &&
-      m_Witness.promise(Message.m_Subject, Message.m_Sequence, Now);
-  return Reply;
-}
-
-void Membership::onPromiseRequest(const PromiseRequest &Message,
-                                  const PeerAddress &From, TimePoint Now) {
-  m_Context->send(From, answerPromise(Message, Now));
-}
-
-void Membership::onPromiseReply(const PromiseReply &Message) {
-  m_Leader.onPromiseReply(Message);
-}
-
 void Membership::onChangesRequest(const ChangesRequest &Message,
                                   const PeerAddress &From) {
   m_Context->send(From, Changes{m_Context->m_View.completeHead(),
                                 m_Context->m_View.rowsSince(Message.m_Head)});
 }
 
-void Membership::noteWitnessed(TimePoint Now) {
-  const GroupRow *Group = m_Context->m_View.findGroup(m_Group);
-  if (!Group)
-    return;
-  for (const GroupMember &Value : Group->m_Members)
-    if (std::ranges::count(Value.m_Witnesses, m_Context->m_Session))
-      m_Witness.onNamed(Value.m_Member.m_Session, Now);
-  for (SessionId Gone : Group->m_Expelled)
-    m_Witness.forget(Gone);
-}
-
 void Membership::onViewChanged(TimePoint Now) {
   m_Leader.onViewChanged(Now);
   if (m_State != State::Joined)
