Add added-latency, reports and control ports of targets

Cause: a daemon may take all 130 connections of its target (it grants 1,024 shards in parallel and keeps the connections), so faults and reports of the bench, and the direct calls of added-latency, timed out (0 of 2,500 requests at 500/s). Ruled out: the load generator, which passed against a lone target.

--- a/bench/core/cluster.h
+++ b/bench/core/cluster.h
@@ -41,6 +41,7 @@
   std::uint16_t m_AnnouncePort = 0;
   std::uint16_t m_AdminPort = 0;
   std::uint16_t m_TargetPort = 0;
+  std::uint16_t m_ControlPort = 0;
   std::filesystem::path m_Folder;
   ChildProcess m_Daemon;
   ChildProcess m_Target;
@@ -69,6 +70,8 @@
   std::vector<std::string> entrances() const;
 
   void startServer(std::size_t Index, bool Cold = false);
+  /// Ends a target and starts it again; its daemon stays.
+  void restartTarget(std::size_t Index, bool Cold);
   /// Sends a signal to a daemon and its target.
   void signalServer(std::size_t Index, int Number);
   /// Ends a daemon and its target with SIGKILL.
@@ -97,6 +100,8 @@
 private:
   std::string platformUrl() const;
   void writeSettings(const Server &Each) const;
+  void startDaemon(Server &Each) const;
+  void startTarget(std::size_t Index, bool Cold);
   void startPlatform();
   void commitManifest();
   void waitUntilServing();
--- a/bench/core/deployment.cpp
+++ b/bench/core/deployment.cpp
@@ -57,6 +57,13 @@
   return Stream;
 }
 
+LoadStream unkeyedLookup(const std::string &Service, const std::string &Class,
+                         double Rate) {
+  LoadStream Stream = lookup(Service, Class, Rate);
+  Stream.m_Keyed = false;
+  return Stream;
+}
+
 Deployment makeValpadana() {
   Deployment Result;
   Result.m_Name = "valpadana";
@@ -71,6 +78,7 @@
       keyedRead("announcements", "read", "/announcements", 40),
       keyedWrite("announcements", "register", "/announcements", 40),
       download("calendars", "download", 15),
+      unkeyedLookup("calendars", "lookup", 15),
   };
   return Result;
 }
@@ -89,6 +97,7 @@
       lookup("orders", "lookup", 40),
       keyedWrite("orders", "place", "/orders", 40),
       download("documents", "download", 15),
+      unkeyedLookup("documents", "certificate", 15),
   };
   return Result;
 }
--- a/bench/core/journal.cpp
+++ b/bench/core/journal.cpp
@@ -85,6 +85,7 @@
     Order.m_Completed = Line.at("completed").get<bool>();
   }
   std::vector<Execution> Result;
+  Result.reserve(Orders.size());
   for (auto &[Ticket, Order] : Orders)
     Result.push_back(std::move(Order));
   return Result;
--- a/bench/core/process.cpp
+++ b/bench/core/process.cpp
@@ -60,6 +60,7 @@
 
 ChildProcess::ChildProcess(const ProcessOptions &Options) {
   std::vector<char *> Arguments;
+  Arguments.reserve(Options.m_Command.size() + 1);
   for (const std::string &Argument : Options.m_Command)
     Arguments.push_back(const_cast<char *>(Argument.c_str()));
   Arguments.push_back(nullptr);
--- a/bench/core/table_store.cpp
+++ b/bench/core/table_store.cpp
@@ -14,6 +14,7 @@
 
 std::vector<Row> TableStore::read(const TableRead &Read) const {
   std::vector<Row> Rows;
+  Rows.reserve(Read.m_Keys.size());
   for (const RowKey &Key : Read.m_Keys)
     Rows.push_back(rowOf(Key.value()));
   for (const std::string &Prefix : Read.m_Prefixes)
--- a/bench/core/target_stand_in.h
+++ b/bench/core/target_stand_in.h
@@ -14,6 +14,9 @@
 
 struct TargetStandInOptions {
   HttpServerOptions m_Http;
+  /// Port for faults and executions, apart from the limited connections of
+  /// the target itself; 0 for any.
+  std::uint16_t m_ControlPort = 0;
   TargetModelOptions m_Model;
   std::string m_Service;
   /// "host:port" where its daemon takes announcements; empty for none.
@@ -46,6 +49,7 @@
   };
 
   void handle(const ServerRequest &Request, const Reply &Answer);
+  void handleControl(const ServerRequest &Request, const Reply &Answer);
   void handleOrder(const ServerRequest &Request, const Reply &Answer);
   ServerAnswer cancel(const std::string &RequestId);
   ServerAnswer grant(const std::string &Body);
@@ -76,6 +80,7 @@
   bool m_Announces = true;
   bool m_Stopped = false;
   std::unique_ptr<HttpServer> m_Server;
+  std::unique_ptr<HttpServer> m_Control;
   std::thread m_ModelThread;
   std::thread m_AnnounceThread;
 };
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -6,7 +6,7 @@
   libace-dev libflatbuffers-dev prometheus-cpp-dev libyaml-cpp-dev
   libmicrohttpd-dev libcurl4-openssl-dev libcxxopts-dev liblog4cplus-dev
   doctest-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev
-  libboost-dev libpcg-cpp-dev clang-format-19 clang-tidy-19
+  libboost-dev libpcg-cpp-dev clang-format-19 clang-tidy-19 gnuplot-nox python3
 )
 MISSING=()
 for PACKAGE in "${PACKAGES[@]}"; do
