--- /dev/null
+++ b/examples/embed/main.cpp
@@ -0,0 +1,157 @@
+// Embeds three coordinators in one process: they share a table in memory, join
+// a group, divide a service's shards, and print who owns what.
+#include <balsamwheel/coordination.h>
+#include <balsamwheel/detail/coordination/head_row.h>
+
+#include <iostream>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace {
+
+using namespace balsamwheel;
+
+/// The smallest table that keeps the rules: conditions, then writes.
+class MemoryTable {
+public:
+  TableReply read(const TableRead &What) const {
+    TableReply Reply{.m_Status = TableStatus::Ok, .m_Rows = {}};
+    for (const RowKey &Key : What.m_Keys)
+      Reply.m_Rows.push_back(get(Key));
+    for (const std::string &Prefix : What.m_Prefixes)
+      for (const auto &[Key, Stored] : m_Rows)
+        if (Key.value().starts_with(Prefix))
+          Reply.m_Rows.push_back(Stored);
+    return Reply;
+  }
+
+  TableReply commit(const Transaction &What) {
+    TableReply Reply{.m_Status = TableStatus::Conflict, .m_Rows = {}};
+    for (const RowCondition &Condition : What.m_Conditions)
+      if (get(Condition.m_Key).m_Version != Condition.m_Version)
+        Reply.m_Rows.push_back(get(Condition.m_Key));
+    if (!Reply.m_Rows.empty())
+      return Reply;
+    Reply.m_Status = TableStatus::Ok;
+    for (const RowWrite &Write : What.m_Writes)
+      Reply.m_Rows.push_back(put(Write));
+    return Reply;
+  }
+
+  Row get(const RowKey &Key) const {
+    const auto Found = m_Rows.find(Key);
+    return Found == m_Rows.end() ? Row{Key, RowVersion(), ""} : Found->second;
+  }
+
+private:
+  Row put(const RowWrite &Write) {
+    const RowVersion Version(++m_LastVersion);
+    if (!Write.m_Value) {
+      m_Rows.erase(Write.m_Key);
+      return {Write.m_Key, RowVersion(), ""};
+    }
+    m_Rows[Write.m_Key] = {Write.m_Key, Version, *Write.m_Value};
+    return {Write.m_Key, Version, ""};
+  }
+
+  std::map<RowKey, Row> m_Rows;
+  std::uint64_t m_LastVersion = 0;
+};
+
+struct Participant {
+  PeerAddress m_Address;
+  Coordinator m_Coordinator;
+};
+
+/// Carries out the effects of all participants and lets time pass.
+class Loop {
+public:
+  explicit Loop(MemoryTable &Table) : m_Table(Table) {}
+
+  void add(const std::string &Name, std::uint64_t Seed) {
+    const PeerAddress Address(Name + ":1");
+    CoordinatorOptions Options{.m_Instance = InstanceName(Name),
+                               .m_Domain = DomainName("domain-" + Name),
+                               .m_Region = RegionName("here"),
+                               .m_Peer = Address,
+                               .m_CallerAddress = Name + ":80"};
+    m_Participants.push_back({Address, Coordinator(std::move(Options), Seed)});
+    m_Participants.back().m_Coordinator.start(m_Now);
+    m_Participants.back().m_Coordinator.onTargetReady(ServiceName("orders"), 10,
+                                                      m_Now);
+  }
+
+  void run(Duration Length) {
+    constexpr Duration Step = std::chrono::milliseconds(5);
+    for (const TimePoint End = m_Now + Length; m_Now < End; m_Now += Step)
+      for (Participant &Each : m_Participants) {
+        Each.m_Coordinator.onTick(m_Now);
+        carryOut(Each);
+      }
+  }
+
+  std::vector<Participant> m_Participants;
+
+private:
+  void carryOut(Participant &Each) {
+    for (const Effect &Wanted : Each.m_Coordinator.takeEffects()) {
+      if (const auto *Read = std::get_if<ReadTable>(&Wanted))
+        Each.m_Coordinator.onTableReply(Read->m_Ticket,
+                                        m_Table.read(Read->m_Read), m_Now);
+      else if (const auto *Commit = std::get_if<CommitTable>(&Wanted))
+        Each.m_Coordinator.onTableReply(
+            Commit->m_Ticket, m_Table.commit(Commit->m_Transaction), m_Now);
+      else if (const auto *Send = std::get_if<SendControl>(&Wanted))
+        deliver(Each, *Send);
+    }
+  }
+
+  void deliver(const Participant &From, const SendControl &Send) {
+    for (Participant &Each : m_Participants)
+      if (Each.m_Address == Send.m_To)
+        Each.m_Coordinator.onMessage(Send.m_Message, From.m_Address, m_Now);
+  }
+
+  MemoryTable &m_Table;
+  TimePoint m_Now{std::chrono::seconds(1)};
+};
+
+void commitFirstConfig(MemoryTable &Table) {
+  Service Orders;
+  Orders.m_Name = ServiceName("orders");
+  Orders.m_DividedByKey = true;
+  Orders.m_Shards = 12;
+  Orders.m_Classes = {{.m_Name = ClassName("read")}};
+  Config First;
+  First.m_Version = ConfigVersion(1);
+  First.m_Manifest.m_Services = {Orders};
+  Transaction Commit =
+      makeConfigCommit(Table.get(ConfigHeadRow), Config{}, First, WriteId(1));
+  appendHeadBump(Commit, *parseHeadRow(Table.get(HeadRowKey)),
+                 {{ConfigHeadRow, 1}});
+  Table.commit(Commit);
+}
+
+} // namespace
+
+int main() {
+  MemoryTable Table;
+  commitFirstConfig(Table);
+  Loop Subject(Table);
+  Subject.add("a", 1);
+  Subject.add("b", 2);
+  Subject.add("c", 3);
+  Subject.run(std::chrono::seconds(10));
+
+  std::size_t Owned = 0;
+  for (const Participant &Each : Subject.m_Participants) {
+    const auto Status =
+        Each.m_Coordinator.status(TimePoint(std::chrono::seconds(11)));
+    std::cout << Each.m_Address.value() << " owns " << Status.m_ShardsOwned
+              << " shards\n";
+    Owned += Status.m_ShardsOwned;
+  }
+  return Owned == 12 ? 0 : 1;
+}
