--- a/src/coordination/group_row.cpp
+++ b/src/coordination/group_row.cpp
@@ -203,6 +203,7 @@
 
 std::vector<SessionId> leaderOrder(const GroupRow &Group) {
   std::vector<SessionId> Result;
+  Result.reserve(Group.m_Members.size());
   for (const GroupMember &Value : Group.m_Members)
     Result.push_back(Value.m_Member.m_Session);
   const std::uint64_t Seed = Group.m_Group + 1;
