--- a/bench/core/added_latency.cpp
+++ b/bench/core/added_latency.cpp
@@ -2,6 +2,7 @@
 #include "bench/core/added_latency.h"
 
 #include "bench/core/clock.h"
+#include "bench/core/http_client.h"
 
 #include <array>
 #include <iomanip>
@@ -26,7 +27,10 @@
         m_Process({.m_Command = {Programs / "balsamwheel-bench", "target",
                                  "--port", std::to_string(m_Port), "--service",
                                  "direct", "--scale", "0"},
-                   .m_Log = Folder / "direct.log"}) {}
+                   .m_Log = Folder / "direct.log"}) {
+    while (getJson("http://" + address() + "/v1/load").is_discarded())
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
 
   std::string address() const { return "127.0.0.1:" + std::to_string(m_Port); }
 
