--- a/bench/core/relay.cpp
+++ b/bench/core/relay.cpp
@@ -157,6 +157,7 @@
   std::vector<pollfd> collect() {
     const std::lock_guard Lock(m_Mutex);
     std::vector<pollfd> Result;
+    Result.reserve(m_Listeners.size() + 2 * m_Connections.size());
     for (const Listener &Each : m_Listeners)
       Result.push_back({Each.m_Socket, POLLIN, 0});
     for (const Connection &Each : m_Connections) {
