--- a/include/balsamwheel/detail/coordination/group_leader.h
+++ b/include/balsamwheel/detail/coordination/group_leader.h
@@ -47,6 +47,7 @@
 
   GroupRow currentRow(std::uint32_t Group) const;
   bool isWriterFor(SessionId Session) const;
+  bool isFirst() const;
   /// Grows with each failure of the table in a row.
   Duration retryDelay();
   void flush(TimePoint Now);
@@ -59,10 +60,16 @@
   void onCommitted(CommitResult Result, const std::vector<Row> &Rows,
                    bool Structural, TimePoint Now);
   void acknowledgeAll(TimePoint Now);
-  void dropServed(const GroupRow &Row);
+  void acknowledge(const GroupRow &Row, const GroupMember &Value,
+                   TimePoint Now);
+  /// Acknowledges heartbeats that another writer put into the row.
+  void releaseServed(TimePoint Now);
+  /// The head row was read lately enough to acknowledge.
+  bool knowsHead(TimePoint Now) const;
   void observe(const GroupRow &Row, TimePoint Now);
   void askWitnesses(const GroupRow &Row, TimePoint Now);
-  bool isReplaced(const GroupRow &Row, SessionId Witness) const;
+  /// Notes members whose address a newer session listens at.
+  void noteReplaced(const GroupRow &Row, TimePoint Now);
   void pollHead(TimePoint Now);
   void pushChanges();
   std::optional<std::uint32_t> nextGroup() const;
