--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Measures coordination at growing sizes: scripts/capacity.sh [SIZE...]
+# Writes one JSON file a size to docs/reports/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh build
+mkdir -p docs/reports
+for NODES in "${@:-14 28 56 112 220 440 880}"; do
+  for SIZE in $NODES; do
+    build/bin/balsamwheel-capacity --nodes "$SIZE" \
+      >"docs/reports/capacity-$SIZE.json"
+  done
+done
