--- a/tests/node_rig.h
+++ b/tests/node_rig.h
@@ -137,6 +137,8 @@
   void checkVersions(std::size_t Index);
   void checkNewWork(std::size_t Index, const StartOrder &Order);
   void checkServed();
+  /// Writes what each node knows into the trace.
+  void noteStates();
 
   RigOptions m_Options;
   Dice m_Dice;
--- a/tests/node_rig_actions.cpp
+++ b/tests/node_rig_actions.cpp
@@ -15,6 +15,8 @@
 constexpr Duration SettleTime = std::chrono::seconds(4);
 constexpr Duration StuckTime = std::chrono::milliseconds(100);
 constexpr std::uint32_t MostAttempts = 5;
+/// Callers that send again while an attempt is still open.
+constexpr unsigned EarlyRetryPercent = 8;
 constexpr std::size_t BurstSize = 12;
 
 } // namespace
@@ -220,6 +222,11 @@
     m_Daemons[Index].m_Open[Incoming.m_Handle] = Attempt;
     Self.onCallerRequest(Incoming, Local);
   });
+  if (m_Dice.chance(EarlyRetryPercent) && Meta.m_Attempt < MostAttempts)
+    m_Queue.after(m_Dice.between(milliseconds(1), Limit),
+                  [this, Who, Other = m_Dice.below(m_Daemons.size()), Limit] {
+                    sendAttempt(Who, Other, Limit);
+                  });
   // A caller without an answer gives up a little after its deadline and may
   // try another daemon.
   m_Queue.after(Limit + StuckTime, [this, Who, Handle = Incoming.m_Handle] {
@@ -313,6 +320,30 @@
   m_CalmSince = m_Queue.now();
 }
 
+void NodeRig::noteStates() {
+  for (std::size_t I = 0; I < m_Daemons.size(); ++I) {
+    const Daemon &Each = m_Daemons[I];
+    if (!Each.m_Alive)
+      continue;
+    const CoordinatorStatus State =
+        Each.m_Node->status(localTime(Each)).m_Coordinator;
+    m_Oracle.note("daemon " + std::to_string(I) + " lease " +
+                  std::to_string(State.m_LeaseHeld) + " members " +
+                  std::to_string(State.m_Members) + " owned " +
+                  std::to_string(State.m_ShardsOwned) + " pending " +
+                  std::to_string(State.m_ShardsPending) + " map " +
+                  std::to_string(State.m_MapVersion) + " leader " +
+                  std::to_string(State.m_Leader));
+    for (const std::string &Key : m_Keys) {
+      const Coordinator &Source = Each.m_Node->coordinator();
+      const Permit Answer = Source.permit(Keyed, hashKey(Key), localTime(Each));
+      if (Source.route(Keyed, hashKey(Key)).m_Local && !Answer.m_Granted)
+        m_Oracle.note("  refuses " + Key + " " +
+                      std::string(toString(Answer.m_Reason)));
+    }
+  }
+}
+
 void NodeRig::checkServed() {
   for (const std::string &Key : m_Keys) {
     const bool Served = std::ranges::any_of(m_Daemons, [&](const Daemon &Each) {
@@ -320,6 +351,8 @@
                                  .permit(Keyed, hashKey(Key), localTime(Each))
                                  .m_Granted;
     });
+    if (!Served && !failed())
+      noteStates();
     if (!Served && !failed())
       m_Oracle.fail("not served after 4 s without faults: " + Key);
   }
