--- a/src/adapters/caller_http/answer.cpp
+++ b/src/adapters/caller_http/answer.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 #include <utility>
 
 namespace balsamwheel::caller_http {
@@ -16,7 +15,7 @@
 constexpr std::uint16_t StatusNotFound = 404;
 constexpr std::uint16_t StatusUnavailable = 503;
 constexpr std::uint16_t StatusTimeout = 504;
-constexpr std::size_t StreamBlock = 64U * 1024U;
+constexpr std::size_t StreamBlock = std::size_t{64} * 1024;
 constexpr std::string_view OwnPrefix = "Balsamwheel-";
 
 /// Headers that concern one connection only, or that the server sets.
@@ -70,7 +69,7 @@
   const std::size_t Left = Reader.m_Prefix.size() - Reader.m_PrefixRead;
   if (Left > 0) {
     const std::size_t Part = std::min(Room, Left);
-    std::memcpy(Target, Reader.m_Prefix.data() + Reader.m_PrefixRead, Part);
+    Reader.m_Prefix.copy(Target, Part, Reader.m_PrefixRead);
     Reader.m_PrefixRead += Part;
     return static_cast<ssize_t>(Part);
   }
--- a/src/adapters/caller_http/caller_server.h
+++ b/src/adapters/caller_http/caller_server.h
@@ -20,7 +20,7 @@
   std::string m_Listen;
   unsigned m_MaxConnections = 4096;
   /// Memory of one connection; bounds the size of a request's head.
-  std::size_t m_ConnectionMemory = 32U * 1024U;
+  std::size_t m_ConnectionMemory = std::size_t{32} * 1024;
   /// An idle connection is closed after this time.
   std::chrono::seconds m_IdleTimeout{120};
   /// Goes into generated request ids.
--- a/src/adapters/caller_http/request_parser.cpp
+++ b/src/adapters/caller_http/request_parser.cpp
@@ -2,8 +2,8 @@
 #include "adapters/caller_http/request_parser.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
-#include <strings.h>
 
 namespace balsamwheel::caller_http {
 
@@ -36,9 +36,8 @@
 
 std::optional<std::uint64_t> parseNumber(std::string_view Text) {
   std::uint64_t Value = 0;
-  const char *End = Text.data() + Text.size();
-  const auto [Stop, Error] = std::from_chars(Text.data(), End, Value);
-  if (Error != std::errc() || Stop != End)
+  const auto [Stop, Error] = std::from_chars(Text.begin(), Text.end(), Value);
+  if (Error != std::errc() || Stop != Text.end())
     return std::nullopt;
   return Value;
 }
@@ -195,8 +194,11 @@
 } // namespace
 
 bool sameHeaderName(std::string_view First, std::string_view Second) {
-  return First.size() == Second.size() &&
-         strncasecmp(First.data(), Second.data(), First.size()) == 0;
+  const auto SameLetter = [](unsigned char A, unsigned char B) {
+    return std::tolower(A) == std::tolower(B);
+  };
+  return std::equal(First.begin(), First.end(), Second.begin(), Second.end(),
+                    SameLetter);
 }
 
 const RequestClass &matchClass(const Service &Target, std::string_view Method,
--- a/src/adapters/http_client/exchange.cpp
+++ b/src/adapters/http_client/exchange.cpp
@@ -4,7 +4,6 @@
 #include "runtime/boot_clock.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstring>
 #include <utility>
 
@@ -90,15 +89,15 @@
   for (const std::string &Line : m_Work.m_Headers)
     List = curl_slist_append(List, Line.c_str());
   // Headers that libcurl would add of its own accord.
-  for (const std::string_view Name : {"Accept", "Expect", "Content-Type"}) {
-    const bool Given = std::any_of(
-        m_Work.m_Headers.begin(), m_Work.m_Headers.end(),
-        [Name](const std::string &Line) {
-          return Line.size() > Name.size() && Line[Name.size()] == ':' &&
-                 strncasecmp(Line.data(), Name.data(), Name.size()) == 0;
-        });
+  for (const char *Name : {"Accept:", "Expect:", "Content-Type:"}) {
+    const std::size_t Size = std::strlen(Name);
+    const bool Given =
+        std::any_of(m_Work.m_Headers.begin(), m_Work.m_Headers.end(),
+                    [Name, Size](const std::string &Line) {
+                      return strncasecmp(Line.c_str(), Name, Size) == 0;
+                    });
     if (!Given)
-      List = curl_slist_append(List, (std::string(Name) + ":").c_str());
+      List = curl_slist_append(List, Name);
   }
   if (!m_Work.m_DeadlineHeader.empty()) {
     const auto Left =
@@ -198,7 +197,7 @@
   const std::string &Prefix = This.m_Work.m_Body;
   if (This.m_PrefixSent < Prefix.size()) {
     const std::size_t Part = std::min(Room, Prefix.size() - This.m_PrefixSent);
-    std::memcpy(Target, Prefix.data() + This.m_PrefixSent, Part);
+    Prefix.copy(Target, Part, This.m_PrefixSent);
     This.m_PrefixSent += Part;
     return Part;
   }
--- a/src/adapters/http_server/control_server.h
+++ b/src/adapters/http_server/control_server.h
@@ -27,7 +27,7 @@
 struct ControlServerOptions {
   /// "host:port".
   std::string m_Listen;
-  std::size_t m_MaxBody = 64U * 1024U;
+  std::size_t m_MaxBody = std::size_t{64} * 1024;
   unsigned m_MaxConnections = 64;
 };
 
--- a/src/adapters/http_server/listen_address.cpp
+++ b/src/adapters/http_server/listen_address.cpp
@@ -15,9 +15,8 @@
   const std::string Host(Text.substr(0, Colon));
   const std::string_view Port = Text.substr(Colon + 1);
   std::uint16_t Number = 0;
-  const auto [End, Error] =
-      std::from_chars(Port.data(), Port.data() + Port.size(), Number);
-  if (Error != std::errc() || End != Port.data() + Port.size())
+  const auto [End, Error] = std::from_chars(Port.begin(), Port.end(), Number);
+  if (Error != std::errc() || End != Port.end())
     return std::nullopt;
   sockaddr_in Result{};
   Result.sin_family = AF_INET;
--- a/src/adapters/target_http/order.cpp
+++ b/src/adapters/target_http/order.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 #include <array>
-#include <strings.h>
+#include <cctype>
 #include <utility>
 
 namespace balsamwheel::target_http {
@@ -26,8 +26,11 @@
     "Expect",     "Content-Length"};
 
 bool sameName(std::string_view First, std::string_view Second) {
-  return First.size() == Second.size() &&
-         strncasecmp(First.data(), Second.data(), First.size()) == 0;
+  const auto SameLetter = [](unsigned char A, unsigned char B) {
+    return std::tolower(A) == std::tolower(B);
+  };
+  return std::equal(First.begin(), First.end(), Second.begin(), Second.end(),
+                    SameLetter);
 }
 
 bool isPassedOn(std::string_view Name) {
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -30,7 +30,7 @@
       m_Server({.m_Listen = Listen},
                [this](const Request &Asked) { return handle(Asked); }) {}
 
-template <typename Question> Admin::Response Admin::ask(Question Run) {
+template <typename Question> Admin::Response Admin::ask(const Question &Run) {
   auto Promise = std::make_shared<std::promise<nlohmann::json>>();
   std::future<nlohmann::json> Answer = Promise->get_future();
   Event Item = Inspect{[Promise, Run](const Node &Subject, TimePoint Now) {
--- a/src/daemon/admin.h
+++ b/src/daemon/admin.h
@@ -25,7 +25,7 @@
   Response handle(const Request &Asked);
   Response drain(const Request &Asked);
   /// Runs a question on the core thread and waits for its answer.
-  template <typename Question> Response ask(Question Run);
+  template <typename Question> Response ask(const Question &Run);
 
   CoreShared &m_Shared;
   http_server::ControlServer m_Server;
--- a/src/daemon/body_streams.cpp
+++ b/src/daemon/body_streams.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t ChunkSize = 64U * 1024U;
+constexpr std::size_t ChunkSize = std::size_t{64} * 1024;
 constexpr std::uint64_t CreditWindow = runtime::DefaultPipeCapacity;
 /// Credit is renewed in portions of this size.
 constexpr std::uint64_t CreditPortion = CreditWindow / 4;
--- a/src/daemon/section_reader.cpp
+++ b/src/daemon/section_reader.cpp
@@ -5,10 +5,9 @@
 
 namespace balsamwheel::daemon {
 
-SectionReader::SectionReader(ReadContext &Context, YAML::Node Section,
+SectionReader::SectionReader(ReadContext &Context, const YAML::Node &Section,
                              std::string Path)
-    : m_Context(Context), m_Section(std::move(Section)),
-      m_Path(std::move(Path)) {
+    : m_Context(Context), m_Section(Section), m_Path(std::move(Path)) {
   if (!m_Section.IsMap()) {
     report(m_Section.Mark(), m_Path, "must be a mapping");
     m_Section = YAML::Node(YAML::NodeType::Map);
--- a/src/daemon/section_reader.h
+++ b/src/daemon/section_reader.h
@@ -26,7 +26,8 @@
 /// fields that nobody asked for.
 class SectionReader {
 public:
-  SectionReader(ReadContext &Context, YAML::Node Section, std::string Path);
+  SectionReader(ReadContext &Context, const YAML::Node &Section,
+                std::string Path);
 
   /// \p Check returns the fault of a value, or an empty string.
   void text(const char *Name, std::string &Target, bool Required = false,
--- a/src/runtime/body_pipe.cpp
+++ b/src/runtime/body_pipe.cpp
@@ -2,7 +2,6 @@
 #include "runtime/body_pipe.h"
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 #include <xxhash.h>
 
@@ -95,7 +94,7 @@
   while (Done < Size && !m_Chunks.empty()) {
     const std::string &Front = m_Chunks.front();
     const std::size_t Part = std::min(Size - Done, Front.size() - m_FrontRead);
-    std::memcpy(Target + Done, Front.data() + m_FrontRead, Part);
+    Front.copy(Target + Done, Part, m_FrontRead);
     Done += Part;
     m_FrontRead += Part;
     if (m_FrontRead == Front.size()) {
--- a/src/runtime/body_pipe.h
+++ b/src/runtime/body_pipe.h
@@ -27,7 +27,7 @@
   Failed,
 };
 
-inline constexpr std::size_t DefaultPipeCapacity = 256U * 1024U;
+inline constexpr std::size_t DefaultPipeCapacity = std::size_t{256} * 1024;
 
 struct BodyPipeOptions {
   /// Where the body is named by messages between daemons.
