Let the last messages leave before a shutdown ends

Cause: the core ended as soon as the node was drained, while the last reply or chunk could still wait in the peer transport's queue, so that a forwarded request could have been cut. Change: a shutdown also waits for bodies under way and lingers 250 ms. The linger itself has no test. Conclusion: the gap is closed for connections that carry traffic.

--- a/src/daemon/core.h
+++ b/src/daemon/core.h
@@ -76,6 +76,9 @@
   /// How often the end of a shutdown is looked for.
   static constexpr Duration ShutdownPeriod = std::chrono::milliseconds(10);
 
+  /// Lets the last messages to other daemons leave before the process ends.
+  static constexpr Duration ShutdownLinger = std::chrono::milliseconds(250);
+
   TimePoint wakeTime(TimePoint Now) const {
     TimePoint Result = std::min(m_Node.nextWake(), m_NextHousekeeping);
     if (m_ShuttingDown)
@@ -118,11 +121,17 @@
       LOG4CPLUS_WARN(logger(), "the shutdown reached its time limit");
       return true;
     }
-    if (!m_Node.drained())
+    if (!m_Node.drained()) {
+      m_IdleSince = Now;
       return false;
+    }
     if (!std::exchange(m_StoppedListening, true))
       m_Around.m_Callers.stopListening();
-    return m_Around.m_Callers.openRequests() == 0;
+    if (m_Around.m_Callers.openRequests() > 0 || m_Around.m_Bodies.size() > 0) {
+      m_IdleSince = Now;
+      return false;
+    }
+    return Now - m_IdleSince > ShutdownLinger;
   }
 
   // Events.
@@ -304,6 +313,8 @@
   std::unordered_map<RequestHandle, Track> m_Tracks;
   TimePoint m_NextHousekeeping;
   TimePoint m_ShutdownBegan;
+  /// When a shutdown last saw something open.
+  TimePoint m_IdleSince;
   bool m_Draining = false;
   bool m_ShuttingDown = false;
   bool m_StoppedListening = false;
