Ask members for their heartbeats on a common beat

Cause: heartbeats that come out of step cost a write of the group's row each: in a trial with 56 nodes group 0 wrote 563 times in 30 s, 50 were expected. Change: the acknowledgement of the first in rank names the time until the next common beat, taken from its clock modulo the period.

--- a/include/balsamwheel/detail/coordination/group_leader.h
+++ b/include/balsamwheel/detail/coordination/group_leader.h
@@ -66,6 +66,8 @@
   void releaseServed(TimePoint Now);
   /// The head row was read lately enough to acknowledge.
   bool knowsHead(TimePoint Now) const;
+  /// Time until the group's common beat, from the leader's clock alone.
+  Duration nextBeatIn(TimePoint Now) const;
   void observe(const GroupRow &Row, TimePoint Now);
   void askWitnesses(const GroupRow &Row, TimePoint Now);
   /// Notes members whose address a newer session listens at.
--- a/include/balsamwheel/detail/wire/control.h
+++ b/include/balsamwheel/detail/wire/control.h
@@ -36,6 +36,9 @@
   /// Version of the head row that the leader read last.
   RowVersion m_Head;
   bool m_Expelled = false;
+  /// When the leader wants the next heartbeat, so that those of the whole
+  /// group share one write; 0 leaves it to the member.
+  Duration m_NextBeatIn{0};
 
   bool operator==(const HeartbeatAck &) const = default;
 };
--- a/src/adapters/peer_tcp/decode.cpp
+++ b/src/adapters/peer_tcp/decode.cpp
@@ -101,7 +101,8 @@
           .m_SequenceCommitted = Value.sequence_committed(),
           .m_GroupRow = RowVersion(Value.group_row()),
           .m_Head = RowVersion(Value.head()),
-          .m_Expelled = Value.expelled()};
+          .m_Expelled = Value.expelled(),
+          .m_NextBeatIn = Duration(Value.next_beat_in())};
 }
 
 ExtendRequest fromWire(const wire::ExtendRequest &Value) {
--- a/src/adapters/peer_tcp/encode.cpp
+++ b/src/adapters/peer_tcp/encode.cpp
@@ -87,7 +87,8 @@
 Content encodeOne(Builder &To, const HeartbeatAck &Value) {
   return content(wire::CreateHeartbeatAck(
       To, Value.m_Group, Value.m_Session.value(), Value.m_SequenceCommitted,
-      Value.m_GroupRow.value(), Value.m_Head.value(), Value.m_Expelled));
+      Value.m_GroupRow.value(), Value.m_Head.value(), Value.m_Expelled,
+      Value.m_NextBeatIn.count()));
 }
 
 Content encodeOne(Builder &To, const ExtendRequest &Value) {
--- a/src/adapters/peer_tcp/peer_generated.h
+++ b/src/adapters/peer_tcp/peer_generated.h
@@ -504,7 +504,8 @@
     VT_SEQUENCE_COMMITTED = 8,
     VT_GROUP_ROW = 10,
     VT_HEAD = 12,
-    VT_EXPELLED = 14
+    VT_EXPELLED = 14,
+    VT_NEXT_BEAT_IN = 16
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -524,6 +525,9 @@
   bool expelled() const {
     return GetField<uint8_t>(VT_EXPELLED, 0) != 0;
   }
+  int64_t next_beat_in() const {
+    return GetField<int64_t>(VT_NEXT_BEAT_IN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -532,6 +536,7 @@
            VerifyField<uint64_t>(verifier, VT_GROUP_ROW, 8) &&
            VerifyField<uint64_t>(verifier, VT_HEAD, 8) &&
            VerifyField<uint8_t>(verifier, VT_EXPELLED, 1) &&
+           VerifyField<int64_t>(verifier, VT_NEXT_BEAT_IN, 8) &&
            verifier.EndTable();
   }
 };
@@ -558,6 +563,9 @@
   void add_expelled(bool expelled) {
     fbb_.AddElement<uint8_t>(HeartbeatAck::VT_EXPELLED, static_cast<uint8_t>(expelled), 0);
   }
+  void add_next_beat_in(int64_t next_beat_in) {
+    fbb_.AddElement<int64_t>(HeartbeatAck::VT_NEXT_BEAT_IN, next_beat_in, 0);
+  }
   explicit HeartbeatAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -576,8 +584,10 @@
     uint64_t sequence_committed = 0,
     uint64_t group_row = 0,
     uint64_t head = 0,
-    bool expelled = false) {
+    bool expelled = false,
+    int64_t next_beat_in = 0) {
   HeartbeatAckBuilder builder_(_fbb);
+  builder_.add_next_beat_in(next_beat_in);
   builder_.add_head(head);
   builder_.add_group_row(group_row);
   builder_.add_sequence_committed(sequence_committed);
--- a/src/coordination/group_leader.cpp
+++ b/src/coordination/group_leader.cpp
@@ -10,6 +10,8 @@
 
 /// Heartbeats that come within this time share a write.
 constexpr Duration BatchDelay = std::chrono::milliseconds(60);
+/// A member is asked for its next heartbeat no sooner than this.
+constexpr Duration LeastBeatGap = std::chrono::milliseconds(250);
 /// Least time between two writes of the row; with the batch delay it stays
 /// below the time after which members turn to another writer.
 constexpr Duration LeastFlushGap = std::chrono::milliseconds(120);
@@ -260,9 +262,18 @@
   Ack.m_SequenceCommitted = Value.m_Sequence;
   Ack.m_GroupRow = Row.m_Version;
   Ack.m_Head = m_Context->m_View.completeHead();
+  if (isFirst())
+    Ack.m_NextBeatIn = nextBeatIn(Now);
   m_Acknowledge(Value.m_Member.m_Peer, Ack, Now);
 }
 
+Duration GroupLeader::nextBeatIn(TimePoint Now) const {
+  const Duration Period = m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
+  const Duration Phase = Now.time_since_epoch() % Period;
+  const Duration Left = Period - Phase;
+  return Left < LeastBeatGap ? Left + Period : Left;
+}
+
 bool GroupLeader::knowsHead(TimePoint Now) const {
   return Now - m_Poller->freshAt() <= m_Context->m_Options.m_Timing.m_Lease;
 }
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -228,8 +228,10 @@
   if (Message.m_SequenceCommitted > m_Lease.committed())
     applyAck(Message, From, Now);
   const Duration Period = m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
-  const TimePoint InPhase =
-      Now + Period - BeatLead + m_Context->jitter(BeatJitter);
+  const Duration Wanted = Message.m_NextBeatIn > Duration(0)
+                              ? Message.m_NextBeatIn
+                              : Period - BeatLead;
+  const TimePoint InPhase = Now + Wanted + m_Context->jitter(BeatJitter);
   m_BeatAt = std::min(InPhase, m_LastBeat + Period * 3 / 2);
   if (Message.m_SequenceCommitted >= m_Lease.sequence())
     m_NextAttemptAt = Never;
--- a/tests/unit-peer-codec.cpp
+++ b/tests/unit-peer-codec.cpp
@@ -70,7 +70,8 @@
 
 template <> HeartbeatAck anyMessage() {
   return {any<std::uint32_t>(), anyId<SessionId>(),  any<std::uint64_t>(),
-          anyId<RowVersion>(),  anyId<RowVersion>(), any<bool>()};
+          anyId<RowVersion>(),  anyId<RowVersion>(), any<bool>(),
+          any<Duration>()};
 }
 
 template <> ExtendRequest anyMessage() {
