Align the heartbeats of a group on its leader's common beat

Ruled out: the batching of the writer and its failover time. Change: only the first in rank names the common beat; a member takes the first such beat that is at least two fifths of a period after its last one.

--- a/include/balsamwheel/detail/coordination/membership.h
+++ b/include/balsamwheel/detail/coordination/membership.h
@@ -73,6 +73,8 @@
   void noteWitnessed(TimePoint Now);
   void entryChanged(TimePoint Now);
   PromiseReply answerPromise(const PromiseRequest &Message, TimePoint Now);
+  /// Moves the next heartbeat to the common beat of the group.
+  void joinBeat(TimePoint Common);
   void applyAck(const HeartbeatAck &Message, const PeerAddress &From,
                 TimePoint Now);
   void prefer(const PeerAddress &Writer, TimePoint Now);
--- a/src/coordination/group_leader.cpp
+++ b/src/coordination/group_leader.cpp
@@ -10,8 +10,6 @@
 
 /// Heartbeats that come within this time share a write.
 constexpr Duration BatchDelay = std::chrono::milliseconds(60);
-/// A member is asked for its next heartbeat no sooner than this.
-constexpr Duration LeastBeatGap = std::chrono::milliseconds(250);
 /// Least time between two writes of the row; with the batch delay it stays
 /// below the time after which members turn to another writer.
 constexpr Duration LeastFlushGap = std::chrono::milliseconds(120);
@@ -269,9 +267,7 @@
 
 Duration GroupLeader::nextBeatIn(TimePoint Now) const {
   const Duration Period = m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
-  const Duration Phase = Now.time_since_epoch() % Period;
-  const Duration Left = Period - Phase;
-  return Left < LeastBeatGap ? Left + Period : Left;
+  return Period - Now.time_since_epoch() % Period;
 }
 
 bool GroupLeader::knowsHead(TimePoint Now) const {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -9,9 +9,8 @@
 namespace {
 
 constexpr Duration ReadRetryDelay = std::chrono::milliseconds(150);
-/// The next heartbeat comes so long before the leader's next write.
-constexpr Duration BeatLead = std::chrono::milliseconds(60);
-constexpr Duration BeatJitter = std::chrono::milliseconds(40);
+/// Spreads the heartbeats of a group a little.
+constexpr Duration BeatJitter = std::chrono::milliseconds(20);
 constexpr Duration ExtensionLimit = std::chrono::hours(1);
 /// Other members that get a heartbeat before this session writes itself.
 constexpr std::size_t MostRelays = 2;
@@ -227,16 +226,20 @@
   }
   if (Message.m_SequenceCommitted > m_Lease.committed())
     applyAck(Message, From, Now);
-  const Duration Period = m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
-  const Duration Wanted = Message.m_NextBeatIn > Duration(0)
-                              ? Message.m_NextBeatIn
-                              : Period - BeatLead;
-  const TimePoint InPhase = Now + Wanted + m_Context->jitter(BeatJitter);
-  m_BeatAt = std::min(InPhase, m_LastBeat + Period * 3 / 2);
+  if (Message.m_NextBeatIn > Duration(0))
+    joinBeat(Now + Message.m_NextBeatIn);
   if (Message.m_SequenceCommitted >= m_Lease.sequence())
     m_NextAttemptAt = Never;
 }
 
+void Membership::joinBeat(TimePoint Common) {
+  const Duration Period = m_Context->m_Options.m_Timing.m_HeartbeatPeriod;
+  // A beat right after the last one would renew nothing worth a message.
+  if (Common - m_LastBeat < Period * 2 / 5)
+    Common += Period;
+  m_BeatAt = Common + m_Context->jitter(BeatJitter);
+}
+
 void Membership::applyAck(const HeartbeatAck &Message, const PeerAddress &From,
                           TimePoint Now) {
   m_State = State::Joined;
