--- a/tests/node_rig.cpp
+++ b/tests/node_rig.cpp
@@ -342,8 +342,8 @@
   m_Callers.erase(Known);
   const bool Proven =
       Answer.m_Outcome == Outcome::NotRun || Answer.m_Outcome == Outcome::Wait;
-  if (Proven && Who->m_Unproven == Attempt.m_Sent)
-    Who->m_Unproven.reset();
+  if (Proven)
+    Who->m_Unproven.erase(Attempt.m_Sent);
   if (Answer.m_Outcome != Outcome::Done)
     retryLater(Who, milliseconds(1000));
 }
--- a/tests/node_rig.h
+++ b/tests/node_rig.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,8 +100,8 @@
   /// A request as its caller keeps it over its attempts.
   struct Caller {
     RequestMeta m_Meta;
-    /// When the first attempt that may have run was sent.
-    std::optional<TimePoint> m_Unproven;
+    /// When the attempts that may have run were sent.
+    std::set<TimePoint> m_Unproven;
   };
 
   TimePoint localTime(const Daemon &Value) const;
--- a/tests/node_rig_actions.cpp
+++ b/tests/node_rig_actions.cpp
@@ -196,9 +196,8 @@
   RequestMeta &Meta = Who->m_Meta;
   ++Meta.m_Attempt;
   Meta.m_FirstAttemptAge =
-      Who->m_Unproven ? Now - *Who->m_Unproven : Duration(0);
-  if (!Who->m_Unproven)
-    Who->m_Unproven = Now;
+      Who->m_Unproven.empty() ? Duration(0) : Now - *Who->m_Unproven.begin();
+  Who->m_Unproven.insert(Now);
   IncomingRequest Incoming;
   Incoming.m_Handle = RequestHandle(++m_LastHandle);
   Incoming.m_Meta = Meta;
