Count only the memory of the present assignment when a retry is cleared

Change: a daemon that is not the active owner states no memory. Cost: retries right after a live handover are answered unknown.

--- a/include/balsamwheel/detail/node/executor.h
+++ b/include/balsamwheel/detail/node/executor.h
@@ -145,8 +145,6 @@
   Duration m_OutcomeMemory;
   OutcomeStore m_Outcomes;
   ReplayWindow m_Replays;
-  /// Since when the requests of shards owned earlier are remembered.
-  std::unordered_map<ShardRef, TimePoint> m_ShardMemory;
   std::uint64_t m_LastHandle = 0;
   std::uint64_t m_LastOrder = 0;
 };
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -241,11 +241,10 @@
 Duration Executor::memoryAge(const RequestMeta &Meta, TimePoint Now) const {
   TimePoint Since = m_Outcomes.forgottenUpTo();
   if (const std::optional<ShardRef> Shard = shardFor(Meta)) {
-    std::optional<TimePoint> Owned =
+    // A former owner may have lost the shard in between, so only the memory of
+    // the present assignment counts.
+    const std::optional<TimePoint> Owned =
         m_Context.coordinator().activeSince(*Shard);
-    if (const auto It = m_ShardMemory.find(*Shard);
-        !Owned && It != m_ShardMemory.end())
-      Owned = It->second;
     if (!Owned)
       return Duration(0);
     Since = std::max(Since, *Owned);
@@ -334,9 +333,6 @@
   if (Value.m_Shard) {
     m_Context.coordinator().orderStarted(*Value.m_Shard, Value.m_Key,
                                          Value.m_Epoch);
-    const std::optional<TimePoint> Since =
-        m_Context.coordinator().activeSince(*Value.m_Shard);
-    m_ShardMemory[*Value.m_Shard] = Since.value_or(Now);
   }
   if (OutcomeRecord *Record = recordOf(Value.m_Meta);
       Record != nullptr && !Value.m_Meta.m_Idempotent)
