--- a/bench/capacity/fleet.cpp
+++ b/bench/capacity/fleet.cpp
@@ -21,8 +21,8 @@
 constexpr std::uint64_t RowOverheadBytes = 40;
 constexpr std::uint32_t TargetSlots = 10;
 constexpr Duration ServedStep = std::chrono::milliseconds(20);
-/// Nodes start over this time, as instances of a deployment do.
-constexpr Duration StartSpread = std::chrono::seconds(4);
+/// Nodes start one after the other, as instances of a deployment do.
+constexpr Duration StartGap = std::chrono::milliseconds(50);
 
 std::chrono::nanoseconds threadCpu() {
   timespec Now{};
@@ -53,10 +53,11 @@
   commitConfig(makeConfig(1));
   m_Nodes.resize(m_Options.m_Nodes);
   for (std::uint32_t Index = 0; Index < m_Options.m_Nodes; ++Index)
-    later(StartSpread * Index / m_Options.m_Nodes,
-          [this, Index] { addNode(Index); });
+    later(StartGap * Index, [this, Index] { addNode(Index); });
 }
 
+Duration Fleet::startTime() const { return StartGap * m_Options.m_Nodes; }
+
 std::uint32_t Fleet::domainOf(std::uint32_t Node) const {
   return Node % m_Options.m_Domains;
 }
--- a/bench/capacity/fleet.h
+++ b/bench/capacity/fleet.h
@@ -46,6 +46,8 @@
 public:
   explicit Fleet(FleetOptions Options);
 
+  /// Time until the last node has started.
+  Duration startTime() const;
   /// Lets simulated time pass.
   void run(Duration Length);
   /// Runs until every shard is served.
--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -164,9 +164,11 @@
   const std::uint64_t Before = residentBytes();
   Fleet Subject(Options);
   progress("forming");
-  Subject.run(seconds(5));
-  Result["formed_s"] =
-      5 + asSeconds(Subject.runUntilServed(std::chrono::minutes(5)));
+  const Duration Starting = Subject.startTime();
+  Subject.run(Starting);
+  Result["started_s"] = asSeconds(Starting);
+  Result["formed_after_start_s"] =
+      asSeconds(Subject.runUntilServed(std::chrono::minutes(5)));
   Subject.run(seconds(60));
   Result["memory_bytes_per_node"] =
       (residentBytes() - Before) / Options.m_Nodes;
--- a/include/balsamwheel/detail/coordination/placement.h
+++ b/include/balsamwheel/detail/coordination/placement.h
@@ -27,7 +27,7 @@
 /// share rounded up, while another has room.
 class Placement {
 public:
-  Placement(std::vector<PlacementCandidate> Candidates,
+  Placement(const std::vector<PlacementCandidate> &Candidates,
             std::uint32_t ShardCount);
 
   /// A candidate owns one shard more, or less.
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-Placement::Placement(std::vector<PlacementCandidate> Candidates,
+Placement::Placement(const std::vector<PlacementCandidate> &Candidates,
                      std::uint32_t ShardCount) {
   double Total = 0;
   for (const PlacementCandidate &Candidate : Candidates)
--- a/src/coordination/table_client.cpp
+++ b/src/coordination/table_client.cpp
@@ -78,6 +78,7 @@
 void TableClient::settle(PendingCommit Pending, TimePoint Now) {
   if (!enforced<Rule::WriteIdSettling>()) {
     std::vector<Row> Guessed;
+    Guessed.reserve(Pending.m_Commit.m_Conditions.size());
     for (const RowCondition &Condition : Pending.m_Commit.m_Conditions)
       Guessed.push_back(
           {Condition.m_Key, RowVersion(Condition.m_Version.value() + 1), ""});
--- a/src/manifest/diff.cpp
+++ b/src/manifest/diff.cpp
@@ -21,14 +21,22 @@
   return true;
 }
 
+std::string childPath(const std::string &Path, const std::string &Name) {
+  std::string Result = Path;
+  if (!Result.empty())
+    Result += '/';
+  Result += Name;
+  return Result;
+}
+
 /// Collects the leaves of a document by path; items of lists by their name.
 void flatten(const Json &Value, const std::string &Path, Fields &Into) {
   if (Value.is_object()) {
     for (const auto &[Key, Item] : Value.items())
-      flatten(Item, Path.empty() ? Key : Path + "/" + Key, Into);
+      flatten(Item, childPath(Path, Key), Into);
   } else if (isNamedList(Value)) {
     for (const Json &Item : Value)
-      flatten(Item, Path + "/" + Item.at("name").get<std::string>(), Into);
+      flatten(Item, childPath(Path, Item.at("name").get<std::string>()), Into);
   } else {
     Into[Path] = Value.dump();
   }
