Give control calls to targets connections of their own

Cause: a daemon that gains 1,024 shards sends as many grants at once, over all 130 connections of its target, and orders and others find none free. Change: grants, cancels and load reports go through a loop of their own with two connections; orders keep the rest.

--- a/src/adapters/target_http/target_link.cpp
+++ b/src/adapters/target_http/target_link.cpp
@@ -21,6 +21,8 @@
 
 /// Connections beside those for orders: grants, cancels, load reports.
 constexpr long ControlConnections = 2;
+/// Control calls waiting; a start may grant all shards of a service at once.
+constexpr std::size_t ControlQueue = std::size_t{1} << 16U;
 
 std::string escapePath(const std::string &Text) {
   char *Escaped =
@@ -36,6 +38,9 @@
                        http_client::PipeFactory MakePipe)
     : m_Options(std::move(Options)), m_Handlers(std::move(Handlers)),
       m_MakePipe(std::move(MakePipe)), m_Loop({.m_Name = "target"}),
+      m_ControlLoop({.m_Name = "target-control",
+                     .m_MaxConnections = ControlConnections,
+                     .m_QueueSize = ControlQueue}),
       m_Server({.m_Listen = m_Options.m_Listen},
                [this](const ControlRequest &Request) {
                  return onControlRequest(Request);
@@ -60,6 +65,7 @@
     m_Watcher.join();
   m_Server.stop();
   m_Loop.stop();
+  m_ControlLoop.stop();
 }
 
 ControlResponse TargetLink::onControlRequest(const ControlRequest &Request) {
@@ -95,7 +101,7 @@
   if (Ready) {
     // Control requests share the cap with orders.
     m_Loop.setMaxConnections(std::max<long>(
-        1 + ControlConnections, static_cast<long>(News.m_Connections)));
+        1, static_cast<long>(News.m_Connections) - ControlConnections));
     m_Handlers.m_OnReady(News);
   }
   if (Left)
@@ -162,7 +168,7 @@
   Work.m_BodyLength = Work.m_Body.size();
   Work.m_Deadline = runtime::bootNow() + m_Options.m_ControlTimeout;
   Work.m_MaxSendDelay = m_Options.m_ControlTimeout;
-  m_Loop.submit(std::move(Work));
+  m_ControlLoop.submit(std::move(Work));
 }
 
 void TargetLink::readLoad() {
@@ -186,7 +192,7 @@
         {.m_Load = Document["load"].get<double>(),
          .m_Healthy = Healthy == Document.end() || *Healthy != false});
   };
-  m_Loop.submit(std::move(Work));
+  m_ControlLoop.submit(std::move(Work));
 }
 
 void TargetLink::watch() {
--- a/src/adapters/target_http/target_link.h
+++ b/src/adapters/target_http/target_link.h
@@ -87,7 +87,11 @@
   /// None while no target is known.
   std::optional<Announcement> m_Current;
   TimePoint m_LastHeard;
+  /// Carries orders.
   http_client::TransferLoop m_Loop;
+  /// Carries grants, cancels and load reports, so that the many grants of a
+  /// start take no connections from orders.
+  http_client::TransferLoop m_ControlLoop;
   http_server::ControlServer m_Server;
   std::thread m_Watcher;
 };
