--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -71,7 +71,7 @@
                             const ClusterRows &Base, const Config &Next,
                             const std::string &What) {
   if (const std::error_code Error = commitConfig(Table, Base, Next))
-    return failure(static_cast<CliError>(Error.value()), What);
+    return failure(Error, What);
   const std::uint64_t Version = Next.m_Version.value();
   CommandResult Result;
   Result.m_Json = {{"version", Version}, {"in_force", false}};
@@ -129,7 +129,7 @@
   TableSession Table(Common.m_Platform, Common.m_TableLimit);
   ClusterRows Current;
   if (const std::error_code Error = readCluster(Table, Current))
-    return failure(static_cast<CliError>(Error.value()), "");
+    return failure(Error);
   const DomainName Domain(Name);
   if (!knowsDomain(Current.m_Config, Domain))
     return failure(CliError::InvalidInput,
@@ -178,7 +178,7 @@
   TableSession Table(Common.m_Platform, Common.m_TableLimit);
   ClusterRows Current;
   if (const std::error_code Error = readCluster(Table, Current))
-    return failure(static_cast<CliError>(Error.value()), "");
+    return failure(Error);
   const Manifest &Before = Current.m_Config.m_Manifest;
   std::vector<std::string> Lines;
   CommandResult Result;
@@ -204,7 +204,7 @@
   TableSession Table(Common.m_Platform, Common.m_TableLimit);
   ClusterRows Current;
   if (const std::error_code Error = readCluster(Table, Current))
-    return failure(static_cast<CliError>(Error.value()), "");
+    return failure(Error);
   const std::uint64_t Version = Current.m_Config.m_Version.value();
   if (Version != Base)
     return failure(CliError::Conflict, "the version in force is " +
@@ -226,7 +226,7 @@
   TableSession Table(Common.m_Platform, Common.m_TableLimit);
   ClusterRows Current;
   if (const std::error_code Error = readCluster(Table, Current))
-    return failure(static_cast<CliError>(Error.value()), "");
+    return failure(Error);
   if (Current.m_Config.m_Version == ConfigVersion())
     return failure(CliError::InvalidInput, "no manifest was committed yet");
   CommandResult Result;
@@ -250,7 +250,7 @@
   TableSession Table(Common.m_Platform, Common.m_TableLimit);
   ClusterRows Current;
   if (const std::error_code Error = readCluster(Table, Current))
-    return failure(static_cast<CliError>(Error.value()), "");
+    return failure(Error);
   const InstanceName Instance(Name);
   const bool Known =
       std::ranges::any_of(Current.m_Members, [&](const GroupMember &Value) {
--- a/src/cli/result.h
+++ b/src/cli/result.h
@@ -28,4 +28,12 @@
           .m_Json = {{"detail", Detail}}};
 }
 
+/// A failure that a lower part of the command line reported.
+///
+/// \param Code of cliCategory().
+inline CommandResult failure(const std::error_code &Code,
+                             const std::string &Detail = "") {
+  return failure(static_cast<CliError>(Code.value()), Detail);
+}
+
 } // namespace balsamwheel::cli
--- a/src/cli/view_commands.cpp
+++ b/src/cli/view_commands.cpp
@@ -15,10 +15,6 @@
 
 using Json = nlohmann::json;
 
-CommandResult failureOf(const std::error_code &Error) {
-  return failure(static_cast<CliError>(Error.value()), "");
-}
-
 bool isOut(const Config &Known, const DomainName &Name) {
   return std::ranges::binary_search(Known.m_DomainsOut, Name);
 }
@@ -124,7 +120,7 @@
   TableSession Table(Common.m_Platform, Common.m_TableLimit);
   ClusterRows Rows;
   if (const std::error_code Error = readCluster(Table, Rows))
-    return failureOf(Error);
+    return failure(Error);
   const ConfigVersion Version = Rows.m_Config.m_Version;
   const auto Late = lagging(Rows.m_Members, Version);
   std::ostringstream Text;
@@ -163,7 +159,7 @@
   TableSession Table(Common.m_Platform, Common.m_TableLimit);
   ClusterRows Rows;
   if (const std::error_code Error = readCluster(Table, Rows))
-    return failureOf(Error);
+    return failure(Error);
   CommandResult Result;
   for (const auto &Candidate : Rows.m_Config.m_Manifest.m_Services) {
     if (!Candidate.m_DividedByKey ||
@@ -187,7 +183,7 @@
   TableSession Table(Common.m_Platform, Common.m_TableLimit);
   ClusterRows Rows;
   if (const std::error_code Error = readCluster(Table, Rows))
-    return failureOf(Error);
+    return failure(Error);
   const ServiceName Name(Service);
   const auto *Known = Rows.m_Config.m_Manifest.findService(Name);
   if (Known == nullptr || !Known->m_DividedByKey)
