Serve requests on the users' platform through a thin adapter

Cause: the platform has no control machine, no disk and no list of live instances; the daemon with groups, witnesses and 14 threads does not fit it. Change: a router process on one event loop (entrance, gate, keys, tables, peers) as product libraries, and platform/ that translates names only.

--- /dev/null
+++ b/src/link/peer_link.cpp
@@ -0,0 +1,107 @@
+// Framing and checks of the connections between daemons.
+#include "peer_link.h"
+
+#include <array>
+#include <cstring>
+
+namespace balsamwheel {
+
+namespace {
+
+/// Length of the frame and of the body, both 32 bits, little endian.
+constexpr std::size_t PrefixSize = 8;
+/// Input buffers above this are given back when they are empty.
+constexpr std::size_t KeptInput = 4096;
+
+std::uint32_t readLength(const char *From) {
+  std::array<unsigned char, 4> Bytes{};
+  std::memcpy(Bytes.data(), From, Bytes.size());
+  return flatbuffers::ReadScalar<std::uint32_t>(Bytes.data());
+}
+
+void appendLength(std::string &To, std::size_t Length) {
+  std::array<char, 4> Bytes{};
+  flatbuffers::WriteScalar(Bytes.data(), static_cast<std::uint32_t>(Length));
+  To.append(Bytes.data(), Bytes.size());
+}
+
+} // namespace
+
+std::string encodeFrame(const LinkFrame &Frame, std::string_view Body) {
+  flatbuffers::FlatBufferBuilder Builder(512);
+  Builder.Finish(link_wire::Frame::Pack(Builder, &Frame));
+  std::string Text;
+  Text.reserve(PrefixSize + Builder.GetSize() + Body.size());
+  appendLength(Text, Builder.GetSize());
+  appendLength(Text, Body.size());
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+  Text.append(reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+              Builder.GetSize());
+  Text.append(Body);
+  return Text;
+}
+
+PeerLink::PeerLink(EventLoop &Loop, PeerLinkEvents Events)
+    : m_Loop(Loop), m_Events(std::move(Events)), m_Stream(Loop),
+      m_LastHeard(Loop.now()) {
+  m_Stream.setEvents(
+      {.m_OnOpen =
+           [this] {
+             m_LastHeard = m_Loop.now();
+             if (m_Events.m_OnOpen)
+               m_Events.m_OnOpen();
+           },
+       .m_OnData = [this](std::string_view Bytes) { received(Bytes); },
+       .m_OnEnd =
+           [this](StreamEnd How) {
+             fail(How == StreamEnd::Closed ? "closed" : "connection failed");
+           }});
+}
+
+void PeerLink::send(const LinkFrame &Frame, std::string_view Body) {
+  m_Stream.write(encodeFrame(Frame, Body));
+}
+
+void PeerLink::fail(const char *Why) {
+  m_Stream.close();
+  if (m_Events.m_OnEnd)
+    m_Events.m_OnEnd(Why);
+}
+
+bool PeerLink::takeFrame(std::size_t &Used) {
+  const char *Start = m_Input.data() + Used;
+  const std::size_t FrameSize = readLength(Start);
+  const std::size_t BodySize = readLength(Start + 4);
+  if (FrameSize + BodySize > MaxLinkFrame) {
+    fail("a frame is too large");
+    return false;
+  }
+  if (m_Input.size() - Used < PrefixSize + FrameSize + BodySize)
+    return false;
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+  const auto *Bytes =
+      reinterpret_cast<const std::uint8_t *>(Start + PrefixSize);
+  flatbuffers::Verifier Check(Bytes, FrameSize);
+  if (!link_wire::VerifyFrameBuffer(Check)) {
+    fail("a frame is malformed");
+    return false;
+  }
+  std::unique_ptr<LinkFrame> Frame(link_wire::GetFrame(Bytes)->UnPack());
+  std::string Body(Start + PrefixSize + FrameSize, BodySize);
+  Used += PrefixSize + FrameSize + BodySize;
+  m_Events.m_OnFrame(std::move(Frame), std::move(Body));
+  return m_Stream.isOpen();
+}
+
+void PeerLink::received(std::string_view Bytes) {
+  m_LastHeard = m_Loop.now();
+  m_Input.append(Bytes);
+  std::size_t Used = 0;
+  while (m_Input.size() - Used >= PrefixSize && takeFrame(Used)) {
+  }
+  m_Input.erase(0, Used);
+  if (m_Input.empty() && m_Input.capacity() > KeptInput)
+    m_Input.shrink_to_fit();
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/load/request_gate.cpp
@@ -0,0 +1,189 @@
+// Admission, order and refusal at the gate of one target.
+#include "balsamwheel/detail/load/request_gate.h"
+
+#include <algorithm>
+
+namespace balsamwheel {
+
+namespace {
+
+double micros(Duration Value) { return static_cast<double>(Value.count()); }
+
+Duration fromMicros(double Value) {
+  return Duration(static_cast<Duration::rep>(Value));
+}
+
+} // namespace
+
+void RequestGate::open(std::uint32_t Slots) { m_Slots = Slots; }
+
+std::vector<RequestHandle> RequestGate::shut() {
+  m_Slots = 0;
+  std::vector<RequestHandle> Result;
+  Result.reserve(m_Waiting.size());
+  for (const Waiting &Each : m_Waiting)
+    Result.push_back(Each.m_Request.m_Handle);
+  m_Waiting.clear();
+  return Result;
+}
+
+void RequestGate::limitRate(double Rate, TimePoint Until, TimePoint Now) {
+  if (rateLimit(Now) == 0) {
+    m_Permits = m_Options.m_ColdBurst;
+    m_PermitsAt = Now;
+  }
+  m_Rate = Rate;
+  m_RateUntil = Until;
+}
+
+double RequestGate::rateLimit(TimePoint Now) const {
+  return Now < m_RateUntil ? m_Rate : 0;
+}
+
+double RequestGate::ratePermits(TimePoint Now) const {
+  return std::min(m_Options.m_ColdBurst,
+                  m_Permits + m_Rate * micros(Now - m_PermitsAt) / 1e6);
+}
+
+bool RequestGate::takeRate(TimePoint Now) {
+  if (rateLimit(Now) == 0)
+    return true;
+  const double Permits = ratePermits(Now);
+  if (Permits < 1)
+    return false;
+  m_Permits = Permits - 1;
+  m_PermitsAt = Now;
+  return true;
+}
+
+Duration RequestGate::expectedService(const std::string &Route) const {
+  if (auto Found = m_Service.find(Route); Found != m_Service.end())
+    return fromMicros(Found->second);
+  return meanService();
+}
+
+Duration RequestGate::meanService() const {
+  return m_MeanService > 0 ? fromMicros(m_MeanService)
+                           : m_Options.m_InitialService;
+}
+
+bool RequestGate::onTime(const GateRequest &Request, TimePoint Now) const {
+  return Now + expectedService(Request.m_Route) <= Request.m_Objective;
+}
+
+bool RequestGate::before(const Waiting &Left, const Waiting &Right,
+                         TimePoint Now) const {
+  const bool LeftOnTime = onTime(Left.m_Request, Now);
+  const bool RightOnTime = onTime(Right.m_Request, Now);
+  if (LeftOnTime != RightOnTime)
+    return LeftOnTime;
+  if (Left.m_Request.m_Priority != Right.m_Request.m_Priority)
+    return Left.m_Request.m_Priority < Right.m_Request.m_Priority;
+  if (Left.m_Request.m_Objective != Right.m_Request.m_Objective)
+    return Left.m_Request.m_Objective < Right.m_Request.m_Objective;
+  return Left.m_Sequence < Right.m_Sequence;
+}
+
+Duration RequestGate::waitBehind(std::size_t Ahead, TimePoint Now) const {
+  double Wait = 0;
+  if (m_Running + Ahead >= m_Slots)
+    Wait = micros(meanService()) *
+           static_cast<double>(m_Running + Ahead - m_Slots + 1) / m_Slots;
+  if (const double Rate = rateLimit(Now); Rate > 0) {
+    const double Missing = static_cast<double>(Ahead) + 1 - ratePermits(Now);
+    Wait = std::max(Wait, Missing / Rate * 1e6);
+  }
+  return fromMicros(Wait);
+}
+
+GateDecision RequestGate::offer(const GateRequest &Request, TimePoint Now) {
+  if (!isOpen())
+    return {.m_Verdict = GateVerdict::Refuse,
+            .m_RetryAfter = m_Options.m_LongestRetryAfter};
+  const Waiting Offered{.m_Request = Request, .m_Sequence = m_NextSequence++};
+  if (m_Waiting.empty() && m_Running < m_Slots && takeRate(Now)) {
+    ++m_Running;
+    return {.m_Verdict = GateVerdict::Send};
+  }
+  const auto Ahead = static_cast<std::size_t>(std::count_if(
+      m_Waiting.begin(), m_Waiting.end(),
+      [&](const Waiting &Each) { return before(Each, Offered, Now); }));
+  const Duration Wait = waitBehind(Ahead, Now);
+  const Duration Service = expectedService(Request.m_Route);
+  const bool Timely =
+      micros(Wait + Service) <=
+      m_Options.m_AdmissionMargin * micros(Request.m_Objective - Now);
+  const bool LateButShort =
+      !onTime(Request, Now) &&
+      micros(Wait) <= m_Options.m_LateWaitShare *
+                          micros(Request.m_Deadline - Now - Service);
+  const bool Room =
+      m_Waiting.size() < std::size_t{m_Options.m_QueuePerSlot} * m_Slots;
+  if (Room && (Timely || LateButShort)) {
+    m_Waiting.push_back(Offered);
+    return {.m_Verdict = GateVerdict::Wait, .m_ExpectedWait = Wait};
+  }
+  return {.m_Verdict = GateVerdict::Refuse,
+          .m_ExpectedWait = Wait,
+          .m_RetryAfter = std::clamp(Wait, m_Options.m_ShortestRetryAfter,
+                                     m_Options.m_LongestRetryAfter)};
+}
+
+std::optional<RequestHandle> RequestGate::next(TimePoint Now) {
+  if (m_Running >= m_Slots || m_Waiting.empty())
+    return std::nullopt;
+  auto Best = std::min_element(m_Waiting.begin(), m_Waiting.end(),
+                               [&](const Waiting &Left, const Waiting &Right) {
+                                 return before(Left, Right, Now);
+                               });
+  if (!takeRate(Now))
+    return std::nullopt;
+  const RequestHandle Result = Best->m_Request.m_Handle;
+  m_Waiting.erase(Best);
+  ++m_Running;
+  return Result;
+}
+
+std::vector<RequestHandle> RequestGate::expire(TimePoint Now) {
+  std::vector<RequestHandle> Result;
+  std::erase_if(m_Waiting, [&](const Waiting &Each) {
+    const bool Hopeless = Now + expectedService(Each.m_Request.m_Route) >
+                          Each.m_Request.m_Deadline;
+    if (Hopeless)
+      Result.push_back(Each.m_Request.m_Handle);
+    return Hopeless;
+  });
+  return Result;
+}
+
+bool RequestGate::withdraw(RequestHandle Request) {
+  return std::erase_if(m_Waiting, [&](const Waiting &Each) {
+           return Each.m_Request.m_Handle == Request;
+         }) > 0;
+}
+
+void RequestGate::finished(const std::string &Route, Duration Service,
+                           bool Served) {
+  if (m_Running > 0)
+    --m_Running;
+  if (!Served)
+    return;
+  const double Seen = micros(Service);
+  const auto Blend = [&](double &Mean) {
+    Mean = Mean > 0 ? Mean + m_Options.m_ServiceWeight * (Seen - Mean) : Seen;
+  };
+  Blend(m_Service[Route]);
+  Blend(m_MeanService);
+}
+
+std::optional<TimePoint> RequestGate::nextWake(TimePoint Now) const {
+  if (m_Waiting.empty())
+    return std::nullopt;
+  const double Rate = rateLimit(Now);
+  if (Rate > 0 && m_Running < m_Slots)
+    return Now +
+           fromMicros(std::max(1000.0, (1 - ratePermits(Now)) / Rate * 1e6));
+  return std::nullopt;
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/net/http_message.cpp
@@ -0,0 +1,220 @@
+// Text of HTTP messages; parsing is Boost.Beast's.
+#include "http_message.h"
+
+#include <utility>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+
+namespace balsamwheel {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+bool sameName(std::string_view Left, std::string_view Right) {
+  return boost::beast::iequals({Left.data(), Left.size()},
+                               {Right.data(), Right.size()});
+}
+
+std::string_view view(boost::beast::string_view From) {
+  return {From.data(), From.size()};
+}
+
+std::string_view trim(std::string_view Text) {
+  const std::size_t First = Text.find_first_not_of(" \t");
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
+}
+
+template <typename Fields> HttpHeaders copyHeaders(const Fields &From) {
+  HttpHeaders Result;
+  for (const auto &Each : From)
+    Result.add(view(Each.name_string()), view(Each.value()));
+  return Result;
+}
+
+template <typename Parser>
+ParseState feedParser(Parser &Of, std::string &Buffer) {
+  std::size_t Used = 0;
+  ParseState State = ParseState::NeedMore;
+  while (!Of.is_done() && Used < Buffer.size()) {
+    boost::system::error_code Error;
+    const std::size_t Taken = Of.put(
+        boost::asio::buffer(Buffer.data() + Used, Buffer.size() - Used), Error);
+    Used += Taken;
+    if (Error == http::error::need_more) {
+      if (Taken == 0)
+        break;
+      continue;
+    }
+    if (Error == http::error::header_limit)
+      State = ParseState::HeadersTooLarge;
+    else if (Error == http::error::body_limit)
+      State = ParseState::BodyTooLarge;
+    else if (Error)
+      State = ParseState::Malformed;
+    if (Error)
+      return State;
+  }
+  Buffer.erase(0, Used);
+  return Of.is_done() ? ParseState::Complete : ParseState::NeedMore;
+}
+
+template <typename Parser> void limit(Parser &Of, const ParseLimits &Limits) {
+  Of.eager(true);
+  Of.header_limit(static_cast<std::uint32_t>(Limits.m_MaxHeaderBytes));
+  Of.body_limit(Limits.m_MaxBodyBytes);
+}
+
+} // namespace
+
+std::string_view HttpHeaders::get(std::string_view Name) const {
+  for (const HttpHeader &Each : m_All)
+    if (sameName(Each.m_Name, Name))
+      return Each.m_Value;
+  return {};
+}
+
+bool HttpHeaders::has(std::string_view Name) const {
+  return std::any_of(m_All.begin(), m_All.end(), [&](const HttpHeader &Each) {
+    return sameName(Each.m_Name, Name);
+  });
+}
+
+void HttpHeaders::add(std::string_view Name, std::string_view Value) {
+  m_All.push_back({std::string(Name), std::string(Value)});
+}
+
+void HttpHeaders::set(std::string_view Name, std::string_view Value) {
+  remove(Name);
+  add(Name, Value);
+}
+
+void HttpHeaders::remove(std::string_view Name) {
+  std::erase_if(m_All, [&](const HttpHeader &Each) {
+    return sameName(Each.m_Name, Name);
+  });
+}
+
+void HttpHeaders::removeHopByHop() {
+  std::string Named(get("Connection"));
+  std::string_view Rest = Named;
+  while (!Rest.empty()) {
+    const std::size_t Comma = Rest.find(',');
+    const std::string_view Token = trim(Rest.substr(0, Comma));
+    if (!Token.empty())
+      remove(Token);
+    Rest = Comma == std::string_view::npos ? std::string_view()
+                                           : Rest.substr(Comma + 1);
+  }
+  for (const char *Name :
+       {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+        "TE", "Trailer", "Upgrade", "Content-Length", "Expect"})
+    remove(Name);
+}
+
+void HttpHeaders::appendTo(std::string &Text) const {
+  for (const HttpHeader &Each : m_All)
+    Text.append(Each.m_Name).append(": ").append(Each.m_Value).append("\r\n");
+}
+
+std::string HttpRequest::toText() const {
+  std::string Text;
+  Text.reserve(256 + m_Target.size() + m_Body.size());
+  Text.append(m_Method).append(" ").append(m_Target).append(" HTTP/1.1\r\n");
+  m_Headers.appendTo(Text);
+  if (!m_Body.empty() || (m_Method != "GET" && m_Method != "HEAD"))
+    Text.append("Content-Length: ")
+        .append(std::to_string(m_Body.size()))
+        .append("\r\n");
+  Text.append("\r\n").append(m_Body);
+  return Text;
+}
+
+std::string HttpAnswer::toText() const {
+  std::string Text;
+  Text.reserve(256 + m_Body.size());
+  const boost::beast::string_view Reason =
+      http::obsolete_reason(static_cast<http::status>(m_Status));
+  Text.append("HTTP/1.1 ").append(std::to_string(m_Status)).append(" ");
+  Text.append(Reason.data(), Reason.size()).append("\r\n");
+  m_Headers.appendTo(Text);
+  if (m_Status != 204 && m_Status != 304)
+    Text.append("Content-Length: ")
+        .append(std::to_string(m_Body.size()))
+        .append("\r\n");
+  if (!m_KeepAlive)
+    Text.append("Connection: close\r\n");
+  Text.append("\r\n").append(m_Body);
+  return Text;
+}
+
+class HttpRequestParser::Impl {
+public:
+  http::request_parser<http::string_body> m_Parser;
+};
+
+HttpRequestParser::HttpRequestParser(ParseLimits Limits)
+    : m_Impl(std::make_unique<Impl>()) {
+  limit(m_Impl->m_Parser, Limits);
+}
+
+HttpRequestParser::~HttpRequestParser() = default;
+
+ParseState HttpRequestParser::feed(std::string &Buffer) {
+  return feedParser(m_Impl->m_Parser, Buffer);
+}
+
+bool HttpRequestParser::headersComplete() const {
+  return m_Impl->m_Parser.is_header_done();
+}
+
+HttpRequest HttpRequestParser::take() {
+  const bool KeepAlive = m_Impl->m_Parser.keep_alive();
+  auto Message = m_Impl->m_Parser.release();
+  HttpRequest Result{.m_Method = std::string(view(Message.method_string())),
+                     .m_Target = std::string(view(Message.target())),
+                     .m_Headers = copyHeaders(Message),
+                     .m_Body = std::move(Message.body()),
+                     .m_KeepAlive = KeepAlive};
+  return Result;
+}
+
+class HttpAnswerParser::Impl {
+public:
+  http::response_parser<http::string_body> m_Parser;
+};
+
+HttpAnswerParser::HttpAnswerParser(ParseLimits Limits, bool NoBody)
+    : m_Impl(std::make_unique<Impl>()) {
+  limit(m_Impl->m_Parser, Limits);
+  m_Impl->m_Parser.skip(NoBody);
+}
+
+HttpAnswerParser::~HttpAnswerParser() = default;
+
+ParseState HttpAnswerParser::feed(std::string &Buffer) {
+  return feedParser(m_Impl->m_Parser, Buffer);
+}
+
+ParseState HttpAnswerParser::finish() {
+  boost::system::error_code Error;
+  m_Impl->m_Parser.put_eof(Error);
+  return !Error && m_Impl->m_Parser.is_done() ? ParseState::Complete
+                                              : ParseState::Malformed;
+}
+
+HttpAnswer HttpAnswerParser::take() {
+  const bool KeepAlive = m_Impl->m_Parser.keep_alive();
+  auto Message = m_Impl->m_Parser.release();
+  return {.m_Status = Message.result_int(),
+          .m_Headers = copyHeaders(Message),
+          .m_Body = std::move(Message.body()),
+          .m_KeepAlive = KeepAlive};
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,219 @@
+// Connections of callers: parsing, time limits, answers in order.
+#include "http_server.h"
+
+#include <ace/OS_NS_sys_socket.h>
+
+namespace balsamwheel {
+
+namespace {
+
+/// How often time limits are checked.
+constexpr Duration SweepInterval = std::chrono::milliseconds(500);
+/// What a caller may send ahead while its request is being served.
+constexpr std::size_t MaxReadAhead = std::size_t{256} << 10;
+
+HttpAnswer plainAnswer(unsigned Status) {
+  return {.m_Status = Status, .m_KeepAlive = false};
+}
+
+} // namespace
+
+class HttpServerConnection {
+public:
+  HttpServerConnection(HttpServer &Server, EventLoop &Loop)
+      : m_Server(Server), m_Loop(Loop), m_Stream(Loop),
+        m_LastActive(Loop.now()) {
+    m_Stream.setEvents(
+        {.m_OnData = [this](std::string_view Bytes) { received(Bytes); },
+         .m_OnEnd = [this](StreamEnd) { ended(); }});
+  }
+
+  bool adopt(ACE_HANDLE Handle) { return m_Stream.adopt(Handle); }
+  bool busy() const { return m_Exchange != nullptr; }
+
+  void answered(HttpAnswer Answer) {
+    Answer.m_KeepAlive =
+        Answer.m_KeepAlive && m_KeepAlive && !m_Server.m_Closing;
+    const bool Head = m_Exchange && m_Exchange->request().m_Method == "HEAD";
+    release();
+    std::string Text = Answer.toText();
+    if (Head)
+      Text.resize(Text.size() - Answer.m_Body.size());
+    m_Stream.write(Text);
+    m_LastActive = m_Loop.now();
+    if (!Answer.m_KeepAlive) {
+      m_Finished = true;
+      m_Stream.closeWhenDrained();
+      if (!m_Stream.isOpen())
+        m_Server.remove(this);
+      return;
+    }
+    if (!m_Input.empty())
+      m_Loop.post([this, Alive = std::weak_ptr(m_Alive)] {
+        if (!Alive.expired())
+          parse();
+      });
+  }
+
+  void aborted() {
+    release();
+    m_Stream.close();
+    m_Server.remove(this);
+  }
+
+  /// Applies the time limits.
+  void sweep(TimePoint Now) {
+    if (m_Exchange)
+      return;
+    const bool Reading = m_Parser || !m_Input.empty();
+    const Duration Limit = Reading ? m_Server.m_Options.m_HeaderTimeout
+                                   : m_Server.m_Options.m_IdleTimeout;
+    const bool HeadersDone = m_Parser && m_Parser->headersComplete();
+    if (Now - m_LastActive <=
+        (HeadersDone ? m_Server.m_Options.m_IdleTimeout : Limit))
+      return;
+    if (Reading && !m_Finished)
+      fail(408);
+    else
+      aborted();
+  }
+
+private:
+  void received(std::string_view Bytes) {
+    if (m_Finished)
+      return;
+    if (!m_Parser || m_Parser->headersComplete())
+      m_LastActive = m_Loop.now();
+    m_Input.append(Bytes);
+    if (m_Exchange) {
+      if (m_Input.size() > MaxReadAhead)
+        gone();
+      return;
+    }
+    parse();
+  }
+
+  void parse() {
+    if (m_Exchange || m_Finished || m_Input.empty())
+      return;
+    if (!m_Parser)
+      m_Parser =
+          std::make_unique<HttpRequestParser>(m_Server.m_Options.m_Limits);
+    switch (m_Parser->feed(m_Input)) {
+    case ParseState::NeedMore:
+      return;
+    case ParseState::HeadersTooLarge:
+      return fail(431);
+    case ParseState::BodyTooLarge:
+      return fail(413);
+    case ParseState::Malformed:
+      return fail(400);
+    case ParseState::Complete:
+      break;
+    }
+    HttpRequest Request = m_Parser->take();
+    m_Parser.reset();
+    m_KeepAlive = Request.m_KeepAlive;
+    m_Exchange = std::make_shared<HttpExchange>(std::move(Request), this);
+    m_Server.m_Handler(m_Exchange);
+  }
+
+  void fail(unsigned Status) {
+    m_Finished = true;
+    m_Stream.write(plainAnswer(Status).toText());
+    m_Stream.closeWhenDrained();
+    if (!m_Stream.isOpen())
+      m_Server.remove(this);
+  }
+
+  void release() {
+    if (m_Exchange)
+      m_Exchange->m_Connection = nullptr;
+    m_Exchange.reset();
+  }
+
+  void gone() {
+    m_Stream.close();
+    ended();
+  }
+
+  void ended() {
+    const std::shared_ptr<HttpExchange> Left = std::move(m_Exchange);
+    m_Exchange.reset();
+    if (Left) {
+      Left->m_Connection = nullptr;
+      if (Left->m_OnGone)
+        Left->m_OnGone();
+    }
+    m_Server.remove(this);
+  }
+
+  HttpServer &m_Server;
+  EventLoop &m_Loop;
+  Stream m_Stream;
+  std::string m_Input;
+  std::unique_ptr<HttpRequestParser> m_Parser;
+  std::shared_ptr<HttpExchange> m_Exchange;
+  TimePoint m_LastActive;
+  bool m_KeepAlive = true;
+  /// Nothing more is read from the caller.
+  bool m_Finished = false;
+  std::shared_ptr<int> m_Alive = std::make_shared<int>(0);
+};
+
+void HttpExchange::answer(HttpAnswer Answer) {
+  if (m_Connection)
+    m_Connection->answered(std::move(Answer));
+}
+
+void HttpExchange::abort() {
+  if (m_Connection)
+    m_Connection->aborted();
+}
+
+HttpServer::HttpServer(EventLoop &Loop, HttpServerOptions Options,
+                       OnRequest Handler)
+    : m_Loop(Loop), m_Options(Options), m_Handler(std::move(Handler)),
+      m_Acceptor(Loop, [this](ACE_HANDLE Handle) { accepted(Handle); }) {
+  sweep();
+}
+
+HttpServer::~HttpServer() { m_Loop.cancel(m_SweepTimer); }
+
+bool HttpServer::listen(const Endpoint &At) { return m_Acceptor.listen(At); }
+
+std::size_t HttpServer::active() const {
+  std::size_t Count = 0;
+  for (const auto &[Key, Connection] : m_Connections)
+    Count += Connection->busy() ? 1 : 0;
+  return Count;
+}
+
+void HttpServer::accepted(ACE_HANDLE Handle) {
+  if (m_Connections.size() >= m_Options.m_MaxConnections) {
+    ACE_OS::closesocket(Handle);
+    return;
+  }
+  auto Connection = std::make_unique<HttpServerConnection>(*this, m_Loop);
+  if (Connection->adopt(Handle))
+    m_Connections.emplace(Connection.get(), std::move(Connection));
+}
+
+void HttpServer::remove(HttpServerConnection *Connection) {
+  auto Found = m_Connections.extract(Connection);
+  if (!Found.empty())
+    m_Loop.retire(std::move(Found.mapped()));
+}
+
+void HttpServer::sweep() {
+  std::vector<HttpServerConnection *> All;
+  All.reserve(m_Connections.size());
+  for (const auto &[Key, Connection] : m_Connections)
+    All.push_back(Key);
+  for (HttpServerConnection *Each : All)
+    if (m_Connections.contains(Each))
+      Each->sweep(m_Loop.now());
+  m_SweepTimer = m_Loop.after(SweepInterval, [this] { sweep(); });
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/router/event_log.cpp
@@ -0,0 +1,119 @@
+// Formatting and bounded output of log lines.
+#include "event_log.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <ctime>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <nlohmann/json.hpp>
+
+namespace balsamwheel {
+
+namespace {
+
+/// Lines that may be written at once after a quiet spell, in seconds of rate.
+constexpr double BurstSeconds = 2;
+
+std::string quoted(std::string_view Text) {
+  return nlohmann::json(Text).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+LogLine::LogLine(std::string_view Event) : m_Event(Event) {}
+
+LogLine &LogLine::add(std::string_view Field, std::string_view Value) {
+  m_Fields.append(",\"").append(Field).append("\":").append(quoted(Value));
+  return *this;
+}
+
+LogLine &LogLine::add(std::string_view Field, std::int64_t Value) {
+  m_Fields.append(",\"").append(Field).append("\":").append(
+      std::to_string(Value));
+  return *this;
+}
+
+LogLine &LogLine::add(std::string_view Field, Duration Value) {
+  return add(std::string(Field) + "_us", std::int64_t{Value.count()});
+}
+
+std::string LogLine::finish(TimePoint Now) const {
+  timespec Wall{};
+  clock_gettime(CLOCK_REALTIME, &Wall);
+  std::string Text = "{\"wall_ms\":";
+  Text.append(std::to_string(Wall.tv_sec * 1000 + Wall.tv_nsec / 1000000))
+      .append(",\"boot_us\":")
+      .append(std::to_string(Now.time_since_epoch().count()))
+      .append(",\"event\":\"")
+      .append(m_Event)
+      .append("\"")
+      .append(m_Fields)
+      .append("}\n");
+  return Text;
+}
+
+EventLog::EventLog(EventLoop &Loop, EventLogOptions Options)
+    : m_Loop(Loop), m_Options(Options) {
+  const int Flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (Flags >= 0)
+    fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+  for (LogClass Each : {LogClass::Belief, LogClass::Failure, LogClass::Success})
+    m_Budgets[Each] = {.m_Tokens = rate(Each) * BurstSeconds,
+                       .m_At = Loop.now()};
+}
+
+double EventLog::rate(LogClass Class) const {
+  switch (Class) {
+  case LogClass::Belief:
+    return m_Options.m_BeliefsPerSecond;
+  case LogClass::Failure:
+    return m_Options.m_FailuresPerSecond;
+  case LogClass::Success:
+    return m_Options.m_SuccessesPerSecond;
+  }
+  return 0;
+}
+
+bool EventLog::admit(LogClass Class) {
+  Budget &Of = m_Budgets[Class];
+  const double Passed =
+      static_cast<double>((m_Loop.now() - Of.m_At).count()) / 1e6;
+  Of.m_Tokens =
+      std::min(rate(Class) * BurstSeconds, Of.m_Tokens + rate(Class) * Passed);
+  Of.m_At = m_Loop.now();
+  if (Of.m_Tokens < 1 || m_Buffer.size() >= m_Options.m_MaxBuffered) {
+    ++Of.m_Dropped;
+    return false;
+  }
+  Of.m_Tokens -= 1;
+  return true;
+}
+
+void EventLog::write(LogClass Class, const LogLine &Line) {
+  if (!admit(Class))
+    return;
+  Budget &Of = m_Budgets[Class];
+  if (Of.m_Dropped > 0) {
+    m_Buffer += LogLine("log_lines_dropped")
+                    .add("class", std::int64_t{static_cast<int>(Class)})
+                    .add("count", static_cast<std::int64_t>(Of.m_Dropped))
+                    .finish(m_Loop.now());
+    Of.m_Dropped = 0;
+  }
+  m_Buffer += Line.finish(m_Loop.now());
+}
+
+void EventLog::flush() {
+  while (!m_Buffer.empty()) {
+    const ssize_t Written =
+        ::write(STDOUT_FILENO, m_Buffer.data(), m_Buffer.size());
+    if (Written <= 0)
+      return; // Nobody reads just now; the buffer is bounded.
+    m_Buffer.erase(0, static_cast<std::size_t>(Written));
+  }
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/router/peer_mesh.cpp
@@ -0,0 +1,261 @@
+// Upkeep of the connections between daemons.
+#include "peer_mesh.h"
+
+#include <algorithm>
+
+namespace balsamwheel {
+
+namespace {
+
+/// How often connections are checked and tried again.
+constexpr Duration CheckInterval = std::chrono::milliseconds(100);
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(800);
+/// A peer that reads too slowly gets no more reports until it catches up.
+constexpr std::size_t MaxPendingForReport = std::size_t{256} << 10;
+
+} // namespace
+
+PeerMesh::PeerMesh(EventLoop &Loop, EventLog &Log,
+                   const RouterSettings &Settings, PeerMeshOptions Options,
+                   PeerMeshEvents Events)
+    : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Options(Options),
+      m_Events(std::move(Events)),
+      m_Acceptor(Loop, [this](ACE_HANDLE Handle) { accepted(Handle); }) {}
+
+PeerMesh::~PeerMesh() = default;
+
+bool PeerMesh::listen() {
+  if (!m_Acceptor.listen(m_Settings.m_Peers))
+    return false;
+  check();
+  return true;
+}
+
+void PeerMesh::setMembers(std::vector<Member> Members) {
+  std::vector<InstanceName> Gone;
+  for (const auto &[Name, Known] : m_Peers)
+    if (std::none_of(Members.begin(), Members.end(), [&](const Member &Each) {
+          return Each == Known.m_Member;
+        }))
+      Gone.push_back(Name);
+  for (const InstanceName &Name : Gone) {
+    drop(Name, m_Peers.at(Name), "its entry changed");
+    m_Peers.erase(Name);
+  }
+  for (Member &Each : Members) {
+    if (Each.m_Instance == m_Settings.m_Instance ||
+        m_Peers.contains(Each.m_Instance))
+      continue;
+    const InstanceName Name = Each.m_Instance;
+    Peer &Added = m_Peers[Name];
+    Added.m_Member = std::move(Each);
+    Added.m_DownSince = m_Loop.now();
+    connect(Name, Added);
+  }
+}
+
+void PeerMesh::connect(const InstanceName &Name, Peer &To) {
+  PeerLinkEvents Events;
+  Events.m_OnOpen = [this, Name] {
+    Peer &Of = m_Peers.at(Name);
+    Of.m_Greeted = true;
+    LinkFrame Hello;
+    Hello.kind = LinkFrameKind::Hello;
+    Hello.instance = m_Settings.m_Instance.value();
+    Hello.domain = m_Settings.m_Domain.value();
+    Hello.service = m_Settings.m_Service.value();
+    Of.m_Link->send(Hello);
+  };
+  Events.m_OnFrame = [this, Name](std::unique_ptr<LinkFrame> Frame,
+                                  std::string Body) {
+    received(Name, *Frame, std::move(Body));
+  };
+  Events.m_OnEnd = [this, Name](const char *Why) {
+    drop(Name, m_Peers.at(Name), Why);
+  };
+  To.m_Greeted = false;
+  To.m_ConnectingSince = m_Loop.now();
+  To.m_Link = std::make_unique<PeerLink>(m_Loop, std::move(Events));
+  if (!To.m_Link->connect(To.m_Member.m_Address))
+    drop(Name, To, "no socket");
+}
+
+void PeerMesh::drop(const InstanceName &Name, Peer &Of, const char *Why) {
+  if (Of.m_Link) {
+    Of.m_Link->close();
+    m_Loop.retire(std::move(Of.m_Link));
+  }
+  Of.m_Pause = std::clamp(Of.m_Pause * 2, m_Options.m_FirstReconnect,
+                          m_Options.m_LongestReconnect);
+  Of.m_NextTry = m_Loop.now() + Of.m_Pause;
+  const std::map<std::uint64_t, OnReply> Waiting = std::move(Of.m_Waiting);
+  Of.m_Waiting.clear();
+  if (Of.m_Up) {
+    Of.m_Up = false;
+    Of.m_DownSince = m_Loop.now();
+    m_Log.write(
+        LogClass::Belief,
+        LogLine("peer_lost")
+            .add("peer", Name.value())
+            .add("why", Why)
+            .add("requests", static_cast<std::int64_t>(Waiting.size())));
+    m_Events.m_OnPeerDown(Name);
+  }
+  for (const auto &[Stream, Done] : Waiting)
+    m_Loop.post([Done] { Done({}); });
+}
+
+void PeerMesh::received(const InstanceName &Name, LinkFrame &Frame,
+                        std::string Body) {
+  Peer &Of = m_Peers.at(Name);
+  if (Frame.kind == LinkFrameKind::Report) {
+    if (!Of.m_Up) {
+      Of.m_Up = true;
+      Of.m_Pause = Duration::zero();
+      m_Log.write(LogClass::Belief,
+                  LogLine("peer_up").add("peer", Name.value()));
+    }
+    m_Events.m_OnReport(Name, Frame);
+  } else if (Frame.kind == LinkFrameKind::Answer) {
+    if (Frame.gate)
+      m_Events.m_OnReport(Name, Frame);
+    auto Found = Of.m_Waiting.extract(Frame.stream);
+    if (!Found.empty())
+      Found.mapped()({.m_Answer = std::make_unique<LinkFrame>(std::move(Frame)),
+                      .m_Body = std::move(Body)});
+  } else if (Frame.kind == LinkFrameKind::Rows) {
+    m_Events.m_OnRows(Frame);
+  }
+}
+
+void PeerMesh::accepted(ACE_HANDLE Handle) {
+  const std::uint64_t Id = ++m_LastLink;
+  PeerLinkEvents Events;
+  Events.m_OnFrame = [this, Id](std::unique_ptr<LinkFrame> Frame,
+                                std::string Body) {
+    receivedFromCaller(Id, *Frame, std::move(Body));
+  };
+  Events.m_OnEnd = [this, Id](const char *) { callerEnded(Id); };
+  auto Link = std::make_unique<PeerLink>(m_Loop, std::move(Events));
+  if (Link->adopt(Handle))
+    m_Callers[Id].m_Link = std::move(Link);
+}
+
+void PeerMesh::receivedFromCaller(std::uint64_t LinkId, LinkFrame &Frame,
+                                  std::string Body) {
+  Caller &From = m_Callers.at(LinkId);
+  switch (Frame.kind) {
+  case LinkFrameKind::Hello: {
+    From.m_Instance = InstanceName(Frame.instance);
+    // A peer that reaches this daemon is likely to be reachable, too.
+    auto Known = m_Peers.find(From.m_Instance);
+    if (Known != m_Peers.end() && !Known->second.m_Link)
+      Known->second.m_NextTry = m_Loop.now();
+    return;
+  }
+  case LinkFrameKind::Request:
+    return m_Events.m_OnRequest(LinkId, Frame, std::move(Body));
+  case LinkFrameKind::Cancel:
+    return m_Events.m_OnCancel(LinkId, Frame.stream);
+  case LinkFrameKind::RowsWanted:
+    return From.m_Link->send(m_Events.m_OnRowsWanted(Frame));
+  default:
+    return;
+  }
+}
+
+void PeerMesh::callerEnded(std::uint64_t LinkId) {
+  auto Node = m_Callers.extract(LinkId);
+  if (Node.empty())
+    return;
+  m_Loop.retire(std::move(Node.mapped().m_Link));
+  m_Events.m_OnCallerLost(LinkId);
+}
+
+Duration PeerMesh::reportInterval() const {
+  return m_Options.m_ReportInterval +
+         m_Options.m_ReportIntervalPerPeer * m_Peers.size();
+}
+
+Duration PeerMesh::silenceLimit() const {
+  return reportInterval() * m_Options.m_MissedReports;
+}
+
+void PeerMesh::check() {
+  const TimePoint Now = m_Loop.now();
+  for (auto &[Name, Of] : m_Peers) {
+    if (!Of.m_Link) {
+      if (Now >= Of.m_NextTry)
+        connect(Name, Of);
+    } else if (!Of.m_Greeted && Now - Of.m_ConnectingSince > ConnectTimeout) {
+      drop(Name, Of, "no connection in time");
+    } else if (Of.m_Greeted && Now - Of.m_Link->lastHeard() > silenceLimit()) {
+      drop(Name, Of, "silent");
+    }
+  }
+  m_Loop.after(CheckInterval, [this] { check(); });
+}
+
+bool PeerMesh::isUp(const InstanceName &Name) const {
+  auto Found = m_Peers.find(Name);
+  return Found != m_Peers.end() && Found->second.m_Up;
+}
+
+std::optional<TimePoint> PeerMesh::downSince(const InstanceName &Name) const {
+  auto Found = m_Peers.find(Name);
+  if (Found == m_Peers.end() || Found->second.m_Up)
+    return std::nullopt;
+  return Found->second.m_DownSince;
+}
+
+std::vector<InstanceName> PeerMesh::upPeers() const {
+  std::vector<InstanceName> Result;
+  for (const auto &[Name, Of] : m_Peers)
+    if (Of.m_Up)
+      Result.push_back(Name);
+  return Result;
+}
+
+std::uint64_t PeerMesh::request(const InstanceName &Name, LinkFrame Frame,
+                                std::string_view Body, OnReply Done) {
+  auto Found = m_Peers.find(Name);
+  if (Found == m_Peers.end() || !Found->second.m_Up)
+    return 0;
+  Frame.kind = LinkFrameKind::Request;
+  Frame.stream = ++m_LastStream;
+  Found->second.m_Waiting.emplace(Frame.stream, std::move(Done));
+  Found->second.m_Link->send(Frame, Body);
+  return Frame.stream;
+}
+
+void PeerMesh::cancel(const InstanceName &Name, std::uint64_t Stream) {
+  auto Found = m_Peers.find(Name);
+  if (Found == m_Peers.end() || Found->second.m_Waiting.erase(Stream) == 0)
+    return;
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::Cancel;
+  Frame.stream = Stream;
+  Found->second.m_Link->send(Frame);
+}
+
+void PeerMesh::answer(std::uint64_t LinkId, const LinkFrame &Frame,
+                      std::string_view Body) {
+  auto Found = m_Callers.find(LinkId);
+  if (Found != m_Callers.end())
+    Found->second.m_Link->send(Frame, Body);
+}
+
+void PeerMesh::broadcast(const LinkFrame &Report) {
+  const std::string Text = encodeFrame(Report, {});
+  for (auto &[Id, Caller] : m_Callers)
+    if (Caller.m_Link->pending() < MaxPendingForReport)
+      Caller.m_Link->sendEncoded(Text);
+}
+
+void PeerMesh::askForRows(const InstanceName &Name, const LinkFrame &Wanted) {
+  auto Found = m_Peers.find(Name);
+  if (Found != m_Peers.end() && Found->second.m_Up)
+    Found->second.m_Link->send(Wanted);
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/router/router.h
@@ -0,0 +1,115 @@
+// A router process for one instance: joins the entrance, the gate, the keys,
+// the tables and the peers on one event loop.
+#pragma once
+
+#include "entrance.h"
+#include "key_coordinator.h"
+#include "table_follower.h"
+
+namespace balsamwheel {
+
+/// Translates rows that operators write; an adapter implements it.
+class OperatorRows {
+public:
+  virtual ~OperatorRows() = default;
+  /// The configuration, when \p Row holds one.
+  /// \param Problem why a configuration row was rejected.
+  virtual std::shared_ptr<const RouteTable>
+  configuration(const MirroredRow &Row, std::string &Problem) const = 0;
+  /// Whether the row holds the configuration, sound or not.
+  virtual bool isConfiguration(const RowKey &Key) const = 0;
+  /// The failure domain that a row takes out of service.
+  virtual std::optional<DomainName>
+  evacuatedDomain(const RowKey &Key) const = 0;
+};
+
+/// A heartbeat's answer.
+struct BeatReply {
+  /// The target's state has been taken in.
+  bool m_Accepted = false;
+  /// None renews nothing.
+  std::optional<std::vector<GrantSpan>> m_Grants;
+  Duration m_Hold{0};
+};
+
+class Router {
+public:
+  Router(EventLoop &Loop, RouterSettings Settings, const ExchangeFormat &Format,
+         const OperatorRows &Operators, TableService &Table,
+         RouterMetrics &Metrics, EventLog &Log);
+  ~Router();
+
+  /// \returns false when an address can't be listened on.
+  bool start();
+  /// Stops in order: in the end stopped() is true.
+  void beginStop();
+  bool stopped() const;
+  /// Ready to take requests of callers.
+  bool ready() const;
+  /// A heartbeat of the local target.
+  BeatReply beat(const TargetBeat &Beat);
+  /// The local target says that it leaves.
+  void targetLeaves(const std::string &Id);
+
+private:
+  void rowChanged(const MirroredRow &Row);
+  void configurationChanged(const MirroredRow &Row);
+  void membersChanged();
+  void keyMapChanged(const MirroredRow &Row);
+  void announce();
+  void ensureCoordinator();
+  LinkFrame makeReport() const;
+  void sendReports();
+  void reported(const InstanceName &Peer, const LinkFrame &Report);
+  void peerRequest(std::uint64_t Link, LinkFrame &Frame, std::string Body);
+  void peerAnswer(std::uint64_t Link, std::uint64_t Stream,
+                  TargetJobResult Result);
+  LinkFrame rowsFor(const LinkFrame &Wanted) const;
+  void takeRows(const LinkFrame &Rows);
+  std::vector<KeyCandidate> keyCandidates() const;
+  SliceLoads keyLoads() const;
+  bool isKeyPlanner() const;
+  std::vector<TargetBoard::Candidate>
+  candidates(const ServiceName &Service) const;
+  const KeyMap *keyMap(const ServiceName &Service) const;
+
+  /// What a peer last said of its target.
+  struct PeerTarget {
+    KeyOwner m_Owner;
+    TargetCondition m_Condition = TargetCondition::Shaken;
+    double m_Capacity = 1;
+    SliceLoads m_Rates{};
+  };
+  /// A peer's request at the local gate.
+  struct PeerJob {
+    std::uint64_t m_Link;
+    std::uint64_t m_Stream;
+    auto operator<=>(const PeerJob &) const = default;
+  };
+
+  EventLoop &m_Loop;
+  EventLog &m_Log;
+  const RouterSettings m_Settings;
+  const OperatorRows &m_Operators;
+  TableService &m_Table;
+  TargetBoard m_Board;
+  TargetAgent m_Agent;
+  PeerMesh m_Mesh;
+  TableFollower m_Follower;
+  Entrance m_Entrance;
+  HttpServer m_Callers;
+  std::unique_ptr<KeyCoordinator> m_Coordinator;
+  RouterMetrics &m_Metrics;
+
+  std::shared_ptr<const RouteTable> m_Routes;
+  std::vector<Member> m_Members;
+  std::map<ServiceName, KeyMap> m_KeyMaps;
+  std::map<InstanceName, PeerTarget> m_PeerTargets;
+  std::map<PeerJob, TargetAgent::JobId> m_PeerJobs;
+  EventLoop::TimerId m_ReportTimer;
+  TimePoint m_LastReport;
+  bool m_Announced = false;
+  std::optional<TimePoint> m_StopBegan;
+};
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/router/router_metrics.cpp
@@ -0,0 +1,63 @@
+// Registration and text of the router's metrics.
+#include "router_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace balsamwheel {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries LatencySeconds{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 5};
+
+} // namespace
+
+RouterMetrics::RouterMetrics()
+    : m_Registry(std::make_shared<prometheus::Registry>()),
+      m_Requests(prometheus::BuildCounter()
+                     .Name("balsamwheel_requests_total")
+                     .Help("Requests of callers, by service and outcome")
+                     .Register(*m_Registry)),
+      m_Latency(prometheus::BuildHistogram()
+                    .Name("balsamwheel_request_seconds")
+                    .Help("Time from reading a request to its answer")
+                    .Register(*m_Registry)),
+      m_TableCalls(prometheus::BuildCounter()
+                       .Name("balsamwheel_table_calls_total")
+                       .Help("Calls to the platform's table, by their end")
+                       .Register(*m_Registry)),
+      m_Gate(prometheus::BuildGauge()
+                 .Name("balsamwheel_gate_requests")
+                 .Help("Requests at the target's gate")
+                 .Register(*m_Registry)),
+      m_Version(prometheus::BuildGauge()
+                    .Name("balsamwheel_config_version")
+                    .Help("Version of the configuration in force")
+                    .Register(*m_Registry)
+                    .Add({})) {}
+
+void RouterMetrics::requestEnded(const std::string &Service,
+                                 const std::string &Outcome, Duration Took) {
+  m_Requests.Add({{"service", Service}, {"outcome", Outcome}}).Increment();
+  m_Latency.Add({{"service", Service}}, LatencySeconds)
+      .Observe(static_cast<double>(Took.count()) / 1e6);
+}
+
+void RouterMetrics::tableCall(const std::string &Call, const std::string &End) {
+  m_TableCalls.Add({{"call", Call}, {"end", End}}).Increment();
+}
+
+void RouterMetrics::gate(std::uint32_t Running, std::size_t Waiting) {
+  m_Gate.Add({{"state", "running"}}).Set(Running);
+  m_Gate.Add({{"state", "waiting"}}).Set(static_cast<double>(Waiting));
+}
+
+void RouterMetrics::configVersion(std::uint64_t Version) {
+  m_Version.Set(static_cast<double>(Version));
+}
+
+std::string RouterMetrics::toText() const {
+  return prometheus::TextSerializer().Serialize(m_Registry->Collect());
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/router/router_metrics.h
@@ -0,0 +1,39 @@
+// Counters and latency histograms of a router process.
+#pragma once
+
+#include "balsamwheel/detail/core/time.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+namespace balsamwheel {
+
+class RouterMetrics {
+public:
+  RouterMetrics();
+
+  /// A request from a caller ended. \p Outcome is a short fixed text.
+  void requestEnded(const std::string &Service, const std::string &Outcome,
+                    Duration Took);
+  void tableCall(const std::string &Call, const std::string &End);
+  void gate(std::uint32_t Running, std::size_t Waiting);
+  void configVersion(std::uint64_t Version);
+  /// All metrics in the text format of Prometheus.
+  std::string toText() const;
+
+private:
+  std::shared_ptr<prometheus::Registry> m_Registry;
+  prometheus::Family<prometheus::Counter> &m_Requests;
+  prometheus::Family<prometheus::Histogram> &m_Latency;
+  prometheus::Family<prometheus::Counter> &m_TableCalls;
+  prometheus::Family<prometheus::Gauge> &m_Gate;
+  prometheus::Gauge &m_Version;
+};
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/router/table_follower.h
@@ -0,0 +1,63 @@
+// Keeps the mirror of the platform's tables up to date, from the table itself
+// and, while that can't be reached, from other daemons.
+#pragma once
+
+#include "event_log.h"
+#include "table_service.h"
+
+namespace balsamwheel {
+
+struct TableFollowerOptions {
+  /// Longest time one watch waits for a change. A watch whose connection has
+  /// gone silent is noticed after it.
+  Duration m_WatchWait = std::chrono::seconds(5);
+  Duration m_FirstRetry = std::chrono::milliseconds(150);
+  Duration m_LongestRetry = std::chrono::milliseconds(1200);
+};
+
+class TableFollower {
+public:
+  using OnRow = std::function<void(const MirroredRow &)>;
+
+  TableFollower(EventLoop &Loop, EventLog &Log, TableService &Table,
+                TableFollowerOptions Options, OnRow Changed);
+
+  void start();
+  /// Applies a row that another daemon passed on, or a reply to a commit.
+  void apply(const MirroredRow &Row, const char *Source);
+  const TableMirror &mirror() const { return m_Mirror; }
+  /// Whether the table has been read since the start.
+  bool hasRead(TableName Table) const;
+  /// Whether the last call about the table succeeded.
+  bool isReachable(TableName Table) const;
+
+private:
+  struct Followed {
+    TableName m_Table;
+    /// Changes after it are watched for; none before the table has been read.
+    std::optional<RowVersion> m_Position;
+    bool m_EverRead = false;
+    bool m_Reachable = false;
+    Duration m_Pause{0};
+  };
+
+  Followed &of(TableName Table) {
+    return Table == TableName::Operators ? m_Operators : m_Own;
+  }
+  void next(Followed &Of);
+  void readDone(Followed &Of, const TableServiceReply &Reply);
+  void watchDone(Followed &Of, const TableServiceReply &Reply);
+  /// \returns whether the call succeeded; else it is repeated later.
+  bool settle(Followed &Of, const TableServiceReply &Reply);
+
+  EventLoop &m_Loop;
+  EventLog &m_Log;
+  TableService &m_Service;
+  TableFollowerOptions m_Options;
+  OnRow m_Changed;
+  TableMirror m_Mirror;
+  Followed m_Operators{.m_Table = TableName::Operators};
+  Followed m_Own{.m_Table = TableName::Own};
+};
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/routing/route_table.cpp
@@ -0,0 +1,82 @@
+// Lookup and checks of a routing configuration.
+#include "balsamwheel/detail/routing/route_table.h"
+
+#include <algorithm>
+
+namespace balsamwheel {
+
+RouteTable::RouteTable(ConfigVersion Version, std::vector<ServiceSpec> Services,
+                       CallerLimits Limits, std::vector<Route> Routes)
+    : m_Version(Version), m_Limits(Limits), m_Routes(std::move(Routes)) {
+  for (ServiceSpec &Service : Services) {
+    ServiceName Name = Service.m_Name;
+    m_Services.emplace(std::move(Name), std::move(Service));
+  }
+  m_Index.reserve(m_Routes.size());
+  for (std::size_t Index = 0; Index < m_Routes.size(); ++Index)
+    m_Index.emplace(m_Routes[Index].m_Host + m_Routes[Index].m_Prefix, Index);
+}
+
+const Route *RouteTable::match(std::string_view Host,
+                               std::string_view Path) const {
+  Path = Path.substr(0, Path.find_first_of("?#"));
+  std::string Name;
+  Name.reserve(Host.size() + Path.size());
+  Name.append(Host).append(Path);
+  for (std::size_t End = Name.rfind('/');
+       End != std::string::npos && End >= Host.size();
+       End = End == 0 ? std::string::npos : Name.rfind('/', End - 1)) {
+    Name.resize(End + 1);
+    if (auto Found = m_Index.find(Name); Found != m_Index.end())
+      return &m_Routes[Found->second];
+  }
+  return nullptr;
+}
+
+const ServiceSpec *RouteTable::service(const ServiceName &Name) const {
+  auto Found = m_Services.find(Name);
+  return Found == m_Services.end() ? nullptr : &Found->second;
+}
+
+std::optional<std::string> RouteTable::problem() const {
+  if (m_Version.value() == 0)
+    return "the configuration has no version";
+  if (m_Index.size() != m_Routes.size())
+    return "two routes share a host and a prefix";
+  for (const Route &Each : m_Routes) {
+    const std::string Where = "route " + Each.m_Name + ": ";
+    if (Each.m_Host.empty())
+      return Where + "no host";
+    if (Each.m_Prefix.empty() || Each.m_Prefix.front() != '/' ||
+        Each.m_Prefix.back() != '/')
+      return Where + "the prefix must begin and end with a slash";
+    if (Each.m_Timeout <= Duration::zero())
+      return Where + "no timeout";
+    if (Each.m_MaxAttempts == 0)
+      return Where + "no attempts";
+    if (Each.m_Shares.empty())
+      return Where + "no service";
+    for (const RouteShare &Share : Each.m_Shares) {
+      if (Share.m_Weight == 0)
+        return Where + "a share without weight";
+      if (!service(Share.m_Service))
+        return Where + "unknown service " + Share.m_Service.value();
+    }
+  }
+  return std::nullopt;
+}
+
+const ServiceName &chooseShare(const Route &Of, std::uint64_t Random) {
+  std::uint64_t Total = 0;
+  for (const RouteShare &Share : Of.m_Shares)
+    Total += Share.m_Weight;
+  std::uint64_t Point = Random % Total;
+  for (const RouteShare &Share : Of.m_Shares) {
+    if (Point < Share.m_Weight)
+      return Share.m_Service;
+    Point -= Share.m_Weight;
+  }
+  return Of.m_Shares.back().m_Service;
+}
+
+} // namespace balsamwheel
