Keep the gate shut until the configuration is known

A stopping process also took requests up to its end and cut them. Change: no gate without the service's limits; a stopping process refuses new requests once callers had time to leave; what can't finish is refused at once.

--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -26,10 +26,13 @@
   /// Part of the remaining time that a request whose objective has passed may
   /// be expected to wait. Small: such answers are worth least.
   double m_LateWaitShare = 0.3;
+  /// Part of the expected service time that a request must have left to be
+  /// worth a slot.
+  double m_LeastServiceLeft = 0.6;
   /// Weight of the newest service time in the running mean.
   double m_ServiceWeight = 0.1;
   /// Service time assumed before any has been seen.
-  Duration m_InitialService = std::chrono::milliseconds(100);
+  Duration m_InitialService = std::chrono::milliseconds(200);
   /// Requests that a cold target may get at once, beyond its rate.
   double m_ColdBurst = 2;
   /// Longest queue, in multiples of the slots.
@@ -107,6 +110,9 @@
   };
 
   bool onTime(const GateRequest &Request, TimePoint Now) const;
+  /// Its deadline comes before any answer can.
+  bool hopeless(const GateRequest &Request, TimePoint Now) const;
+  GateDecision refusal(Duration Wait) const;
   /// Whether \p Left is to be sent before \p Right.
   bool before(const Waiting &Left, const Waiting &Right, TimePoint Now) const;
   Duration waitBehind(std::size_t Ahead, TimePoint Now) const;
--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -71,6 +71,19 @@
   return Now + expectedService(Request.m_Route) <= Request.m_Objective;
 }
 
+bool RequestGate::hopeless(const GateRequest &Request, TimePoint Now) const {
+  return micros(Request.m_Deadline - Now) <
+         m_Options.m_LeastServiceLeft *
+             micros(expectedService(Request.m_Route));
+}
+
+GateDecision RequestGate::refusal(Duration Wait) const {
+  return {.m_Verdict = GateVerdict::Refuse,
+          .m_ExpectedWait = Wait,
+          .m_RetryAfter = std::clamp(Wait, m_Options.m_ShortestRetryAfter,
+                                     m_Options.m_LongestRetryAfter)};
+}
+
 bool RequestGate::before(const Waiting &Left, const Waiting &Right,
                          TimePoint Now) const {
   const bool LeftOnTime = onTime(Left.m_Request, Now);
@@ -97,9 +110,8 @@
 }
 
 GateDecision RequestGate::offer(const GateRequest &Request, TimePoint Now) {
-  if (!isOpen())
-    return {.m_Verdict = GateVerdict::Refuse,
-            .m_RetryAfter = m_Options.m_LongestRetryAfter};
+  if (!isOpen() || hopeless(Request, Now))
+    return refusal(meanService());
   const Waiting Offered{.m_Request = Request, .m_Sequence = m_NextSequence++};
   if (m_Waiting.empty() && m_Running < m_Slots && takeRate(Now)) {
     ++m_Running;
@@ -123,10 +135,7 @@
     m_Waiting.push_back(Offered);
     return {.m_Verdict = GateVerdict::Wait, .m_ExpectedWait = Wait};
   }
-  return {.m_Verdict = GateVerdict::Refuse,
-          .m_ExpectedWait = Wait,
-          .m_RetryAfter = std::clamp(Wait, m_Options.m_ShortestRetryAfter,
-                                     m_Options.m_LongestRetryAfter)};
+  return refusal(Wait);
 }
 
 std::optional<RequestHandle> RequestGate::next(TimePoint Now) {
@@ -147,8 +156,7 @@
 std::vector<RequestHandle> RequestGate::expire(TimePoint Now) {
   std::vector<RequestHandle> Result;
   std::erase_if(m_Waiting, [&](const Waiting &Each) {
-    const bool Hopeless = Now + expectedService(Each.m_Request.m_Route) >
-                          Each.m_Request.m_Deadline;
+    const bool Hopeless = hopeless(Each.m_Request, Now);
     if (Hopeless)
       Result.push_back(Each.m_Request.m_Handle);
     return Hopeless;
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -37,6 +37,8 @@
   if (!Of.m_Table)
     return refuse(Request, Reason::UnknownService,
                   m_Options.m_DefaultRetryAfter);
+  if (m_RefuseNew)
+    return refuse(Request, Reason::Draining, m_Options.m_DefaultRetryAfter);
   if (!place(Of))
     return fail(Request, 404, Reason::UnknownService);
   m_Retries.onFirstAttempt();
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -58,6 +58,8 @@
            EntranceView View);
 
   void accept(std::shared_ptr<HttpExchange> Exchange);
+  /// From now on new requests are refused: the process is about to end.
+  void refuseNew() { m_RefuseNew = true; }
   std::size_t active() const { return m_Active.size(); }
 
 private:
@@ -116,6 +118,7 @@
   EntranceView m_View;
   RetryBudget m_Retries;
   pcg32 m_Random;
+  bool m_RefuseNew = false;
   Id m_LastId = 0;
   std::map<Id, Active> m_Active;
   /// Longest deadline that callers of a route have given: the time that a
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -20,7 +20,6 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(400);
 /// How long an unreachable owner of keys is taken to be restarting.
 constexpr Duration OwnerLostAfter = std::chrono::milliseconds(2500);
-/// Silence after which rows are asked of peers that know newer ones.
 constexpr std::size_t MaxCallerConnections = 1024;
 
 using nlohmann::json;
@@ -179,10 +178,12 @@
   m_Callers.closeAfterAnswers();
 }
 
-bool Router::stopped() const {
+bool Router::stopped() {
   if (!m_StopBegan)
     return false;
   const Duration Since = m_Loop.now() - *m_StopBegan;
+  if (Since > StopLinger)
+    m_Entrance.refuseNew();
   const bool Idle = m_Entrance.active() == 0 && m_Agent.jobs() == 0;
   return (Since > StopLinger && Idle) ||
          Since > m_Settings.m_Grace - StopMargin;
@@ -191,9 +192,7 @@
 bool Router::ready() const { return m_Routes && !m_StopBegan; }
 
 BeatReply Router::beat(const TargetBeat &Beat) {
-  const ServiceSpec *Spec =
-      m_Routes ? m_Routes->service(m_Settings.m_Service) : nullptr;
-  if (!m_Agent.beat(Beat, Spec))
+  if (!m_Agent.beat(Beat))
     return {};
   BeatReply Reply{.m_Accepted = true};
   ensureCoordinator();
@@ -257,6 +256,7 @@
   Options.m_HeaderTimeout = Limits.m_HeaderTimeout;
   Options.m_IdleTimeout = Limits.m_IdleTimeout;
   m_Callers.setOptions(Options);
+  m_Agent.setService(m_Routes->service(m_Settings.m_Service));
   ensureCoordinator();
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -41,9 +41,10 @@
 
   /// \returns false when an address can't be listened on.
   bool start();
-  /// Stops in order: in the end stopped() is true.
+  /// Stops in order: new requests are served while callers may not know yet,
+  /// then refused; those under way end. Then stopped() is true.
   void beginStop();
-  bool stopped() const;
+  bool stopped();
   /// Ready to take requests of callers.
   bool ready() const;
   /// A heartbeat of the local target.
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -14,6 +14,8 @@
 constexpr double SliceHalfLifeSeconds = 2;
 /// Beyond the deadline, for the target's own answer that it was reached.
 constexpr Duration DeadlineGrace = std::chrono::milliseconds(60);
+/// Connections to the target beyond its slots: those given up in flight.
+constexpr std::uint32_t SpareConnections = 2;
 /// Requests with less time left aren't worth a slot.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(5);
 
@@ -32,32 +34,32 @@
   return KeyOwner{.m_Instance = m_Settings.m_Instance, .m_Target = *m_Target};
 }
 
-bool TargetAgent::beat(const TargetBeat &Beat, const ServiceSpec *Spec) {
+bool TargetAgent::beat(const TargetBeat &Beat) {
   if (m_Target && Beat.m_Target != *m_Target &&
       Beat.m_Target.m_BornMs <= m_Target->m_BornMs)
     return false;
   if (m_Target == Beat.m_Target && Beat.m_Sequence <= m_LastSequence)
     return false;
   if (m_Target != Beat.m_Target)
-    startTarget(Beat, Spec);
+    startTarget(Beat);
   m_LastSequence = Beat.m_Sequence;
   m_LastBeat = m_Loop.now();
   if (m_Slots != Beat.m_Slots) {
     m_Slots = Beat.m_Slots;
     if (m_Gate.isOpen())
-      openGate(m_Slots);
+      openGate();
   }
-  if (Spec && Spec->m_ColdRate > 0 && Beat.m_ColdLeft > Duration::zero())
-    m_Gate.limitRate(Spec->m_ColdRate,
-                     m_Loop.now() + Beat.m_ColdLeft + m_Settings.m_Heartbeat,
-                     m_Loop.now());
+  m_ColdUntil = Beat.m_ColdLeft > Duration::zero()
+                    ? m_Loop.now() + Beat.m_ColdLeft + m_Settings.m_Heartbeat
+                    : TimePoint();
+  limitColdRate();
   if (Beat.m_Draining && !m_Leaving)
     leave("draining");
   m_Ledger->report(Beat.m_Keys);
   return true;
 }
 
-void TargetAgent::startTarget(const TargetBeat &Beat, const ServiceSpec *Spec) {
+void TargetAgent::startTarget(const TargetBeat &Beat) {
   m_Log.write(LogClass::Belief, LogLine("target_started")
                                     .add("target", Beat.m_Target.m_Id)
                                     .add("born_ms", Beat.m_Target.m_BornMs)
@@ -76,17 +78,29 @@
   m_Leaving = false;
   m_Loop.cancel(m_ShutTimer);
   HttpClientOptions Client;
-  Client.m_MaxConnections = Beat.m_Slots + 2;
-  if (Spec)
-    Client.m_MaxConnections =
-        std::min<std::size_t>(Client.m_MaxConnections, Spec->m_MaxConnections);
+  Client.m_MaxConnections = Beat.m_Slots + SpareConnections;
   m_Client = std::make_unique<HttpClient>(m_Loop, m_Settings.m_Target, Client);
-  if (!m_Evacuated)
-    openGate(m_Slots);
+  openGate();
 }
 
-void TargetAgent::openGate(std::uint32_t Slots) {
-  m_Gate.open(Slots);
+void TargetAgent::setService(const ServiceSpec *Spec) {
+  const bool First = Spec && !m_Spec;
+  m_Spec = Spec ? std::optional(*Spec) : std::nullopt;
+  limitColdRate();
+  if (First)
+    openGate();
+}
+
+void TargetAgent::limitColdRate() {
+  if (m_Spec && m_Spec->m_ColdRate > 0 && m_ColdUntil > m_Loop.now())
+    m_Gate.limitRate(m_Spec->m_ColdRate, m_ColdUntil, m_Loop.now());
+}
+
+void TargetAgent::openGate() {
+  if (!m_Target || !m_Spec || leaving())
+    return;
+  limitColdRate();
+  m_Gate.open(std::min(m_Slots, m_Spec->m_MaxConnections));
   m_Loop.post([this] { pump(); });
 }
 
@@ -129,9 +143,9 @@
                   .add("domain", m_Settings.m_Domain.value()));
   if (Evacuated) {
     scheduleShut(m_Settings.m_EvacuationLimit, Reason::DomainOut);
-  } else if (m_Target && !m_Leaving) {
+  } else if (!m_Leaving) {
     m_Loop.cancel(m_ShutTimer);
-    openGate(m_Slots);
+    openGate();
   }
 }
 
@@ -341,8 +355,8 @@
   shutGate(Reason::TargetFailed);
   const TargetIncarnation Refused = *m_Target;
   m_Loop.after(m_Options.m_RefusedPause, [this, Refused] {
-    if (m_Target == Refused && !leaving())
-      openGate(m_Slots);
+    if (m_Target == Refused)
+      openGate();
   });
 }
 
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -83,7 +83,11 @@
               const ExchangeFormat &Format, TargetAgentOptions Options);
 
   /// \returns false for a late heartbeat or one of an earlier incarnation.
-  bool beat(const TargetBeat &Beat, const ServiceSpec *Spec);
+  bool beat(const TargetBeat &Beat);
+  /// What the configuration in force says of the target's service; null while
+  /// none is known. Nothing is sent before: a cold target's limit comes from
+  /// here.
+  void setService(const ServiceSpec *Spec);
   /// The target leaves: from now on it gets no keys and soon no requests.
   void leave(const char *Why);
   /// The target's domain is out of service, or back in it.
@@ -124,8 +128,10 @@
     HttpClient::CallId m_Call;
   };
 
-  void startTarget(const TargetBeat &Beat, const ServiceSpec *Spec);
-  void openGate(std::uint32_t Slots);
+  void startTarget(const TargetBeat &Beat);
+  /// Opens the gate if nothing forbids it.
+  void openGate();
+  void limitColdRate();
   void shutGate(Reason Why);
   void scheduleShut(Duration Limit, Reason Why);
   void offer(JobId Id);
@@ -149,6 +155,9 @@
   std::uint64_t m_LastSequence = 0;
   std::uint32_t m_Slots = 0;
   TimePoint m_LastBeat;
+  /// The target tells that it is cold until then.
+  TimePoint m_ColdUntil;
+  std::optional<ServiceSpec> m_Spec;
   bool m_Leaving = false;
   bool m_Evacuated = false;
   bool m_Stopping = false;
