--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -6,6 +6,9 @@
 // turns slow. A queue that admits all of it makes every answer late; this one
 // admits what can still be answered within its objective and refuses the rest
 // at arrival, when the caller can still go elsewhere or come back.
+//
+// Calls that a running request makes go before new requests: refusing one
+// wastes the slot that its parent holds.
 #pragma once
 
 #include "balsamwheel/detail/core/ids.h"
@@ -22,7 +25,7 @@
 struct RequestGateOptions {
   /// Part of a request's remaining time that the expected completion may take
   /// at admission; the rest covers the spread of service times.
-  double m_AdmissionMargin = 0.85;
+  double m_AdmissionMargin = 0.7;
   /// Part of the remaining time that a request whose objective has passed may
   /// be expected to wait. Small: such answers are worth least.
   double m_LateWaitShare = 0.3;
@@ -35,6 +38,8 @@
   Duration m_InitialService = std::chrono::milliseconds(200);
   /// Requests that a cold target may get at once, beyond its rate.
   double m_ColdBurst = 2;
+  /// How often expire() is called while requests wait.
+  Duration m_ExpireInterval = std::chrono::milliseconds(50);
   /// Longest queue, in multiples of the slots.
   std::uint32_t m_QueuePerSlot = 6;
   Duration m_ShortestRetryAfter = std::chrono::milliseconds(50);
@@ -48,6 +53,8 @@
   std::string m_Route;
   /// 0 is the most urgent.
   std::uint32_t m_Priority = 0;
+  /// A running request waits for it. It is due by its deadline only.
+  bool m_Nested = false;
   /// Until then the answer is worth most.
   TimePoint m_Objective;
   /// Until then it is worth anything.
@@ -84,7 +91,9 @@
   GateDecision offer(const GateRequest &Request, TimePoint Now);
   /// Takes the next waiting request that may be sent now.
   std::optional<RequestHandle> next(TimePoint Now);
-  /// Takes out waiting requests that can no longer be answered in time.
+  /// Takes out waiting requests that can no longer be answered: their deadline
+  /// is too near, or their objective has passed and work that is on time is
+  /// waiting.
   std::vector<RequestHandle> expire(TimePoint Now);
   /// Withdraws a waiting request; false if it was not waiting.
   bool withdraw(RequestHandle Request);
@@ -109,6 +118,7 @@
     std::uint64_t m_Sequence;
   };
 
+  TimePoint dueBy(const GateRequest &Request) const;
   bool onTime(const GateRequest &Request, TimePoint Now) const;
   /// Its deadline comes before any answer can.
   bool hopeless(const GateRequest &Request, TimePoint Now) const;
--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -450,6 +450,7 @@
   std::string route{};
   bool non_idempotent = false;
   uint32_t priority = 0;
+  bool nested = false;
   int32_t key = -1;
   int64_t objective_left = 0;
   int64_t deadline_left = 0;
@@ -491,25 +492,26 @@
     VT_ROUTE = 22,
     VT_NON_IDEMPOTENT = 24,
     VT_PRIORITY = 26,
-    VT_KEY = 28,
-    VT_OBJECTIVE_LEFT = 30,
-    VT_DEADLINE_LEFT = 32,
-    VT_OUTCOME = 34,
-    VT_REASON = 36,
-    VT_REACHED_TARGET = 38,
-    VT_STATUS = 40,
-    VT_RETRY_AFTER = 42,
-    VT_BODY_LENGTH = 44,
-    VT_GATE = 46,
-    VT_TARGET_ID = 48,
-    VT_TARGET_BORN = 50,
-    VT_CONDITION = 52,
-    VT_CAPACITY = 54,
-    VT_SLICE_RATES = 56,
-    VT_LEAVING = 58,
-    VT_OPERATOR_ROWS_SEEN = 60,
-    VT_OWN_ROWS_SEEN = 62,
-    VT_ROWS = 64
+    VT_NESTED = 28,
+    VT_KEY = 30,
+    VT_OBJECTIVE_LEFT = 32,
+    VT_DEADLINE_LEFT = 34,
+    VT_OUTCOME = 36,
+    VT_REASON = 38,
+    VT_REACHED_TARGET = 40,
+    VT_STATUS = 42,
+    VT_RETRY_AFTER = 44,
+    VT_BODY_LENGTH = 46,
+    VT_GATE = 48,
+    VT_TARGET_ID = 50,
+    VT_TARGET_BORN = 52,
+    VT_CONDITION = 54,
+    VT_CAPACITY = 56,
+    VT_SLICE_RATES = 58,
+    VT_LEAVING = 60,
+    VT_OPERATOR_ROWS_SEEN = 62,
+    VT_OWN_ROWS_SEEN = 64,
+    VT_ROWS = 66
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -548,6 +550,9 @@
   uint32_t priority() const {
     return GetField<uint32_t>(VT_PRIORITY, 0);
   }
+  bool nested() const {
+    return GetField<uint8_t>(VT_NESTED, 0) != 0;
+  }
   int32_t key() const {
     return GetField<int32_t>(VT_KEY, -1);
   }
@@ -628,6 +633,7 @@
            verifier.VerifyString(route()) &&
            VerifyField<uint8_t>(verifier, VT_NON_IDEMPOTENT, 1) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint8_t>(verifier, VT_NESTED, 1) &&
            VerifyField<int32_t>(verifier, VT_KEY, 4) &&
            VerifyField<int64_t>(verifier, VT_OBJECTIVE_LEFT, 8) &&
            VerifyField<int64_t>(verifier, VT_DEADLINE_LEFT, 8) &&
@@ -700,6 +706,9 @@
   void add_priority(uint32_t priority) {
     fbb_.AddElement<uint32_t>(Frame::VT_PRIORITY, priority, 0);
   }
+  void add_nested(bool nested) {
+    fbb_.AddElement<uint8_t>(Frame::VT_NESTED, static_cast<uint8_t>(nested), 0);
+  }
   void add_key(int32_t key) {
     fbb_.AddElement<int32_t>(Frame::VT_KEY, key, -1);
   }
@@ -782,6 +791,7 @@
     flatbuffers::Offset<flatbuffers::String> route = 0,
     bool non_idempotent = false,
     uint32_t priority = 0,
+    bool nested = false,
     int32_t key = -1,
     int64_t objective_left = 0,
     int64_t deadline_left = 0,
@@ -831,6 +841,7 @@
   builder_.add_reached_target(reached_target);
   builder_.add_reason(reason);
   builder_.add_outcome(outcome);
+  builder_.add_nested(nested);
   builder_.add_non_idempotent(non_idempotent);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -850,6 +861,7 @@
     const char *route = nullptr,
     bool non_idempotent = false,
     uint32_t priority = 0,
+    bool nested = false,
     int32_t key = -1,
     int64_t objective_left = 0,
     int64_t deadline_left = 0,
@@ -894,6 +906,7 @@
       route__,
       non_idempotent,
       priority,
+      nested,
       key,
       objective_left,
       deadline_left,
@@ -1063,6 +1076,7 @@
         route(o.route),
         non_idempotent(o.non_idempotent),
         priority(o.priority),
+        nested(o.nested),
         key(o.key),
         objective_left(o.objective_left),
         deadline_left(o.deadline_left),
@@ -1101,6 +1115,7 @@
   std::swap(route, o.route);
   std::swap(non_idempotent, o.non_idempotent);
   std::swap(priority, o.priority);
+  std::swap(nested, o.nested);
   std::swap(key, o.key);
   std::swap(objective_left, o.objective_left);
   std::swap(deadline_left, o.deadline_left);
@@ -1144,6 +1159,7 @@
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = non_idempotent(); _o->non_idempotent = _e; }
   { auto _e = priority(); _o->priority = _e; }
+  { auto _e = nested(); _o->nested = _e; }
   { auto _e = key(); _o->key = _e; }
   { auto _e = objective_left(); _o->objective_left = _e; }
   { auto _e = deadline_left(); _o->deadline_left = _e; }
@@ -1185,6 +1201,7 @@
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _non_idempotent = _o->non_idempotent;
   auto _priority = _o->priority;
+  auto _nested = _o->nested;
   auto _key = _o->key;
   auto _objective_left = _o->objective_left;
   auto _deadline_left = _o->deadline_left;
@@ -1218,6 +1235,7 @@
       _route,
       _non_idempotent,
       _priority,
+      _nested,
       _key,
       _objective_left,
       _deadline_left,
--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -67,8 +67,12 @@
                            : m_Options.m_InitialService;
 }
 
+TimePoint RequestGate::dueBy(const GateRequest &Request) const {
+  return Request.m_Nested ? Request.m_Deadline : Request.m_Objective;
+}
+
 bool RequestGate::onTime(const GateRequest &Request, TimePoint Now) const {
-  return Now + expectedService(Request.m_Route) <= Request.m_Objective;
+  return Now + expectedService(Request.m_Route) <= dueBy(Request);
 }
 
 bool RequestGate::hopeless(const GateRequest &Request, TimePoint Now) const {
@@ -90,10 +94,12 @@
   const bool RightOnTime = onTime(Right.m_Request, Now);
   if (LeftOnTime != RightOnTime)
     return LeftOnTime;
+  if (Left.m_Request.m_Nested != Right.m_Request.m_Nested)
+    return Left.m_Request.m_Nested;
   if (Left.m_Request.m_Priority != Right.m_Request.m_Priority)
     return Left.m_Request.m_Priority < Right.m_Request.m_Priority;
-  if (Left.m_Request.m_Objective != Right.m_Request.m_Objective)
-    return Left.m_Request.m_Objective < Right.m_Request.m_Objective;
+  if (dueBy(Left.m_Request) != dueBy(Right.m_Request))
+    return dueBy(Left.m_Request) < dueBy(Right.m_Request);
   return Left.m_Sequence < Right.m_Sequence;
 }
 
@@ -124,7 +130,7 @@
   const Duration Service = expectedService(Request.m_Route);
   const bool Timely =
       micros(Wait + Service) <=
-      m_Options.m_AdmissionMargin * micros(Request.m_Objective - Now);
+      m_Options.m_AdmissionMargin * micros(dueBy(Request) - Now);
   const bool LateButShort =
       !onTime(Request, Now) &&
       micros(Wait) <= m_Options.m_LateWaitShare *
@@ -154,9 +160,15 @@
 }
 
 std::vector<RequestHandle> RequestGate::expire(TimePoint Now) {
+  const bool Contended =
+      std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const Waiting &Each) {
+        return onTime(Each.m_Request, Now);
+      });
   std::vector<RequestHandle> Result;
   std::erase_if(m_Waiting, [&](const Waiting &Each) {
-    const bool Hopeless = hopeless(Each.m_Request, Now);
+    const bool Hopeless =
+        hopeless(Each.m_Request, Now + m_Options.m_ExpireInterval) ||
+        (Contended && !onTime(Each.m_Request, Now));
     if (Hopeless)
       Result.push_back(Each.m_Request.m_Handle);
     return Hopeless;
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -32,6 +32,7 @@
   Active &Of = m_Active[Request];
   Of.m_Exchange = std::move(Exchange);
   Of.m_Arrived = m_Loop.now();
+  Of.m_Nested = Of.m_Exchange->callerHost() == m_Settings.m_Target.m_Host;
   Of.m_Marks = m_Format.read(Of.m_Exchange->request());
   Of.m_Table = m_View.m_Routes();
   if (!Of.m_Table)
@@ -141,6 +142,7 @@
                   .m_Route = Via.m_Name,
                   .m_Priority = Via.m_Priority,
                   .m_Idempotent = Via.idempotent(),
+                  .m_Nested = Of.m_Nested,
                   .m_Key = Of.m_Marks.m_Key,
                   .m_Objective = Of.m_Objective,
                   .m_Deadline = Of.m_Deadline};
@@ -167,6 +169,7 @@
   Frame.route = Via.m_Name;
   Frame.non_idempotent = !Via.idempotent();
   Frame.priority = Via.m_Priority;
+  Frame.nested = Of.m_Nested;
   if (Of.m_Marks.m_Key)
     Frame.key = *Of.m_Marks.m_Key;
   Frame.objective_left = micros(Of.m_Objective - Now);
@@ -320,6 +323,7 @@
           .add("config", static_cast<std::int64_t>(
                              Of.m_Table ? Of.m_Table->version().value() : 0))
           .add("service", Of.m_Service.value())
+          .add("nested", std::int64_t{Of.m_Nested})
           .add("key", std::int64_t{Of.m_Marks.m_Key ? *Of.m_Marks.m_Key : -1})
           .add("at", Of.m_At.value())
           .add("offers", std::int64_t{Of.m_Offers})
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -72,6 +72,8 @@
     RequestMarks m_Marks;
     /// As it is sent to targets, but for its own marks.
     HttpRequest m_Request;
+    /// Made by the target beside this daemon, for a request that it runs.
+    bool m_Nested = false;
     TimePoint m_Arrived;
     TimePoint m_Objective;
     TimePoint m_Deadline;
--- a/src/router/event_log.cpp
+++ b/src/router/event_log.cpp
@@ -16,6 +16,9 @@
 /// Lines that may be written at once after a quiet spell, in seconds of rate.
 constexpr double BurstSeconds = 2;
 
+/// How often dropped lines are told.
+constexpr Duration DropReportInterval = std::chrono::seconds(1);
+
 std::string quoted(std::string_view Text) {
   return nlohmann::json(Text).dump(-1, ' ', false,
                                    nlohmann::json::error_handler_t::replace);
@@ -96,7 +99,9 @@
   if (!admit(Class))
     return;
   Budget &Of = m_Budgets[Class];
-  if (Of.m_Dropped > 0) {
+  if (Of.m_Dropped > 0 &&
+      m_Loop.now() - Of.m_DropsToldAt > DropReportInterval) {
+    Of.m_DropsToldAt = m_Loop.now();
     m_Buffer += LogLine("log_lines_dropped")
                     .add("class", std::int64_t{static_cast<int>(Class)})
                     .add("count", static_cast<std::int64_t>(Of.m_Dropped))
--- a/src/router/event_log.h
+++ b/src/router/event_log.h
@@ -41,7 +41,7 @@
   std::size_t m_MaxBuffered = std::size_t{256} << 10;
   /// Lines a second of each class that are written; the rest is counted.
   double m_BeliefsPerSecond = 50;
-  double m_FailuresPerSecond = 40;
+  double m_FailuresPerSecond = 20;
   double m_SuccessesPerSecond = 5;
 };
 
@@ -58,6 +58,7 @@
     double m_Tokens = 0;
     TimePoint m_At;
     std::uint64_t m_Dropped = 0;
+    TimePoint m_DropsToldAt;
   };
 
   double rate(LogClass Class) const;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -441,6 +441,7 @@
   Job.m_Route = Frame.route;
   Job.m_Priority = Frame.priority;
   Job.m_Idempotent = !Frame.non_idempotent;
+  Job.m_Nested = Frame.nested;
   const KeyMap *Map = keyMap(m_Settings.m_Service);
   if (Frame.key >= 0 && Map)
     Job.m_Key = static_cast<KeyIndex>(Frame.key);
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// How often waiting requests are checked for hopeless ones.
-constexpr Duration ExpireInterval = std::chrono::milliseconds(100);
 /// Time by which a slice's old requests lose half of their weight.
 constexpr double SliceHalfLifeSeconds = 2;
 /// Beyond the deadline, for the target's own answer that it was reached.
@@ -248,6 +246,7 @@
       m_Gate.offer({.m_Handle = Id,
                     .m_Route = Of.m_Job.m_Route,
                     .m_Priority = Of.m_Job.m_Priority,
+                    .m_Nested = Of.m_Job.m_Nested,
                     .m_Objective = Of.m_Job.m_Objective,
                     .m_Deadline = Of.m_Job.m_Deadline},
                    m_Loop.now());
@@ -414,7 +413,8 @@
                   .m_Reason = Reason::DeadlinePassed,
                   .m_RetryAfter = m_Gate.meanService()});
   if (m_Gate.waiting() > 0)
-    m_ExpireTimer = m_Loop.after(ExpireInterval, [this] { expireWaiting(); });
+    m_ExpireTimer = m_Loop.after(m_Options.m_Gate.m_ExpireInterval,
+                                 [this] { expireWaiting(); });
 }
 
 } // namespace balsamwheel
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -41,6 +41,8 @@
   std::string m_Route;
   std::uint32_t m_Priority = 0;
   bool m_Idempotent = false;
+  /// Made by a target while it runs another request.
+  bool m_Nested = false;
   std::optional<KeyIndex> m_Key;
   TimePoint m_Objective;
   TimePoint m_Deadline;
--- a/tests/unit-request-gate.cpp
+++ b/tests/unit-request-gate.cpp
@@ -160,6 +160,28 @@
   CHECK(Gate.next(Start) == RequestHandle(3));
 }
 
+TEST_CASE("calls of a running request go first and count to their deadline") {
+  RequestGate Gate = warmGate(1, 100ms);
+  Gate.offer(request(1, 1s), Start);
+  Gate.offer(request(2, 1s, 0), Start);
+  GateRequest Call = request(3, 60ms, 5);
+  Call.m_Deadline = Start + 1s;
+  Call.m_Nested = true;
+  CHECK(Gate.offer(Call, Start).m_Verdict == GateVerdict::Wait);
+  Gate.finished("r", 100ms, true);
+  CHECK(Gate.next(Start) == RequestHandle(3));
+}
+
+TEST_CASE("a waiting request that has become late yields to timely ones") {
+  RequestGate Gate = warmGate(1, 100ms);
+  Gate.offer(request(1, 1s), Start);
+  Gate.offer(request(2, 400ms), Start);
+  CHECK(Gate.expire(Start + 320ms).empty());
+  Gate.offer(request(3, 1s, 1, Start + 320ms), Start + 320ms);
+  CHECK(Gate.expire(Start + 320ms) ==
+        std::vector<RequestHandle>{RequestHandle(2)});
+}
+
 TEST_CASE("a cold target gets its rate and a small burst, whatever comes") {
   RequestGate Gate = warmGate(9, 20ms);
   Gate.limitRate(8, Start + 10s, Start);
