Let calls of running requests pass first, and bound waiting by its worth

Ruled out as a mark of calls: the caller's address, which callers and the target share (a trial that used it took every request for a call). Change: a request whose id extends that of a request running at the local target counts as its call: first in line, due by its deadline only. Waiting is bounded by what it is worth; a waiting request that can't be on time yields to timely ones.

--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -26,9 +26,14 @@
   /// Part of a request's remaining time that the expected completion may take
   /// at admission; the rest covers the spread of service times.
   double m_AdmissionMargin = 0.7;
-  /// Part of the remaining time that a request whose objective has passed may
-  /// be expected to wait. Small: such answers are worth least.
-  double m_LateWaitShare = 0.3;
+  /// Part of the remaining time that a request may wait in any case, while it
+  /// can still be on time: a mean is inflated by a few slow requests.
+  double m_ShortWait = 0.12;
+  /// Part of the mean service time that a quick request takes.
+  double m_QuickService = 0.6;
+  /// Part of the time to its deadline that a request may wait once its
+  /// objective has passed.
+  double m_LateWaitShare = 0.1;
   /// Part of the expected service time that a request must have left to be
   /// worth a slot.
   double m_LeastServiceLeft = 0.6;
@@ -119,9 +124,12 @@
   };
 
   TimePoint dueBy(const GateRequest &Request) const;
+  /// Whether a quick answer is in time.
   bool onTime(const GateRequest &Request, TimePoint Now) const;
   /// Its deadline comes before any answer can.
   bool hopeless(const GateRequest &Request, TimePoint Now) const;
+  /// Longest time that it is worth waiting for.
+  Duration worthWaiting(const GateRequest &Request, TimePoint Now) const;
   GateDecision refusal(Duration Wait) const;
   /// Whether \p Left is to be sent before \p Right.
   bool before(const Waiting &Left, const Waiting &Right, TimePoint Now) const;
--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -72,7 +72,19 @@
 }
 
 bool RequestGate::onTime(const GateRequest &Request, TimePoint Now) const {
-  return Now + expectedService(Request.m_Route) <= dueBy(Request);
+  return micros(dueBy(Request) - Now) >=
+         m_Options.m_QuickService * micros(expectedService(Request.m_Route));
+}
+
+Duration RequestGate::worthWaiting(const GateRequest &Request,
+                                   TimePoint Now) const {
+  const double Service = micros(expectedService(Request.m_Route));
+  if (!onTime(Request, Now))
+    return fromMicros(m_Options.m_LateWaitShare *
+                      (micros(Request.m_Deadline - Now) - Service));
+  const double Left = micros(dueBy(Request) - Now);
+  return fromMicros(std::max(m_Options.m_AdmissionMargin * Left - Service,
+                             m_Options.m_ShortWait * Left));
 }
 
 bool RequestGate::hopeless(const GateRequest &Request, TimePoint Now) const {
@@ -127,17 +139,9 @@
       m_Waiting.begin(), m_Waiting.end(),
       [&](const Waiting &Each) { return before(Each, Offered, Now); }));
   const Duration Wait = waitBehind(Ahead, Now);
-  const Duration Service = expectedService(Request.m_Route);
-  const bool Timely =
-      micros(Wait + Service) <=
-      m_Options.m_AdmissionMargin * micros(dueBy(Request) - Now);
-  const bool LateButShort =
-      !onTime(Request, Now) &&
-      micros(Wait) <= m_Options.m_LateWaitShare *
-                          micros(Request.m_Deadline - Now - Service);
   const bool Room =
       m_Waiting.size() < std::size_t{m_Options.m_QueuePerSlot} * m_Slots;
-  if (Room && (Timely || LateButShort)) {
+  if (Room && Wait <= worthWaiting(Request, Now)) {
     m_Waiting.push_back(Offered);
     return {.m_Verdict = GateVerdict::Wait, .m_ExpectedWait = Wait};
   }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -114,8 +114,7 @@
     HttpRequest Request = m_Parser->take();
     m_Parser.reset();
     m_KeepAlive = Request.m_KeepAlive;
-    m_Exchange = std::make_shared<HttpExchange>(std::move(Request),
-                                                m_Stream.peerHost(), this);
+    m_Exchange = std::make_shared<HttpExchange>(std::move(Request), this);
     m_Server.m_Handler(m_Exchange);
   }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -15,14 +15,10 @@
 /// any time; after the caller has left, answers go nowhere.
 class HttpExchange {
 public:
-  HttpExchange(HttpRequest Request, std::string CallerHost,
-               HttpServerConnection *Connection)
-      : m_Request(std::move(Request)), m_CallerHost(std::move(CallerHost)),
-        m_Connection(Connection) {}
+  HttpExchange(HttpRequest Request, HttpServerConnection *Connection)
+      : m_Request(std::move(Request)), m_Connection(Connection) {}
 
   HttpRequest &request() { return m_Request; }
-  /// Address that the caller's connection comes from.
-  const std::string &callerHost() const { return m_CallerHost; }
   /// \p Answer's connection is closed afterwards when it says so.
   void answer(HttpAnswer Answer);
   /// Closes the connection without an answer.
@@ -37,7 +33,6 @@
   friend class HttpServerConnection;
 
   HttpRequest m_Request;
-  std::string m_CallerHost;
   /// Null once the exchange is answered or its caller has left.
   HttpServerConnection *m_Connection;
   std::function<void()> m_OnGone;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,7 +5,6 @@
 #include <ace/OS_NS_sys_socket.h>
 #include <ace/Reactor.h>
 
-#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -80,18 +79,6 @@
   return watch(ACE_Event_Handler::READ_MASK);
 }
 
-std::string Stream::peerHost() const {
-  sockaddr_in Address{};
-  socklen_t Size = sizeof Address;
-  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-  auto *Generic = reinterpret_cast<sockaddr *>(&Address);
-  std::array<char, INET_ADDRSTRLEN> Text{};
-  if (getpeername(m_Handle, Generic, &Size) != 0 ||
-      !inet_ntop(AF_INET, &Address.sin_addr, Text.data(), Text.size()))
-    return {};
-  return Text.data();
-}
-
 bool Stream::watch(ACE_Reactor_Mask Mask) {
   if (m_Loop.reactor().register_handler(this, Mask) == 0)
     return true;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -59,8 +59,6 @@
   bool isOpen() const {
     return m_Handle != ACE_INVALID_HANDLE && !m_Connecting;
   }
-  /// Address of the other side; empty when it isn't known.
-  std::string peerHost() const;
   std::size_t pending() const { return m_Output.size() - m_Written; }
 
   ACE_HANDLE get_handle() const override { return m_Handle; }
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -32,8 +32,9 @@
   Active &Of = m_Active[Request];
   Of.m_Exchange = std::move(Exchange);
   Of.m_Arrived = m_Loop.now();
-  Of.m_Nested = Of.m_Exchange->callerHost() == m_Settings.m_Target.m_Host;
   Of.m_Marks = m_Format.read(Of.m_Exchange->request());
+  Of.m_Nested =
+      Of.m_Marks.m_ParentId && m_Agent.isRunning(*Of.m_Marks.m_ParentId);
   Of.m_Table = m_View.m_Routes();
   if (!Of.m_Table)
     return refuse(Request, Reason::UnknownService,
--- a/src/router/exchange_format.h
+++ b/src/router/exchange_format.h
@@ -17,6 +17,8 @@
 struct RequestMarks {
   /// Empty when the caller gave none.
   std::string m_Id;
+  /// Id of the request for which a target makes this one.
+  std::optional<std::string> m_ParentId;
   /// How long the caller waits; none when it doesn't say.
   std::optional<Duration> m_DeadlineLeft;
   std::optional<KeyIndex> m_Key;
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -283,6 +283,7 @@
   }
   Of.m_Sent = true;
   Of.m_SentAt = Now;
+  m_RunningIds.insert(Of.m_Job.m_Id);
   m_Format.mark(Of.m_Job.m_Request,
                 {.m_DeadlineLeft = Left, .m_TargetId = m_Target->m_Id});
   HttpCall Call{.m_Timeout = Left + DeadlineGrace,
@@ -297,6 +298,7 @@
 
 void TargetAgent::completed(JobId Id, HttpCallResult Result) {
   Job &Of = m_Jobs.at(Id);
+  forgetRunning(Of.m_Job.m_Id);
   const Duration Service = m_Loop.now() - Of.m_SentAt;
   TargetJobResult Out{.m_ReachedTarget = Result.m_End != HttpCallEnd::NotSent};
   bool Served = false;
@@ -351,6 +353,11 @@
   pump();
 }
 
+void TargetAgent::forgetRunning(const std::string &RequestId) {
+  if (auto Found = m_RunningIds.find(RequestId); Found != m_RunningIds.end())
+    m_RunningIds.erase(Found);
+}
+
 void TargetAgent::targetRefused() {
   if (!m_Gate.isOpen())
     return;
@@ -392,6 +399,7 @@
     Of.m_Abandoned = true;
     return;
   }
+  forgetRunning(Of.m_Job.m_Id);
   m_Client->cancel(Of.m_Call);
   m_Gate.finished(Of.m_Job.m_Route, Duration::zero(), false);
   m_Jobs.erase(Found);
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -17,6 +17,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace balsamwheel {
@@ -107,6 +108,10 @@
   /// Sends what a newly answered heartbeat allows.
   void grantsChanged();
 
+  /// Whether the target works on the request with this id.
+  bool isRunning(const std::string &RequestId) const {
+    return m_RunningIds.contains(RequestId);
+  }
   HoldLedger *ledger() { return m_Ledger ? &*m_Ledger : nullptr; }
   std::optional<KeyOwner> owner() const;
   TargetCondition condition() const;
@@ -145,6 +150,7 @@
   void finish(JobId Id, TargetJobResult Result);
   void pump();
   void expireWaiting();
+  void forgetRunning(const std::string &RequestId);
   void targetRefused();
 
   EventLoop &m_Loop;
@@ -173,6 +179,8 @@
   EventLoop::TimerId m_ExpireTimer;
   std::uint64_t m_LastJob = 0;
   std::map<JobId, Job> m_Jobs;
+  /// Ids of the requests that the target works on.
+  std::multiset<std::string> m_RunningIds;
   /// Jobs for keys that are to be granted with the next heartbeat.
   std::vector<JobId> m_AwaitingGrant;
   SliceLoads m_SliceRates{};
