Test whole routers on loopback; derive the wait after a revocation

Cause: the wait was 9 s, but a daemon may grant for 3 s after its last check and a 7 s hold lasts 7.14 s on the slowest clock: two owners were possible. Found on reading, not by a run. Change: one function derives the wait from hold and authority (10.7 s); its test holds it against the ledger's own end of the hold. Conclusion: takers wait for every grant.

--- a/include/balsamwheel/detail/keyspace/hold_ledger.h
+++ b/include/balsamwheel/detail/keyspace/hold_ledger.h
@@ -23,6 +23,11 @@
   Duration m_Margin = std::chrono::milliseconds(300);
 };
 
+/// How long after a revocation its owner may still hold keys: a daemon that
+/// knows nothing of it grants for \p Authority after its last check, and the
+/// last grant lasts a hold on the slowest clock.
+Duration revocationWait(const HoldOptions &Holds, Duration Authority);
+
 struct HeldSpan {
   KeyIndex m_First = 0;
   KeyIndex m_Last = 0;
--- a/include/balsamwheel/detail/keyspace/key_planner.h
+++ b/include/balsamwheel/detail/keyspace/key_planner.h
@@ -40,9 +40,8 @@
 
 struct KeyPlannerOptions {
   /// From the moment a revocation is seen in the table until the revoked
-  /// owner can hold nothing any more: what a daemon may still grant, and the
-  /// longest hold on a slow clock.
-  Duration m_RevocationWait = std::chrono::seconds(9);
+  /// owner can hold nothing any more; see revocationWait().
+  Duration m_RevocationWait = std::chrono::seconds(11);
   /// Share of a target's fair part of the load by which it may exceed it
   /// before keys move.
   double m_Tolerance = 0.35;
--- a/src/keyspace/hold_ledger.cpp
+++ b/src/keyspace/hold_ledger.cpp
@@ -34,6 +34,11 @@
 
 } // namespace
 
+Duration revocationWait(const HoldOptions &Holds, Duration Authority) {
+  return Authority + scale(Holds.m_Hold, Holds.m_SlowClockFactor) +
+         2 * Holds.m_Margin;
+}
+
 void HoldLedger::report(const HoldReport &Report) {
   m_Reported = Report.m_Holds;
   ++m_ReportsSinceChange;
--- a/src/router/event_log.cpp
+++ b/src/router/event_log.cpp
@@ -60,9 +60,9 @@
 
 EventLog::EventLog(EventLoop &Loop, EventLogOptions Options)
     : m_Loop(Loop), m_Options(Options) {
-  const int Flags = fcntl(STDOUT_FILENO, F_GETFL);
+  const int Flags = fcntl(m_Options.m_Output, F_GETFL);
   if (Flags >= 0)
-    fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+    fcntl(m_Options.m_Output, F_SETFL, Flags | O_NONBLOCK);
   for (LogClass Each : {LogClass::Belief, LogClass::Failure, LogClass::Success})
     m_Budgets[Each] = {.m_Tokens = rate(Each) * BurstSeconds,
                        .m_At = Loop.now()};
@@ -96,7 +96,7 @@
 }
 
 void EventLog::write(LogClass Class, const LogLine &Line) {
-  if (!admit(Class))
+  if (m_Options.m_Output < 0 || !admit(Class))
     return;
   Budget &Of = m_Budgets[Class];
   if (Of.m_Dropped > 0 &&
@@ -114,7 +114,7 @@
 void EventLog::flush() {
   while (!m_Buffer.empty()) {
     const ssize_t Written =
-        ::write(STDOUT_FILENO, m_Buffer.data(), m_Buffer.size());
+        ::write(m_Options.m_Output, m_Buffer.data(), m_Buffer.size());
     if (Written <= 0)
       return; // Nobody reads just now; the buffer is bounded.
     m_Buffer.erase(0, static_cast<std::size_t>(Written));
--- a/src/router/event_log.h
+++ b/src/router/event_log.h
@@ -38,6 +38,8 @@
 };
 
 struct EventLogOptions {
+  /// Descriptor of the output; a negative one discards all.
+  int m_Output = 1;
   std::size_t m_MaxBuffered = std::size_t{256} << 10;
   /// Lines a second of each class that are written; the rest is counted.
   double m_BeliefsPerSecond = 50;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -52,6 +52,15 @@
 TargetAgentOptions agentOptions(const RouterSettings &Settings) {
   TargetAgentOptions Options;
   Options.m_Holds.m_Hold = std::min(Options.m_Holds.m_Hold, Settings.m_MaxHold);
+  Options.m_EarlierGrants =
+      revocationWait(Options.m_Holds, KeyCoordinatorOptions{}.m_Authority);
+  return Options;
+}
+
+KeyCoordinatorOptions coordinatorOptions(const RouterSettings &Settings) {
+  KeyCoordinatorOptions Options;
+  Options.m_Planner.m_RevocationWait =
+      revocationWait(agentOptions(Settings).m_Holds, Options.m_Authority);
   return Options;
 }
 
@@ -327,7 +336,7 @@
   if (!m_Coordinator) {
     m_Coordinator = std::make_unique<KeyCoordinator>(
         m_Loop, m_Log, m_Table, m_Agent, m_Settings.m_Service,
-        KeyCoordinatorOptions{},
+        coordinatorOptions(m_Settings),
         KeyCoordinatorView{.m_Candidates = [this] { return keyCandidates(); },
                            .m_Loads = [this] { return keyLoads(); },
                            .m_IsPlanner = [this] { return isKeyPlanner(); },
--- /dev/null
+++ b/tests/fake_table_service.h
@@ -0,0 +1,112 @@
+// The platform's table for routers under test: rows in memory, watches that
+// answer on change, and outages for all or for some.
+#pragma once
+
+#include "net/event_loop.h"
+#include "router/table_service.h"
+
+#include <list>
+#include <map>
+
+namespace balsamwheel::tests {
+
+/// Rows shared by the tables of all routers under test.
+class FakeRows {
+public:
+  explicit FakeRows(EventLoop &Loop) : m_Loop(Loop) {}
+
+  void put(TableName Table, const std::string &Key,
+           std::optional<std::string> Value) {
+    m_Rows[{Table, RowKey(Key)}] = {.m_Table = Table,
+                                    .m_Key = RowKey(Key),
+                                    .m_Version = RowVersion(++m_Version),
+                                    .m_Value = std::move(Value)};
+    for (auto Watch = m_Watches.begin(); Watch != m_Watches.end();) {
+      if (Watch->m_Table != Table) {
+        ++Watch;
+        continue;
+      }
+      const auto Done = std::move(Watch->m_Done);
+      const RowVersion After = Watch->m_After;
+      const bool Down = *Watch->m_Down;
+      Watch = m_Watches.erase(Watch);
+      m_Loop.post([this, Table, After, Done, Down] {
+        Done(Down ? TableServiceReply{.m_Error = "down"} : since(Table, After));
+      });
+    }
+  }
+
+  TableServiceReply since(TableName Table, RowVersion After) const {
+    TableServiceReply Reply{.m_End = TableEnd::Ok,
+                            .m_Version = RowVersion(m_Version)};
+    for (const auto &[Place, Row] : m_Rows)
+      if (Place.first == Table && Row.m_Version > After)
+        Reply.m_Rows.push_back(Row);
+    return Reply;
+  }
+
+  struct Watch {
+    TableName m_Table;
+    RowVersion m_After;
+    TableService::OnReply m_Done;
+    /// Whether the watcher has been cut off meanwhile.
+    const bool *m_Down;
+  };
+
+  EventLoop &m_Loop;
+  std::uint64_t m_Version = 0;
+  std::map<std::pair<TableName, RowKey>, MirroredRow> m_Rows;
+  std::list<Watch> m_Watches;
+};
+
+/// One router's view of the rows.
+class FakeTableService final : public TableService {
+public:
+  explicit FakeTableService(FakeRows &Rows) : m_Rows(Rows) {}
+
+  void read(TableName Table, OnReply Done) override {
+    reply(Done, m_Down ? TableServiceReply{.m_Error = "down"}
+                       : m_Rows.since(Table, RowVersion()));
+  }
+
+  void watch(TableName Table, RowVersion After, Duration,
+             OnReply Done) override {
+    if (m_Down)
+      return reply(Done, {.m_Error = "down"});
+    TableServiceReply Now = m_Rows.since(Table, After);
+    if (!Now.m_Rows.empty())
+      return reply(Done, std::move(Now));
+    m_Rows.m_Watches.push_back({Table, After, std::move(Done), &m_Down});
+  }
+
+  void commit(OwnRowCommit Commit, OnReply Done) override {
+    if (m_Down)
+      return reply(Done, {.m_Error = "down"});
+    const auto Found = m_Rows.m_Rows.find({TableName::Own, Commit.m_Key});
+    const RowVersion Known =
+        Found == m_Rows.m_Rows.end() ? RowVersion() : Found->second.m_Version;
+    if (Commit.m_Conditional && Known != Commit.m_Expected) {
+      TableServiceReply Conflict{.m_End = TableEnd::Conflict};
+      if (Found != m_Rows.m_Rows.end())
+        Conflict.m_Rows.push_back(Found->second);
+      return reply(Done, std::move(Conflict));
+    }
+    TableServiceReply Ok{.m_End = TableEnd::Ok};
+    if (Commit.m_Value) {
+      m_Rows.put(TableName::Own, Commit.m_Key.value(), Commit.m_Value);
+      Ok.m_Rows.push_back(m_Rows.m_Rows.at({TableName::Own, Commit.m_Key}));
+    }
+    reply(Done, std::move(Ok));
+  }
+
+  bool m_Down = false;
+
+private:
+  void reply(const OnReply &Done, TableServiceReply Reply) {
+    m_Rows.m_Loop.post([Done, Reply = std::move(Reply)] { Done(Reply); });
+  }
+
+  FakeRows &m_Rows;
+};
+
+} // namespace balsamwheel::tests
--- a/tests/unit-hold-ledger.cpp
+++ b/tests/unit-hold-ledger.cpp
@@ -89,3 +89,12 @@
   REQUIRE(Done.size() == 1);
   CHECK(Done[0].m_Handover.empty());
 }
+
+TEST_CASE("a revocation is waited out for the last grant on a slow clock") {
+  const HoldOptions Holds{
+      .m_Hold = 7s, .m_SlowClockFactor = 1.02, .m_Margin = 300ms};
+  HoldLedger Ledger(Holds, Self);
+  const TimePoint LastGrant = Start + 3s;
+  Ledger.grant(ownedBy(Self), LastGrant);
+  CHECK(Start + revocationWait(Holds, 3s) >= Ledger.heldUntil());
+}
--- /dev/null
+++ b/tests/unit-platform.cpp
@@ -0,0 +1,181 @@
+// Translation of the platform's names: settings, headers, heartbeats,
+// configuration.
+#include "platform/http_marks.h"
+#include "platform/operator_tables.h"
+#include "platform/settings_file.h"
+#include "platform/target_control.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace balsamwheel;
+using namespace balsamwheel::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+nlohmann::json settings() {
+  return {{"NodeName", "n"},
+          {"Zone", "z"},
+          {"Service", "s"},
+          {"AppAddr", "10.0.0.1:80"},
+          {"Ip", "10.0.0.1"},
+          {"HeartbeatS", 0.87},
+          {"ListenAddrs",
+           {{"Outbound", "10.0.0.1:1"},
+            {"Ready", "10.0.0.1:2"},
+            {"Control", "10.0.0.1:3"}}},
+          {"InternalPortRange", {7600, 7615}},
+          {"Limits", {{"MaxFds", 4100}}},
+          {"Bounds", {"DrainS=2.5", "MaxHoldS=5", "SomethingNew=yes"}},
+          {"Platform", {{"Address", "10.9.0.1:9"}}},
+          {"NewField", 1}};
+}
+
+nlohmann::json beat() {
+  return {{"Service", "s"},
+          {"Address", "10.0.0.1:80"},
+          {"Zone", "z"},
+          {"Version", "v1"},
+          {"Slots", 9},
+          {"State", "ready"},
+          {"ColdRemainingS", 1.5},
+          {"Sequence", 4},
+          {"born", 1700000000000}};
+}
+
+HttpAnswer answer(unsigned Status,
+                  std::initializer_list<const char *> Headers) {
+  HttpAnswer Result{.m_Status = Status};
+  for (const char *Each : Headers)
+    Result.m_Headers.add(Each, "1");
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("a settings file is read, and unknown fields are ignored") {
+  std::string Problem;
+  const auto Read = parseSettings(settings().dump(), Problem);
+  REQUIRE(Read.has_value());
+  CHECK(Read->m_Peers == Endpoint{.m_Host = "10.0.0.1", .m_Port = 7600});
+  CHECK(Read->m_DrainLimit == 2500ms);
+  CHECK(Read->m_MaxHold == 5s);
+  CHECK(Read->m_EvacuationLimit == 5s);
+}
+
+TEST_CASE("a wrong settings file is rejected with the field's name") {
+  std::string Problem;
+  CHECK_FALSE(parseSettings("{", Problem).has_value());
+  for (const char *Field :
+       {"NodeName", "AppAddr", "ListenAddrs", "InternalPortRange", "Platform",
+        "HeartbeatS", "Limits"}) {
+    nlohmann::json Wrong = settings();
+    Wrong[Field] = false;
+    CHECK_FALSE(parseSettings(Wrong.dump(), Problem).has_value());
+    CHECK(Problem.starts_with(Field));
+  }
+}
+
+TEST_CASE("a heartbeat is decoded, and anything else names no target") {
+  std::string Problem;
+  nlohmann::json Good = beat();
+  Good["Holds"] = {{0, 4095, 7}};
+  Good["Released"] = {{4096, 8191, "token"}};
+  const auto Read = decodeBeat("i-1", Good.dump(), Problem);
+  REQUIRE(Read.has_value());
+  CHECK(Read->m_ColdLeft == 1500ms);
+  CHECK(Read->m_Target.m_BornMs == 1700000000000);
+  CHECK(Read->m_Keys.m_Holds.front().m_Last == 4095);
+  CHECK(Read->m_Keys.m_Released.front().m_Handover == "token");
+  for (const char *Field : {"Service", "Address", "Slots", "State",
+                            "ColdRemainingS", "Sequence", "born"}) {
+    nlohmann::json Missing = beat();
+    Missing.erase(Field);
+    CHECK_FALSE(decodeBeat("i-1", Missing.dump(), Problem).has_value());
+    nlohmann::json Wrong = beat();
+    Wrong[Field] = nlohmann::json::array({1});
+    CHECK_FALSE(decodeBeat("i-1", Wrong.dump(), Problem).has_value());
+  }
+  nlohmann::json Strange = beat();
+  Strange["State"] = "dancing";
+  CHECK_FALSE(decodeBeat("i-1", Strange.dump(), Problem).has_value());
+  CHECK_FALSE(decodeBeat("i-1", "\xff\xfe", Problem).has_value());
+}
+
+TEST_CASE("a target's answer tells whether the request ran") {
+  const HttpMarks Marks;
+  CHECK(Marks.judge(answer(200, {"X-Server-Signature"})) == TargetVerdict::Ran);
+  CHECK(Marks.judge(answer(500, {"X-Server-Signature"})) == TargetVerdict::Ran);
+  CHECK(Marks.judge(answer(503, {"X-Not-Executed"})) == TargetVerdict::Shed);
+  CHECK(Marks.judge(answer(421, {"X-Not-Executed"})) ==
+        TargetVerdict::Misdirected);
+  // Without the mark nothing is promised.
+  CHECK(Marks.judge(answer(503, {})) == TargetVerdict::Spoiled);
+  CHECK(Marks.judge(answer(200, {})) == TargetVerdict::Spoiled);
+  CHECK(Marks.judge(answer(200, {"X-Server-Signature", "Content-Encoding"})) ==
+        TargetVerdict::Spoiled);
+}
+
+TEST_CASE("a caller's own marks for targets are replaced") {
+  const HttpMarks Marks;
+  HttpRequest Request{.m_Method = "GET", .m_Target = "/"};
+  Request.m_Headers.add("Host", "h:80");
+  Request.m_Headers.add("X-Request-Id", "parent.child");
+  Request.m_Headers.add("X-Caller-Service", "forged");
+  Request.m_Headers.add("X-Target-Instance", "forged");
+  Request.m_Headers.add("X-Shard-Key", "65536");
+  Request.m_Headers.add("X-Deadline-Ms", "1500");
+  const RequestMarks Read = Marks.read(Request);
+  CHECK(Read.m_Host == "h");
+  CHECK(Read.m_ParentId == "parent");
+  CHECK(Read.m_DeadlineLeft == 1500ms);
+  CHECK_FALSE(Read.m_Key.has_value()); // Beyond the highest key.
+  Marks.prepare(Request, ServiceName("mine"));
+  Marks.mark(Request, {.m_DeadlineLeft = 900ms, .m_TargetId = "t"});
+  CHECK(Request.m_Headers.get("X-Caller-Service") == "mine");
+  CHECK(Request.m_Headers.get("X-Target-Instance") == "t");
+  CHECK(Request.m_Headers.get("X-Deadline-Ms") == "900");
+  CHECK(Marks.notRun(250ms).m_Headers.get("Retry-After") == "0.250");
+}
+
+TEST_CASE("an unsound configuration is rejected with its reason") {
+  const OperatorTables Tables;
+  const nlohmann::json Good = nlohmann::json::parse(
+      R"({"Version":7,"Services":[{"Name":"a","Sharded":true},{"Name":"b"}],
+      "Limits":{"HeaderTimeoutS":3},
+      "VirtualHosts":[{"Host":"h","PathRules":[{"Name":"r","Prefix":"/p/",
+      "Kind":"download","TimeoutS":1.5,"TargetLatencyS":0.6,"Priority":2,
+      "MaxAttempts":2,"TrafficSplit":[{"Service":"a","Weight":90},
+      {"Service":"b","Weight":10}]}]}]})");
+  std::string Problem;
+  const auto Decode = [&](const nlohmann::json &From) {
+    return Tables.configuration(
+        {.m_Key = RowKey("config"), .m_Value = From.dump()}, Problem);
+  };
+  const auto Table = Decode(Good);
+  REQUIRE(Table);
+  const Route *Found = Table->match("h", "/p/x");
+  REQUIRE(Found);
+  CHECK(Found->m_Kind == RouteKind::Download);
+  CHECK(Found->m_Timeout == 1500ms);
+  CHECK(Found->m_Shares.size() == 2);
+  for (const char *Field :
+       {"Prefix", "Kind", "TimeoutS", "MaxAttempts", "Name"}) {
+    nlohmann::json Wrong = Good;
+    Wrong["VirtualHosts"][0]["PathRules"][0].erase(Field);
+    CHECK(Decode(Wrong) == nullptr);
+    CHECK_FALSE(Problem.empty());
+  }
+  nlohmann::json Wrong = Good;
+  Wrong["VirtualHosts"][0]["PathRules"][0]["Kind"] = "odd";
+  CHECK(Decode(Wrong) == nullptr);
+  Wrong = Good;
+  Wrong["VirtualHosts"][0]["PathRules"][0]["TrafficSplit"][1]["Service"] = "c";
+  CHECK(Decode(Wrong) == nullptr);
+  Wrong = Good;
+  Wrong["VirtualHosts"][0]["PathRules"][0]["TrafficSplit"][0].erase("Weight");
+  CHECK(Decode(Wrong) == nullptr);
+  CHECK(Tables.evacuatedDomain(RowKey("evacuate/z")) == DomainName("z"));
+  CHECK_FALSE(Tables.evacuatedDomain(RowKey("config")).has_value());
+}
