Split hot stretches of keys by density and in several moves a plan

Load pattern: a third of a service's requests on 60 to 200 neighbouring keys for some seconds. Slices were 256 keys, pieces were cut from a span's start, one pair of targets a plan. Change: slices of 64 keys, the densest piece moves, up to six moves a plan; loads of keys go to the daemons of the service only, every 0.7 s.

--- a/include/balsamwheel/detail/keyspace/key_planner.h
+++ b/include/balsamwheel/detail/keyspace/key_planner.h
@@ -12,8 +12,9 @@
 
 namespace balsamwheel {
 
-/// Load of a service's keys, in slices of equal size.
-inline constexpr std::size_t KeySlices = 256;
+/// Load of a service's keys, in slices of equal size. A hot stretch is some 60
+/// to 200 keys long.
+inline constexpr std::size_t KeySlices = 1024;
 inline constexpr std::uint32_t KeysPerSlice = KeyCount / KeySlices;
 /// Work a second, in busy slots, that the keys of each slice cause.
 using SliceLoads = std::array<float, KeySlices>;
@@ -44,7 +45,7 @@
   Duration m_RevocationWait = std::chrono::seconds(11);
   /// Share of a target's fair part of the load by which it may exceed it
   /// before keys move.
-  double m_Tolerance = 0.35;
+  double m_Tolerance = 0.4;
 };
 
 /// Keeps since when each revocation has been seen. Not thread-safe.
--- a/src/keyspace/key_planner.cpp
+++ b/src/keyspace/key_planner.cpp
@@ -2,6 +2,7 @@
 #include "balsamwheel/detail/keyspace/key_planner.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace balsamwheel {
 
@@ -10,6 +11,13 @@
 /// Load of a key beside what was measured, in busy slots a second: keeps keys
 /// spread when nothing has been measured yet.
 constexpr double LoadPerKey = 1.0 / KeyCount;
+/// Keys move in steps of this many.
+constexpr std::uint32_t StepKeys = 16;
+/// Planned moves that one plan begins.
+constexpr int MaxMovesPerPlan = 6;
+/// Spans of one owner beyond which none is split off: a grant of them all has
+/// to fit the answer to a heartbeat.
+constexpr std::size_t MaxSpansPerOwner = 60;
 
 /// Load of some keys, by the slices they touch.
 class LoadIndex {
@@ -89,46 +97,35 @@
     }
   }
 
-  /// Moves the slices by which the fullest target exceeds its fair part.
+  /// Moves the hottest keys of the fullest targets to the emptiest ones until
+  /// none has far more or less than its fair part.
   void relieve(double Tolerance) {
     if (m_Fit.size() < 2)
       return;
-    auto Fullest =
-        std::max_element(m_Fit.begin(), m_Fit.end(),
-                         [](const Burden &Left, const Burden &Right) {
-                           return Left.relative() < Right.relative();
-                         });
-    Burden &Emptiest = leastLoaded();
     const double Fair = fairPart();
-    const bool Starved = Emptiest.relative() < Fair * (1 - Tolerance);
-    const bool Overfull = Fullest->relative() > Fair * (1 + Tolerance);
-    if (!Overfull && !Starved)
-      return;
-    double Excess =
-        std::min((Fullest->relative() - Emptiest.relative()) / 2 *
-                     Fullest->m_Candidate.m_Capacity,
-                 std::max(0.0, Fair * Emptiest.m_Candidate.m_Capacity -
-                                   Emptiest.m_Load));
-    const KeyOwner From = Fullest->m_Candidate.m_Owner;
-    const KeyOwner To = Emptiest.m_Candidate.m_Owner;
-    const std::vector<KeySpan> Spans = m_Map.spans();
-    for (const KeySpan &Span : Spans) {
-      if (Excess <= 0 || Span.m_State != SpanState::Owned ||
-          Span.m_Owner != From)
-        continue;
-      const double Load = m_Loads.of(Span.m_First, Span.m_Last);
-      std::uint32_t Last = Span.m_Last;
-      if (Load > Excess) {
-        Last = extend(Span.m_First, Span.m_Last, Excess);
-        if (m_Loads.of(Span.m_First, Last) > 2 * Excess)
-          continue; // One slice is more than what is to move.
-      }
-      KeySpan Part = Span;
-      Part.m_Last = static_cast<KeyIndex>(Last);
-      Part.m_State = SpanState::Releasing;
-      Part.m_Heir = To;
-      m_Map.assign(Part);
-      Excess -= m_Loads.of(Part.m_First, Part.m_Last);
+    for (int Move = 0; Move < MaxMovesPerPlan; ++Move) {
+      Burden &Fullest =
+          *std::max_element(m_Fit.begin(), m_Fit.end(),
+                            [](const Burden &Left, const Burden &Right) {
+                              return Left.relative() < Right.relative();
+                            });
+      Burden &Emptiest = leastLoaded();
+      const bool Starved = Emptiest.relative() < Fair * (1 - Tolerance);
+      const bool Overfull = Fullest.relative() > Fair * (1 + Tolerance);
+      if (!Overfull && !Starved)
+        return;
+      const double Excess =
+          std::min(Fullest.m_Load - Fair * Fullest.m_Candidate.m_Capacity,
+                   Fair * Emptiest.m_Candidate.m_Capacity - Emptiest.m_Load);
+      auto Piece = hottestPiece(Fullest.m_Candidate.m_Owner, Excess);
+      if (!Piece)
+        return;
+      const double Load = m_Loads.of(Piece->m_First, Piece->m_Last);
+      Piece->m_State = SpanState::Releasing;
+      Piece->m_Heir = Emptiest.m_Candidate.m_Owner;
+      m_Map.assign(*Piece);
+      Fullest.m_Load -= Load;
+      Emptiest.m_Load += Load;
     }
   }
 
@@ -156,6 +153,59 @@
                              });
   }
 
+  /// The densest keys of an owner that weigh at most \p Room; none when it has
+  /// too many spans already or no step of keys is light enough.
+  std::optional<KeySpan> hottestPiece(const KeyOwner &Owner,
+                                      double Room) const {
+    std::optional<KeySpan> Best;
+    double BestLoad = 0;
+    std::size_t Spans = 0;
+    for (const KeySpan &Span : m_Map.spans()) {
+      if (Span.m_State != SpanState::Owned || Span.m_Owner != Owner)
+        continue;
+      ++Spans;
+      for (std::uint32_t First = Span.m_First; First <= Span.m_Last;
+           First += StepKeys) {
+        const std::uint32_t Last =
+            std::min<std::uint32_t>(Span.m_Last, First + StepKeys - 1);
+        const double Load = m_Loads.of(First, Last);
+        if (Load > Room * 1.25 || Load <= BestLoad)
+          continue;
+        Best = Span;
+        Best->m_First = static_cast<KeyIndex>(First);
+        Best->m_Last = static_cast<KeyIndex>(Last);
+        BestLoad = Load;
+      }
+    }
+    if (!Best || Spans >= MaxSpansPerOwner)
+      return std::nullopt;
+    grow(*Best, m_Map.find(Best->m_First), Room);
+    return Best;
+  }
+
+  /// Adds the denser neighbours within \p Limits while they fit.
+  void grow(KeySpan &Piece, const KeySpan &Limits, double Room) const {
+    double Load = m_Loads.of(Piece.m_First, Piece.m_Last);
+    while (true) {
+      const std::uint32_t Before =
+          std::min<std::uint32_t>(StepKeys, Piece.m_First - Limits.m_First);
+      const std::uint32_t After =
+          std::min<std::uint32_t>(StepKeys, Limits.m_Last - Piece.m_Last);
+      const double Left =
+          Before ? m_Loads.of(Piece.m_First - Before, Piece.m_First - 1U) : 0;
+      const double Right =
+          After ? m_Loads.of(Piece.m_Last + 1U, Piece.m_Last + After) : 0;
+      const bool TakeRight = After && (Right >= Left || !Before);
+      if ((!Before && !After) || Load + (TakeRight ? Right : Left) > Room)
+        return;
+      Load += TakeRight ? Right : Left;
+      if (TakeRight)
+        Piece.m_Last = static_cast<KeyIndex>(Piece.m_Last + After);
+      else
+        Piece.m_First = static_cast<KeyIndex>(Piece.m_First - Before);
+    }
+  }
+
   /// Load for each unit of capacity if all were spread evenly.
   double fairPart() const {
     double Capacity = 0;
@@ -165,14 +215,13 @@
   }
 
   /// Last key of the longest run from \p First that weighs at most \p Room;
-  /// at least a sixteenth of a slice.
+  /// at least one step.
   std::uint32_t extend(std::uint32_t First, std::uint32_t Limit,
                        double Room) const {
-    constexpr std::uint32_t Step = KeysPerSlice / 16;
-    std::uint32_t Last = std::min(Limit, First + Step - 1);
+    std::uint32_t Last = std::min(Limit, First + StepKeys - 1);
     double Load = m_Loads.of(First, Last);
     while (Last < Limit) {
-      const std::uint32_t Next = std::min(Limit, Last + Step);
+      const std::uint32_t Next = std::min(Limit, Last + StepKeys);
       const double More = m_Loads.of(Last + 1, Next);
       if (Load + More > Room)
         break;
--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -279,7 +279,7 @@
 
 struct SliceRateT : public flatbuffers::NativeTable {
   typedef SliceRate TableType;
-  uint8_t slice = 0;
+  uint16_t slice = 0;
   float rate = 0.0f;
 };
 
@@ -290,15 +290,15 @@
     VT_SLICE = 4,
     VT_RATE = 6
   };
-  uint8_t slice() const {
-    return GetField<uint8_t>(VT_SLICE, 0);
+  uint16_t slice() const {
+    return GetField<uint16_t>(VT_SLICE, 0);
   }
   float rate() const {
     return GetField<float>(VT_RATE, 0.0f);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_SLICE, 1) &&
+           VerifyField<uint16_t>(verifier, VT_SLICE, 2) &&
            VerifyField<float>(verifier, VT_RATE, 4) &&
            verifier.EndTable();
   }
@@ -311,8 +311,8 @@
   typedef SliceRate Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_slice(uint8_t slice) {
-    fbb_.AddElement<uint8_t>(SliceRate::VT_SLICE, slice, 0);
+  void add_slice(uint16_t slice) {
+    fbb_.AddElement<uint16_t>(SliceRate::VT_SLICE, slice, 0);
   }
   void add_rate(float rate) {
     fbb_.AddElement<float>(SliceRate::VT_RATE, rate, 0.0f);
@@ -330,7 +330,7 @@
 
 inline flatbuffers::Offset<SliceRate> CreateSliceRate(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint8_t slice = 0,
+    uint16_t slice = 0,
     float rate = 0.0f) {
   SliceRateBuilder builder_(_fbb);
   builder_.add_rate(rate);
@@ -465,6 +465,7 @@
   int64_t target_born = 0;
   uint8_t condition = 0;
   double capacity = 0.0;
+  bool has_rates = false;
   std::vector<std::unique_ptr<balsamwheel::link_wire::SliceRateT>> slice_rates{};
   bool leaving = false;
   uint64_t operator_rows_seen = 0;
@@ -507,11 +508,12 @@
     VT_TARGET_BORN = 52,
     VT_CONDITION = 54,
     VT_CAPACITY = 56,
-    VT_SLICE_RATES = 58,
-    VT_LEAVING = 60,
-    VT_OPERATOR_ROWS_SEEN = 62,
-    VT_OWN_ROWS_SEEN = 64,
-    VT_ROWS = 66
+    VT_HAS_RATES = 58,
+    VT_SLICE_RATES = 60,
+    VT_LEAVING = 62,
+    VT_OPERATOR_ROWS_SEEN = 64,
+    VT_OWN_ROWS_SEEN = 66,
+    VT_ROWS = 68
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -595,6 +597,9 @@
   double capacity() const {
     return GetField<double>(VT_CAPACITY, 0.0);
   }
+  bool has_rates() const {
+    return GetField<uint8_t>(VT_HAS_RATES, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *slice_rates() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *>(VT_SLICE_RATES);
   }
@@ -650,6 +655,7 @@
            VerifyField<int64_t>(verifier, VT_TARGET_BORN, 8) &&
            VerifyField<uint8_t>(verifier, VT_CONDITION, 1) &&
            VerifyField<double>(verifier, VT_CAPACITY, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_RATES, 1) &&
            VerifyOffset(verifier, VT_SLICE_RATES) &&
            verifier.VerifyVector(slice_rates()) &&
            verifier.VerifyVectorOfTables(slice_rates()) &&
@@ -751,6 +757,9 @@
   void add_capacity(double capacity) {
     fbb_.AddElement<double>(Frame::VT_CAPACITY, capacity, 0.0);
   }
+  void add_has_rates(bool has_rates) {
+    fbb_.AddElement<uint8_t>(Frame::VT_HAS_RATES, static_cast<uint8_t>(has_rates), 0);
+  }
   void add_slice_rates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>>> slice_rates) {
     fbb_.AddOffset(Frame::VT_SLICE_RATES, slice_rates);
   }
@@ -806,6 +815,7 @@
     int64_t target_born = 0,
     uint8_t condition = 0,
     double capacity = 0.0,
+    bool has_rates = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>>> slice_rates = 0,
     bool leaving = false,
     uint64_t operator_rows_seen = 0,
@@ -837,6 +847,7 @@
   builder_.add_instance(instance);
   builder_.add_status(status);
   builder_.add_leaving(leaving);
+  builder_.add_has_rates(has_rates);
   builder_.add_condition(condition);
   builder_.add_reached_target(reached_target);
   builder_.add_reason(reason);
@@ -876,6 +887,7 @@
     int64_t target_born = 0,
     uint8_t condition = 0,
     double capacity = 0.0,
+    bool has_rates = false,
     const std::vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *slice_rates = nullptr,
     bool leaving = false,
     uint64_t operator_rows_seen = 0,
@@ -921,6 +933,7 @@
       target_born,
       condition,
       capacity,
+      has_rates,
       slice_rates__,
       leaving,
       operator_rows_seen,
@@ -1091,6 +1104,7 @@
         target_born(o.target_born),
         condition(o.condition),
         capacity(o.capacity),
+        has_rates(o.has_rates),
         leaving(o.leaving),
         operator_rows_seen(o.operator_rows_seen),
         own_rows_seen(o.own_rows_seen) {
@@ -1130,6 +1144,7 @@
   std::swap(target_born, o.target_born);
   std::swap(condition, o.condition);
   std::swap(capacity, o.capacity);
+  std::swap(has_rates, o.has_rates);
   std::swap(slice_rates, o.slice_rates);
   std::swap(leaving, o.leaving);
   std::swap(operator_rows_seen, o.operator_rows_seen);
@@ -1174,6 +1189,7 @@
   { auto _e = target_born(); _o->target_born = _e; }
   { auto _e = condition(); _o->condition = _e; }
   { auto _e = capacity(); _o->capacity = _e; }
+  { auto _e = has_rates(); _o->has_rates = _e; }
   { auto _e = slice_rates(); if (_e) { _o->slice_rates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->slice_rates[_i] = std::unique_ptr<balsamwheel::link_wire::SliceRateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = operator_rows_seen(); _o->operator_rows_seen = _e; }
@@ -1216,6 +1232,7 @@
   auto _target_born = _o->target_born;
   auto _condition = _o->condition;
   auto _capacity = _o->capacity;
+  auto _has_rates = _o->has_rates;
   auto _slice_rates = _o->slice_rates.size() ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> (_o->slice_rates.size(), [](size_t i, _VectorArgs *__va) { return CreateSliceRate(*__va->__fbb, __va->__o->slice_rates[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _leaving = _o->leaving;
   auto _operator_rows_seen = _o->operator_rows_seen;
@@ -1250,6 +1267,7 @@
       _target_born,
       _condition,
       _capacity,
+      _has_rates,
       _slice_rates,
       _leaving,
       _operator_rows_seen,
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -147,6 +147,7 @@
   switch (Frame.kind) {
   case LinkFrameKind::Hello: {
     From.m_Instance = InstanceName(Frame.instance);
+    From.m_Service = ServiceName(Frame.service);
     // A peer that reaches this daemon is likely to be reachable, too.
     auto Known = m_Peers.find(From.m_Instance);
     if (Known != m_Peers.end() && !Known->second.m_Link)
@@ -245,11 +246,14 @@
     Found->second.m_Link->send(Frame, Body);
 }
 
-void PeerMesh::broadcast(const LinkFrame &Report) {
-  const std::string Text = encodeFrame(Report, {});
+void PeerMesh::broadcast(const LinkFrame &Report,
+                         const std::optional<LinkFrame> &ForService) {
+  const std::string Plain = encodeFrame(Report, {});
+  const std::string Full = ForService ? encodeFrame(*ForService, {}) : Plain;
   for (auto &[Id, Caller] : m_Callers)
     if (Caller.m_Link->pending() < MaxPendingForReport)
-      Caller.m_Link->sendEncoded(Text);
+      Caller.m_Link->sendEncoded(
+          Caller.m_Service == m_Settings.m_Service ? Full : Plain);
 }
 
 void PeerMesh::askForRows(const InstanceName &Name, const LinkFrame &Wanted) {
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -81,8 +81,10 @@
   void cancel(const InstanceName &Peer, std::uint64_t Stream);
   void answer(std::uint64_t LinkId, const LinkFrame &Frame,
               std::string_view Body);
-  /// Sends \p Report to all who are connected.
-  void broadcast(const LinkFrame &Report);
+  /// Sends \p Report to all who are connected; \p ForService, if any, goes to
+  /// those of this instance's service in its place.
+  void broadcast(const LinkFrame &Report,
+                 const std::optional<LinkFrame> &ForService);
   void askForRows(const InstanceName &Peer, const LinkFrame &Wanted);
   /// Interval at which broadcast() is due.
   Duration reportInterval() const;
@@ -103,6 +105,7 @@
   struct Caller {
     std::unique_ptr<PeerLink> m_Link;
     InstanceName m_Instance;
+    ServiceName m_Service;
   };
 
   void connect(const InstanceName &Name, Peer &To);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -20,6 +20,10 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(400);
 /// How long an unreachable owner of keys is taken to be restarting.
 constexpr Duration OwnerLostAfter = std::chrono::milliseconds(2500);
+/// How often loads of keys are told to the daemons of the same service.
+constexpr Duration RatesInterval = std::chrono::milliseconds(700);
+/// Requests a second of a slice of keys that are worth telling.
+constexpr float LeastRate = 0.1F;
 constexpr std::size_t MaxCallerConnections = 1024;
 
 using nlohmann::json;
@@ -353,7 +357,7 @@
     m_Coordinator->tableRead();
 }
 
-LinkFrame Router::makeReport() const {
+LinkFrame Router::makeReport(bool WithRates) const {
   LinkFrame Report;
   Report.kind = LinkFrameKind::Report;
   Report.gate = gateToWire(m_Agent.gateReport());
@@ -364,14 +368,15 @@
   Report.condition = static_cast<std::uint8_t>(m_Agent.condition());
   Report.capacity = m_Agent.capacity();
   Report.leaving = m_Agent.leaving();
+  Report.has_rates = WithRates;
   Report.operator_rows_seen =
       m_Follower.mirror().seen(TableName::Operators).value();
   Report.own_rows_seen = m_Follower.mirror().seen(TableName::Own).value();
-  if (m_Coordinator)
+  if (m_Coordinator && WithRates)
     for (std::size_t Slice = 0; Slice < KeySlices; ++Slice)
-      if (const float Rate = m_Agent.sliceRates()[Slice]; Rate > 0.05F) {
+      if (const float Rate = m_Agent.sliceRates()[Slice]; Rate > LeastRate) {
         auto Each = std::make_unique<link_wire::SliceRateT>();
-        Each->slice = static_cast<std::uint8_t>(Slice);
+        Each->slice = static_cast<std::uint16_t>(Slice);
         Each->rate = Rate;
         Report.slice_rates.push_back(std::move(Each));
       }
@@ -385,7 +390,11 @@
   m_Agent.decaySliceRates(Now - m_LastReport);
   m_LastReport = Now;
   m_Board.report(m_Settings.m_Instance, m_Agent.gateReport());
-  m_Mesh.broadcast(makeReport());
+  const bool WithRates = m_Coordinator && Now - m_LastRates >= RatesInterval;
+  if (WithRates)
+    m_LastRates = Now;
+  m_Mesh.broadcast(makeReport(false),
+                   WithRates ? std::optional(makeReport(true)) : std::nullopt);
   m_Metrics.gate(m_Agent.gateReport().m_Running,
                  m_Agent.gateReport().m_Waiting);
   m_ReportTimer =
@@ -403,9 +412,11 @@
       .m_Target = {.m_Id = Report.target_id, .m_BornMs = Report.target_born}};
   Known.m_Condition = static_cast<TargetCondition>(Report.condition);
   Known.m_Capacity = Report.capacity;
-  Known.m_Rates.fill(0);
+  if (Report.has_rates)
+    Known.m_Rates.fill(0);
   for (const auto &Each : Report.slice_rates)
-    Known.m_Rates[Each->slice] = Each->rate;
+    if (Each->slice < KeySlices)
+      Known.m_Rates[Each->slice] = Each->rate;
   const TableMirror &Mirror = m_Follower.mirror();
   const RowVersion OperatorsSeen = Mirror.seen(TableName::Operators);
   const RowVersion OwnSeen = Mirror.seen(TableName::Own);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -59,7 +59,7 @@
   void keyMapChanged(const MirroredRow &Row);
   void announce();
   void ensureCoordinator();
-  LinkFrame makeReport() const;
+  LinkFrame makeReport(bool WithRates) const;
   void sendReports();
   void reported(const InstanceName &Peer, const LinkFrame &Report);
   void peerRequest(std::uint64_t Link, LinkFrame &Frame, std::string Body);
@@ -109,6 +109,7 @@
   std::map<PeerJob, TargetAgent::JobId> m_PeerJobs;
   EventLoop::TimerId m_ReportTimer;
   TimePoint m_LastReport;
+  TimePoint m_LastRates;
   bool m_Announced = false;
   std::optional<TimePoint> m_StopBegan;
 };
