Repeat idempotent requests when a quick answer still fits; hold less for keys

Cause: a nested lookup with 540 ms left was not repeated after a lost answer, as the failed target's own expected completion counted; requests for keys about to be granted were held for 1.2 s whatever their objective. Change: the alternative's expected completion decides; the wait ends with the objective or a quarter of the deadline.

--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -256,15 +256,15 @@
 bool Entrance::mayRepeat(Active &Of) {
   if (Of.m_Arrivals >= Of.m_Route->m_MaxAttempts)
     return false;
-  const auto Expected = m_Board.expectedCompletion(Of.m_At, m_Loop.now());
-  const double Needed = m_Options.m_RepeatServiceTimes *
+  Of.m_Refused.insert(Of.m_At);
+  // A keyed request goes to the same owner again, any other elsewhere.
+  const InstanceName To = choose(Of).value_or(Of.m_At);
+  const auto Expected = m_Board.expectedCompletion(To, m_Loop.now());
+  const double Needed = m_Options.m_RepeatCompletionPart *
                         static_cast<double>(micros(
                             Expected.value_or(m_Options.m_DefaultRetryAfter)));
-  if (static_cast<double>(micros(Of.m_Deadline - m_Loop.now())) < Needed ||
-      !m_Retries.takeRetry())
-    return false;
-  Of.m_Refused.insert(Of.m_At);
-  return true;
+  return static_cast<double>(micros(Of.m_Deadline - m_Loop.now())) >= Needed &&
+         m_Retries.takeRetry();
 }
 
 void Entrance::withdraw(Active &Of) {
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -37,9 +37,10 @@
   /// Pause before a key's owner is looked up again.
   Duration m_OwnerRetry = std::chrono::milliseconds(60);
   /// Owner lookups for one caller attempt.
-  int m_MaxOwnerLookups = 6;
-  /// A repeat needs this many expected service times before its deadline.
-  double m_RepeatServiceTimes = 1.2;
+  int m_MaxOwnerLookups = 4;
+  /// Part of the expected completion that must be left for a repeat: the mean
+  /// over all routes is well above what a quick one takes.
+  double m_RepeatCompletionPart = 0.6;
   /// Told to callers when nothing better is known.
   Duration m_DefaultRetryAfter = std::chrono::milliseconds(300);
   /// Retry-After is spread by up to this part, so that callers return apart.
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -214,7 +214,7 @@
         return Id;
       }
       m_AwaitingGrant.push_back(Id);
-      m_Loop.after(m_Options.m_GrantWait, [this, Id] {
+      m_Loop.after(grantWait(Added.m_Job), [this, Id] {
         if (std::erase(m_AwaitingGrant, Id) > 0)
           finish(Id, {.m_Outcome = Outcome::Wait,
                       .m_Reason = Reason::HandoverPending,
@@ -227,6 +227,14 @@
   return Id;
 }
 
+Duration TargetAgent::grantWait(const TargetJob &Of) const {
+  const TimePoint Now = m_Loop.now();
+  const Duration Timely =
+      Of.m_Objective - Now - m_Gate.expectedService(Of.m_Route);
+  return std::min(m_Options.m_GrantWait,
+                  std::max(Timely, (Of.m_Deadline - Now) / 4));
+}
+
 void TargetAgent::grantsChanged() {
   std::vector<JobId> Still;
   std::vector<JobId> Ready;
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -66,7 +66,7 @@
   Duration m_EarlierGrants = std::chrono::seconds(11);
   /// Heartbeats missed in a row before the target gets no new keys.
   double m_MissedBeats = 3;
-  /// How long a key that is about to be granted is waited for.
+  /// Longest wait for a key that is about to be granted.
   Duration m_GrantWait = std::chrono::milliseconds(1200);
   /// Pause after a refused connection to the target.
   Duration m_RefusedPause = std::chrono::milliseconds(400);
@@ -144,6 +144,8 @@
   void limitColdRate();
   void shutGate(Reason Why);
   void scheduleShut(Duration Limit, Reason Why);
+  /// How long a request is worth holding for a key that is to be granted.
+  Duration grantWait(const TargetJob &Of) const;
   void offer(JobId Id);
   void send(JobId Id);
   void completed(JobId Id, HttpCallResult Result);
