Distrust connections that have been idle or silent

Cause: servers forget idle connections, and what is sent next is reset: a request that can't be repeated then ends unknown. Connections also go silent; the next call took another silent one. Change: such requests take no connection idle for over 0.5 s; after a call without an answer the idle connections are closed; what the target on the same machine doesn't acknowledge within 1 s is lost. Tests for both.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -38,8 +38,12 @@
 
   ~HttpClientConnection() { m_Loop.cancel(m_Timer); }
 
-  bool connect(const Endpoint &To) { return m_Stream.connect(To); }
+  bool connect(const Endpoint &To) {
+    m_Stream.setUnacknowledgedLimit(m_Client.m_Options.m_UnacknowledgedLimit);
+    return m_Stream.connect(To);
+  }
   bool idle() const { return !m_Call; }
+  bool idleSince(TimePoint Limit) const { return m_IdleSince >= Limit; }
   HttpClient::CallId callId() const {
     return m_Call ? m_Call->m_Id : HttpClient::CallId();
   }
@@ -99,6 +103,7 @@
       return shutDown();
     if (!m_Sent)
       return fail(HttpCallEnd::NotSent, "no connection in time");
+    m_Client.closeIdle();
     fail(HttpCallEnd::TimedOut, "no answer in time");
   }
 
@@ -134,6 +139,7 @@
     const std::unique_ptr<HttpClient::Waiting> Done = std::move(m_Call);
     m_Parser.reset();
     m_Sent = false;
+    m_IdleSince = m_Loop.now();
     Duration Idle = m_Client.m_Options.m_IdleTimeout;
     if (Stated)
       Idle = std::min(Idle, *Stated - m_Client.m_Options.m_IdleMargin);
@@ -164,6 +170,7 @@
   std::unique_ptr<HttpAnswerParser> m_Parser;
   std::string m_Input;
   EventLoop::TimerId m_Timer;
+  TimePoint m_IdleSince;
   /// The present call's request was handed to the connection.
   bool m_Sent = false;
 };
@@ -187,8 +194,14 @@
 void HttpClient::dispatch() {
   while (!m_Waiting.empty()) {
     // The connection used last is the least likely to have been closed.
+    const TimePoint Limit = m_Loop.now() - m_Waiting.front().m_Call.m_MaxIdle;
     auto Idle = std::find_if(m_Connections.begin(), m_Connections.end(),
-                             [](const auto &Each) { return Each->idle(); });
+                             [&](const auto &Each) {
+                               return Each->idle() && Each->idleSince(Limit);
+                             });
+    if (Idle == m_Connections.end() &&
+        m_Connections.size() >= m_Options.m_MaxConnections)
+      closeIdle();
     if (Idle == m_Connections.end()) {
       if (m_Connections.size() >= m_Options.m_MaxConnections)
         return;
@@ -211,6 +224,15 @@
   }
 }
 
+void HttpClient::closeIdle() {
+  std::vector<HttpClientConnection *> Idle;
+  for (const auto &Each : m_Connections)
+    if (Each->idle())
+      Idle.push_back(Each.get());
+  for (HttpClientConnection *Each : Idle)
+    Each->shutDown();
+}
+
 void HttpClient::cancel(CallId Call) {
   if (std::erase_if(m_Waiting,
                     [&](const Waiting &Each) { return Each.m_Id == Call; }) > 0)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -29,6 +29,9 @@
 struct HttpCall {
   HttpRequest m_Request;
   Duration m_Timeout = std::chrono::seconds(1);
+  /// A kept connection that has been idle for longer isn't used: its other end
+  /// may have forgotten it, and the call may not be repeated.
+  Duration m_MaxIdle = std::chrono::hours(1);
   /// An answer whose header of this name has another value is a late or extra
   /// one of an earlier request and is dropped. Empty takes any answer.
   std::string m_IdHeader;
@@ -38,6 +41,8 @@
 struct HttpClientOptions {
   std::size_t m_MaxConnections = 16;
   ParseLimits m_Limits;
+  /// A connection whose other end acknowledges nothing for this long is lost.
+  Duration m_UnacknowledgedLimit = std::chrono::seconds(4);
   Duration m_ConnectTimeout = std::chrono::milliseconds(800);
   /// Idle connections are given up before the server closes them.
   Duration m_IdleTimeout = std::chrono::seconds(4);
@@ -72,6 +77,9 @@
   };
 
   void dispatch();
+  /// A call got no answer in time: what made its connection silent may have
+  /// struck the idle ones, too.
+  void closeIdle();
   void remove(class HttpClientConnection *Connection);
 
   EventLoop &m_Loop;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -17,18 +17,19 @@
 
 constexpr std::size_t ReadSize = 65536;
 constexpr int ListenBacklog = 511;
-/// A peer that acknowledges nothing for this long is taken as unreachable.
-constexpr unsigned UnacknowledgedMs = 4000;
 /// Output buffers above this are given back when they are empty.
 constexpr std::size_t KeptOutput = 4096;
 
-void configure(ACE_HANDLE Handle) {
+void configure(ACE_HANDLE Handle, Duration Unacknowledged) {
   const int Flags = fcntl(Handle, F_GETFL);
   fcntl(Handle, F_SETFL, Flags | O_NONBLOCK);
   const int On = 1;
   setsockopt(Handle, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
-  setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
-             sizeof UnacknowledgedMs);
+  const auto Milliseconds = static_cast<unsigned>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Unacknowledged)
+          .count());
+  setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Milliseconds,
+             sizeof Milliseconds);
 }
 
 ACE_INET_Addr toAce(const Endpoint &From) {
@@ -58,7 +59,7 @@
   m_Handle = ACE_OS::socket(AF_INET, SOCK_STREAM, 0);
   if (m_Handle == ACE_INVALID_HANDLE)
     return false;
-  configure(m_Handle);
+  configure(m_Handle, m_Unacknowledged);
   const ACE_INET_Addr Address = toAce(To);
   const int Result =
       ACE_OS::connect(m_Handle, static_cast<sockaddr *>(Address.get_addr()),
@@ -75,7 +76,7 @@
 
 bool Stream::adopt(ACE_HANDLE Handle) {
   m_Handle = Handle;
-  configure(m_Handle);
+  configure(m_Handle, m_Unacknowledged);
   return watch(ACE_Event_Handler::READ_MASK);
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -47,6 +47,8 @@
   Stream &operator=(const Stream &) = delete;
 
   void setEvents(StreamEvents Events) { m_Events = std::move(Events); }
+  /// For connect(): how long the other end may acknowledge nothing.
+  void setUnacknowledgedLimit(Duration Limit) { m_Unacknowledged = Limit; }
   /// Begins to connect; the end is reported through the events.
   bool connect(const Endpoint &To);
   /// Takes over an accepted socket.
@@ -78,6 +80,7 @@
   bool m_Connecting = false;
   bool m_WriteWatched = false;
   bool m_CloseWhenDrained = false;
+  Duration m_Unacknowledged = std::chrono::seconds(4);
   std::string m_Output;
   /// Bytes of m_Output that have been written.
   std::size_t m_Written = 0;
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -14,6 +14,10 @@
 constexpr Duration DeadlineGrace = std::chrono::milliseconds(60);
 /// Connections to the target beyond its slots: those given up in flight.
 constexpr std::uint32_t SpareConnections = 2;
+/// The target is on the same machine: nothing delays it for longer.
+constexpr Duration TargetUnacknowledged = std::chrono::seconds(1);
+/// Longest idle time of a connection for a request that can't be repeated.
+constexpr Duration FreshConnection = std::chrono::milliseconds(500);
 /// Requests with less time left aren't worth a slot.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(5);
 
@@ -77,6 +81,7 @@
   m_Loop.cancel(m_ShutTimer);
   HttpClientOptions Client;
   Client.m_MaxConnections = Beat.m_Slots + SpareConnections;
+  Client.m_UnacknowledgedLimit = TargetUnacknowledged;
   m_Client = std::make_unique<HttpClient>(m_Loop, m_Settings.m_Target, Client);
   openGate();
 }
@@ -297,6 +302,8 @@
   HttpCall Call{.m_Timeout = Left + DeadlineGrace,
                 .m_IdHeader = m_Format.idHeader(),
                 .m_Id = Of.m_Job.m_Id};
+  if (!Of.m_Job.m_Idempotent)
+    Call.m_MaxIdle = FreshConnection;
   Call.m_Request = std::move(Of.m_Job.m_Request);
   Of.m_Call =
       m_Client->call(std::move(Call), [this, Id](HttpCallResult Result) {
--- a/tests/unit-http-loop.cpp
+++ b/tests/unit-http-loop.cpp
@@ -143,6 +143,49 @@
   CHECK(Client.connectionsOpened() == 2);
 }
 
+TEST_CASE("a call that can't be repeated takes no connection long idle") {
+  RawServer Server([](const std::string &, int) { return plain("1", "x"); });
+  EventLoop Loop({});
+  HttpClient Client(Loop, *Endpoint::fromText(Server.address()), {});
+  int Done = 0;
+  const auto Count = [&](HttpCallResult) { ++Done; };
+  Client.call(makeCall("1"), Count);
+  runUntil(Loop, [&] { return Done == 1; });
+  const TimePoint Later = bootNow() + 100ms;
+  runUntil(Loop, [&] { return bootNow() > Later; });
+  Client.call(makeCall("1"), Count);
+  runUntil(Loop, [&] { return Done == 2; });
+  CHECK(Client.connectionsOpened() == 1);
+  const TimePoint Again = bootNow() + 100ms;
+  runUntil(Loop, [&] { return bootNow() > Again; });
+  HttpCall Fresh = makeCall("1");
+  Fresh.m_MaxIdle = 50ms;
+  Client.call(std::move(Fresh), Count);
+  runUntil(Loop, [&] { return Done == 3; });
+  CHECK(Client.connectionsOpened() == 2);
+}
+
+TEST_CASE("after a silent call the idle connections aren't trusted either") {
+  int Requests = 0;
+  RawServer Server([&](const std::string &, int) {
+    ++Requests;
+    return Requests == 3 ? RawReply{.m_Silent = true} : plain("1", "x");
+  });
+  EventLoop Loop({});
+  HttpClient Client(Loop, *Endpoint::fromText(Server.address()), {});
+  int Done = 0;
+  const auto Count = [&](HttpCallResult) { ++Done; };
+  Client.call(makeCall("1"), Count);
+  Client.call(makeCall("1"), Count);
+  runUntil(Loop, [&] { return Done == 2; });
+  CHECK(Client.connectionsOpened() == 2);
+  Client.call(makeCall("1", 200ms), Count);
+  runUntil(Loop, [&] { return Done == 3; });
+  Client.call(makeCall("1"), Count);
+  runUntil(Loop, [&] { return Done == 4; });
+  CHECK(Client.connectionsOpened() == 3);
+}
+
 TEST_CASE("calls beyond the connections wait for one") {
   RawServer Server([](const std::string &, int) { return plain("1", "x"); });
   EventLoop Loop({});
