Let few daemons watch the daemons' own table, and jitter the watches

Watches of equal length also ended together, so that silent connections would have been noticed late by all. Change: the three lowest instances in reach watch the own table, who commits tells all, the rest learns from reports; a watch waits 2 to 8 s.

--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -466,6 +466,7 @@
   uint8_t condition = 0;
   double capacity = 0.0;
   bool has_rates = false;
+  bool sees_table = false;
   std::vector<std::unique_ptr<balsamwheel::link_wire::SliceRateT>> slice_rates{};
   bool leaving = false;
   uint64_t operator_rows_seen = 0;
@@ -509,11 +510,12 @@
     VT_CONDITION = 54,
     VT_CAPACITY = 56,
     VT_HAS_RATES = 58,
-    VT_SLICE_RATES = 60,
-    VT_LEAVING = 62,
-    VT_OPERATOR_ROWS_SEEN = 64,
-    VT_OWN_ROWS_SEEN = 66,
-    VT_ROWS = 68
+    VT_SEES_TABLE = 60,
+    VT_SLICE_RATES = 62,
+    VT_LEAVING = 64,
+    VT_OPERATOR_ROWS_SEEN = 66,
+    VT_OWN_ROWS_SEEN = 68,
+    VT_ROWS = 70
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -600,6 +602,9 @@
   bool has_rates() const {
     return GetField<uint8_t>(VT_HAS_RATES, 0) != 0;
   }
+  bool sees_table() const {
+    return GetField<uint8_t>(VT_SEES_TABLE, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *slice_rates() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *>(VT_SLICE_RATES);
   }
@@ -656,6 +661,7 @@
            VerifyField<uint8_t>(verifier, VT_CONDITION, 1) &&
            VerifyField<double>(verifier, VT_CAPACITY, 8) &&
            VerifyField<uint8_t>(verifier, VT_HAS_RATES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SEES_TABLE, 1) &&
            VerifyOffset(verifier, VT_SLICE_RATES) &&
            verifier.VerifyVector(slice_rates()) &&
            verifier.VerifyVectorOfTables(slice_rates()) &&
@@ -760,6 +766,9 @@
   void add_has_rates(bool has_rates) {
     fbb_.AddElement<uint8_t>(Frame::VT_HAS_RATES, static_cast<uint8_t>(has_rates), 0);
   }
+  void add_sees_table(bool sees_table) {
+    fbb_.AddElement<uint8_t>(Frame::VT_SEES_TABLE, static_cast<uint8_t>(sees_table), 0);
+  }
   void add_slice_rates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>>> slice_rates) {
     fbb_.AddOffset(Frame::VT_SLICE_RATES, slice_rates);
   }
@@ -816,6 +825,7 @@
     uint8_t condition = 0,
     double capacity = 0.0,
     bool has_rates = false,
+    bool sees_table = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>>> slice_rates = 0,
     bool leaving = false,
     uint64_t operator_rows_seen = 0,
@@ -847,6 +857,7 @@
   builder_.add_instance(instance);
   builder_.add_status(status);
   builder_.add_leaving(leaving);
+  builder_.add_sees_table(sees_table);
   builder_.add_has_rates(has_rates);
   builder_.add_condition(condition);
   builder_.add_reached_target(reached_target);
@@ -888,6 +899,7 @@
     uint8_t condition = 0,
     double capacity = 0.0,
     bool has_rates = false,
+    bool sees_table = false,
     const std::vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *slice_rates = nullptr,
     bool leaving = false,
     uint64_t operator_rows_seen = 0,
@@ -934,6 +946,7 @@
       condition,
       capacity,
       has_rates,
+      sees_table,
       slice_rates__,
       leaving,
       operator_rows_seen,
@@ -1105,6 +1118,7 @@
         condition(o.condition),
         capacity(o.capacity),
         has_rates(o.has_rates),
+        sees_table(o.sees_table),
         leaving(o.leaving),
         operator_rows_seen(o.operator_rows_seen),
         own_rows_seen(o.own_rows_seen) {
@@ -1145,6 +1159,7 @@
   std::swap(condition, o.condition);
   std::swap(capacity, o.capacity);
   std::swap(has_rates, o.has_rates);
+  std::swap(sees_table, o.sees_table);
   std::swap(slice_rates, o.slice_rates);
   std::swap(leaving, o.leaving);
   std::swap(operator_rows_seen, o.operator_rows_seen);
@@ -1190,6 +1205,7 @@
   { auto _e = condition(); _o->condition = _e; }
   { auto _e = capacity(); _o->capacity = _e; }
   { auto _e = has_rates(); _o->has_rates = _e; }
+  { auto _e = sees_table(); _o->sees_table = _e; }
   { auto _e = slice_rates(); if (_e) { _o->slice_rates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->slice_rates[_i] = std::unique_ptr<balsamwheel::link_wire::SliceRateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = operator_rows_seen(); _o->operator_rows_seen = _e; }
@@ -1233,6 +1249,7 @@
   auto _condition = _o->condition;
   auto _capacity = _o->capacity;
   auto _has_rates = _o->has_rates;
+  auto _sees_table = _o->sees_table;
   auto _slice_rates = _o->slice_rates.size() ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> (_o->slice_rates.size(), [](size_t i, _VectorArgs *__va) { return CreateSliceRate(*__va->__fbb, __va->__o->slice_rates[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _leaving = _o->leaving;
   auto _operator_rows_seen = _o->operator_rows_seen;
@@ -1268,6 +1285,7 @@
       _condition,
       _capacity,
       _has_rates,
+      _sees_table,
       _slice_rates,
       _leaving,
       _operator_rows_seen,
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -31,24 +31,26 @@
   return true;
 }
 
-void PeerMesh::setMembers(std::vector<Member> Members) {
+void PeerMesh::setMembers(const std::vector<Member> &Members) {
+  std::map<InstanceName, const Member *> Wanted;
+  for (const Member &Each : Members)
+    if (Each.m_Instance != m_Settings.m_Instance)
+      Wanted[Each.m_Instance] = &Each;
   std::vector<InstanceName> Gone;
-  for (const auto &[Name, Known] : m_Peers)
-    if (std::none_of(Members.begin(), Members.end(), [&](const Member &Each) {
-          return Each == Known.m_Member;
-        }))
+  for (const auto &[Name, Known] : m_Peers) {
+    const auto Found = Wanted.find(Name);
+    if (Found == Wanted.end() || *Found->second != Known.m_Member)
       Gone.push_back(Name);
+  }
   for (const InstanceName &Name : Gone) {
     drop(Name, m_Peers.at(Name), "its entry changed");
     m_Peers.erase(Name);
   }
-  for (Member &Each : Members) {
-    if (Each.m_Instance == m_Settings.m_Instance ||
-        m_Peers.contains(Each.m_Instance))
+  for (const auto &[Name, Each] : Wanted) {
+    if (m_Peers.contains(Name))
       continue;
-    const InstanceName Name = Each.m_Instance;
     Peer &Added = m_Peers[Name];
-    Added.m_Member = std::move(Each);
+    Added.m_Member = *Each;
     Added.m_DownSince = m_Loop.now();
     connect(Name, Added);
   }
@@ -136,9 +138,10 @@
     receivedFromCaller(Id, *Frame, std::move(Body));
   };
   Events.m_OnEnd = [this, Id](const char *) { callerEnded(Id); };
-  auto Link = std::make_unique<PeerLink>(m_Loop, std::move(Events));
-  if (Link->adopt(Handle))
-    m_Callers[Id].m_Link = std::move(Link);
+  Caller &Added = m_Callers[Id];
+  Added.m_Link = std::make_unique<PeerLink>(m_Loop, std::move(Events));
+  if (!Added.m_Link->adopt(Handle))
+    m_Callers.erase(Id);
 }
 
 void PeerMesh::receivedFromCaller(std::uint64_t LinkId, LinkFrame &Frame,
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -67,7 +67,7 @@
 
   bool listen();
   /// Replaces the known members; this instance's own entry is ignored.
-  void setMembers(std::vector<Member> Members);
+  void setMembers(const std::vector<Member> &Members);
 
   bool isUp(const InstanceName &Peer) const;
   /// Since when a peer has been out of reach; none while it is up.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -20,6 +20,8 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(400);
 /// How long an unreachable owner of keys is taken to be restarting.
 constexpr Duration OwnerLostAfter = std::chrono::milliseconds(2500);
+/// Daemons that watch the own table themselves.
+constexpr std::ptrdiff_t Watchers = 3;
 /// How often loads of keys are told to the daemons of the same service.
 constexpr Duration RatesInterval = std::chrono::milliseconds(700);
 /// Requests a second of a slice of keys that are worth telling.
@@ -152,6 +154,7 @@
            .m_OnPeerDown =
                [this](const InstanceName &Peer) { m_Board.forget(Peer); }}),
       m_Follower(Loop, Log, Table, {},
+                 std::hash<InstanceName>()(m_Settings.m_Instance),
                  [this](const MirroredRow &Row) { rowChanged(Row); }),
       m_Entrance(
           Loop, Log, m_Settings, Format, m_Agent, m_Mesh, m_Board, Metrics,
@@ -322,7 +325,7 @@
                                                      Reply.m_End)})
                                      .add("error", Reply.m_Error));
                      for (const MirroredRow &Each : Reply.m_Rows)
-                       m_Follower.apply(Each, "commit");
+                       passOn(Each);
                    });
   if (!Current)
     m_Loop.after(m_Follower.hasRead(TableName::Own) ? AnnounceRetry
@@ -357,6 +360,17 @@
     m_Coordinator->tableRead();
 }
 
+void Router::passOn(const MirroredRow &Row) {
+  const MirroredRow *Known = m_Follower.mirror().find(Row.m_Table, Row.m_Key);
+  if (Known && Known->m_Version >= Row.m_Version)
+    return;
+  m_Follower.apply(Row, "commit");
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::Rows;
+  Frame.rows.push_back(std::make_unique<link_wire::TableRowT>(wireRow(Row)));
+  m_Mesh.broadcast(Frame, std::nullopt);
+}
+
 LinkFrame Router::makeReport(bool WithRates) const {
   LinkFrame Report;
   Report.kind = LinkFrameKind::Report;
@@ -369,6 +383,7 @@
   Report.capacity = m_Agent.capacity();
   Report.leaving = m_Agent.leaving();
   Report.has_rates = WithRates;
+  Report.sees_table = m_Follower.isReachable(TableName::Operators);
   Report.operator_rows_seen =
       m_Follower.mirror().seen(TableName::Operators).value();
   Report.own_rows_seen = m_Follower.mirror().seen(TableName::Own).value();
@@ -397,6 +412,7 @@
                    WithRates ? std::optional(makeReport(true)) : std::nullopt);
   m_Metrics.gate(m_Agent.gateReport().m_Running,
                  m_Agent.gateReport().m_Waiting);
+  m_Follower.setWatching(isWatcher());
   m_ReportTimer =
       m_Loop.after(m_Mesh.reportInterval(), [this] { sendReports(); });
 }
@@ -412,6 +428,7 @@
       .m_Target = {.m_Id = Report.target_id, .m_BornMs = Report.target_born}};
   Known.m_Condition = static_cast<TargetCondition>(Report.condition);
   Known.m_Capacity = Report.capacity;
+  Known.m_SeesTable = Report.sees_table;
   if (Report.has_rates)
     Known.m_Rates.fill(0);
   for (const auto &Each : Report.slice_rates)
@@ -477,7 +494,7 @@
 }
 
 void Router::peerAnswer(std::uint64_t Link, std::uint64_t Stream,
-                        TargetJobResult Result) {
+                        const TargetJobResult &Result) {
   m_PeerJobs.erase({Link, Stream});
   LinkFrame Frame;
   Frame.kind = LinkFrameKind::Answer;
@@ -551,7 +568,7 @@
   for (const KeyCandidate &Each : Result)
     Total += Each.m_Capacity;
   // Measured speeds differ by noise as well: only half of what is seen counts.
-  const double Mean = Total / std::max<double>(1, Result.size());
+  const double Mean = Total / std::max(1.0, static_cast<double>(Result.size()));
   for (KeyCandidate &Each : Result)
     Each.m_Capacity = std::clamp(
         0.5 + 0.5 * Each.m_Capacity / std::max(Mean, 1e-6), 0.5, 2.0);
@@ -567,8 +584,19 @@
   return Sum;
 }
 
+bool Router::isWatcher() const {
+  const auto Before = std::count_if(
+      m_Members.begin(), m_Members.end(), [&](const Member &Each) {
+        const auto Known = m_PeerTargets.find(Each.m_Instance);
+        return Each.m_Instance < m_Settings.m_Instance &&
+               m_Mesh.isUp(Each.m_Instance) && Known != m_PeerTargets.end() &&
+               Known->second.m_SeesTable;
+      });
+  return Before < Watchers;
+}
+
 bool Router::isKeyPlanner() const {
-  if (m_StopBegan || !m_Follower.isReachable(TableName::Own))
+  if (m_StopBegan || !m_Follower.isReachable(TableName::Operators))
     return false;
   return std::none_of(m_Members.begin(), m_Members.end(),
                       [&](const Member &Each) {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -59,17 +59,21 @@
   void keyMapChanged(const MirroredRow &Row);
   void announce();
   void ensureCoordinator();
+  /// Applies a row that this daemon has written and tells it to all.
+  void passOn(const MirroredRow &Row);
   LinkFrame makeReport(bool WithRates) const;
   void sendReports();
   void reported(const InstanceName &Peer, const LinkFrame &Report);
   void peerRequest(std::uint64_t Link, LinkFrame &Frame, std::string Body);
   void peerAnswer(std::uint64_t Link, std::uint64_t Stream,
-                  TargetJobResult Result);
+                  const TargetJobResult &Result);
   LinkFrame rowsFor(const LinkFrame &Wanted) const;
   void takeRows(const LinkFrame &Rows);
   std::vector<KeyCandidate> keyCandidates() const;
   SliceLoads keyLoads() const;
   bool isKeyPlanner() const;
+  /// Whether this daemon is one of the few that watch the own table.
+  bool isWatcher() const;
   std::vector<TargetBoard::Candidate>
   candidates(const ServiceName &Service) const;
   const KeyMap *keyMap(const ServiceName &Service) const;
@@ -79,6 +83,8 @@
     KeyOwner m_Owner;
     TargetCondition m_Condition = TargetCondition::Shaken;
     double m_Capacity = 1;
+    /// It reaches the platform's table.
+    bool m_SeesTable = false;
     SliceLoads m_Rates{};
   };
   /// A peer's request at the local gate.
--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -15,9 +15,9 @@
 
 TableFollower::TableFollower(EventLoop &Loop, EventLog &Log,
                              TableService &Table, TableFollowerOptions Options,
-                             OnRow Changed)
+                             std::uint64_t Seed, OnRow Changed)
     : m_Loop(Loop), m_Log(Log), m_Service(Table), m_Options(Options),
-      m_Changed(std::move(Changed)) {}
+      m_Changed(std::move(Changed)), m_Random(Seed) {}
 
 void TableFollower::start() {
   next(m_Operators);
@@ -46,17 +46,34 @@
   m_Changed(Row);
 }
 
+void TableFollower::setWatching(bool Watching) {
+  m_Own.m_Watching = Watching;
+  if (!Watching || !m_Own.m_Resting)
+    return;
+  // What was missed meanwhile may be beyond the history.
+  m_Own.m_Position.reset();
+  next(m_Own);
+}
+
 void TableFollower::next(Followed &Of) {
+  Of.m_Resting = Of.m_Position && !Of.m_Watching;
+  if (Of.m_Resting)
+    return;
   if (!Of.m_Position)
     m_Service.read(Of.m_Table, [this, &Of](const TableServiceReply &Reply) {
       readDone(Of, Reply);
     });
   else
     m_Service.watch(
-        Of.m_Table, *Of.m_Position, m_Options.m_WatchWait,
+        Of.m_Table, *Of.m_Position, watchWait(),
         [this, &Of](const TableServiceReply &Reply) { watchDone(Of, Reply); });
 }
 
+Duration TableFollower::watchWait() {
+  const Duration Range = m_Options.m_LongestWait - m_Options.m_ShortestWait;
+  return m_Options.m_ShortestWait + Range * (m_Random() % 1024) / 1024;
+}
+
 bool TableFollower::settle(Followed &Of, const TableServiceReply &Reply) {
   const bool Reached =
       Reply.m_End == TableEnd::Ok || Reply.m_End == TableEnd::HistoryLost;
--- a/src/router/table_follower.h
+++ b/src/router/table_follower.h
@@ -5,12 +5,16 @@
 #include "event_log.h"
 #include "table_service.h"
 
+#include <pcg_random.hpp>
+
 namespace balsamwheel {
 
 struct TableFollowerOptions {
-  /// Longest time one watch waits for a change. A watch whose connection has
-  /// gone silent is noticed after it.
-  Duration m_WatchWait = std::chrono::seconds(5);
+  /// Time that one watch waits for a change: between these, so that the watches
+  /// of many daemons end at different times. A watch whose connection has gone
+  /// silent is noticed after it.
+  Duration m_ShortestWait = std::chrono::seconds(2);
+  Duration m_LongestWait = std::chrono::seconds(8);
   Duration m_FirstRetry = std::chrono::milliseconds(150);
   Duration m_LongestRetry = std::chrono::milliseconds(1200);
 };
@@ -20,9 +24,13 @@
   using OnRow = std::function<void(const MirroredRow &)>;
 
   TableFollower(EventLoop &Loop, EventLog &Log, TableService &Table,
-                TableFollowerOptions Options, OnRow Changed);
+                TableFollowerOptions Options, std::uint64_t Seed,
+                OnRow Changed);
 
   void start();
+  /// Whether this daemon watches the own table itself. Others learn changes
+  /// from those who do, so that a change doesn't cost a call for each daemon.
+  void setWatching(bool Watching);
   /// Applies a row that another daemon passed on, or a reply to a commit.
   void apply(const MirroredRow &Row, const char *Source);
   const TableMirror &mirror() const { return m_Mirror; }
@@ -39,12 +47,16 @@
     bool m_EverRead = false;
     bool m_Reachable = false;
     Duration m_Pause{0};
+    bool m_Watching = true;
+    /// No call is under way or planned.
+    bool m_Resting = false;
   };
 
   Followed &of(TableName Table) {
     return Table == TableName::Operators ? m_Operators : m_Own;
   }
   void next(Followed &Of);
+  Duration watchWait();
   void readDone(Followed &Of, const TableServiceReply &Reply);
   void watchDone(Followed &Of, const TableServiceReply &Reply);
   /// \returns whether the call succeeded; else it is repeated later.
@@ -56,6 +68,7 @@
   TableFollowerOptions m_Options;
   OnRow m_Changed;
   TableMirror m_Mirror;
+  pcg32 m_Random;
   Followed m_Operators{.m_Table = TableName::Operators};
   Followed m_Own{.m_Table = TableName::Own};
 };
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -70,7 +70,8 @@
   std::uint64_t Total = 0;
   for (const RouteShare &Share : Of.m_Shares)
     Total += Share.m_Weight;
-  std::uint64_t Point = Random % Total;
+  // A sound route has weights; see RouteTable::problem().
+  std::uint64_t Point = Total > 0 ? Random % Total : 0;
   for (const RouteShare &Share : Of.m_Shares) {
     if (Point < Share.m_Weight)
       return Share.m_Service;
