Keep large answers within the link's time, and small ones ahead of them

Load pattern: 98 downloads a second of 90 KB from six machines with links of 10 Mbit/s, which carry 83 at most; answers to nested requests of other services queue on the same links, so registrations failed whose lookups came too late. Change: a virtual clock reserves the link for each large answer; what wouldn't be through in time is refused at once. Large answers leave one after the other.

--- a/include/balsamwheel/detail/load/target_board.h
+++ b/include/balsamwheel/detail/load/target_board.h
@@ -38,6 +38,8 @@
   Duration m_Service{0};
   /// Requests a second that a cold target bears; 0 means no limit.
   double m_RateLimit = 0;
+  /// How long large answers wait for the machine's link.
+  Duration m_LinkWait{0};
 };
 
 /// Pure; not thread-safe.
@@ -55,6 +57,8 @@
   struct Candidate {
     InstanceName m_Target;
     bool m_SameDomain = false;
+    /// On the caller's own machine: no link is used.
+    bool m_Local = false;
   };
 
   /// The candidate with the least expected completion whose gate is open.
--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -347,6 +347,7 @@
   uint32_t slots = 0;
   int64_t service = 0;
   double rate_limit = 0.0;
+  int64_t link_wait = 0;
 };
 
 struct GateState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -357,7 +358,8 @@
     VT_WAITING = 6,
     VT_SLOTS = 8,
     VT_SERVICE = 10,
-    VT_RATE_LIMIT = 12
+    VT_RATE_LIMIT = 12,
+    VT_LINK_WAIT = 14
   };
   uint32_t running() const {
     return GetField<uint32_t>(VT_RUNNING, 0);
@@ -374,6 +376,9 @@
   double rate_limit() const {
     return GetField<double>(VT_RATE_LIMIT, 0.0);
   }
+  int64_t link_wait() const {
+    return GetField<int64_t>(VT_LINK_WAIT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
@@ -381,6 +386,7 @@
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<int64_t>(verifier, VT_SERVICE, 8) &&
            VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
+           VerifyField<int64_t>(verifier, VT_LINK_WAIT, 8) &&
            verifier.EndTable();
   }
   GateStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -407,6 +413,9 @@
   void add_rate_limit(double rate_limit) {
     fbb_.AddElement<double>(GateState::VT_RATE_LIMIT, rate_limit, 0.0);
   }
+  void add_link_wait(int64_t link_wait) {
+    fbb_.AddElement<int64_t>(GateState::VT_LINK_WAIT, link_wait, 0);
+  }
   explicit GateStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -424,8 +433,10 @@
     uint32_t waiting = 0,
     uint32_t slots = 0,
     int64_t service = 0,
-    double rate_limit = 0.0) {
+    double rate_limit = 0.0,
+    int64_t link_wait = 0) {
   GateStateBuilder builder_(_fbb);
+  builder_.add_link_wait(link_wait);
   builder_.add_rate_limit(rate_limit);
   builder_.add_service(service);
   builder_.add_slots(slots);
@@ -451,6 +462,7 @@
   bool non_idempotent = false;
   uint32_t priority = 0;
   bool nested = false;
+  bool large_answer = false;
   int32_t key = -1;
   int64_t objective_left = 0;
   int64_t deadline_left = 0;
@@ -495,27 +507,28 @@
     VT_NON_IDEMPOTENT = 24,
     VT_PRIORITY = 26,
     VT_NESTED = 28,
-    VT_KEY = 30,
-    VT_OBJECTIVE_LEFT = 32,
-    VT_DEADLINE_LEFT = 34,
-    VT_OUTCOME = 36,
-    VT_REASON = 38,
-    VT_REACHED_TARGET = 40,
-    VT_STATUS = 42,
-    VT_RETRY_AFTER = 44,
-    VT_BODY_LENGTH = 46,
-    VT_GATE = 48,
-    VT_TARGET_ID = 50,
-    VT_TARGET_BORN = 52,
-    VT_CONDITION = 54,
-    VT_CAPACITY = 56,
-    VT_HAS_RATES = 58,
-    VT_SEES_TABLE = 60,
-    VT_SLICE_RATES = 62,
-    VT_LEAVING = 64,
-    VT_OPERATOR_ROWS_SEEN = 66,
-    VT_OWN_ROWS_SEEN = 68,
-    VT_ROWS = 70
+    VT_LARGE_ANSWER = 30,
+    VT_KEY = 32,
+    VT_OBJECTIVE_LEFT = 34,
+    VT_DEADLINE_LEFT = 36,
+    VT_OUTCOME = 38,
+    VT_REASON = 40,
+    VT_REACHED_TARGET = 42,
+    VT_STATUS = 44,
+    VT_RETRY_AFTER = 46,
+    VT_BODY_LENGTH = 48,
+    VT_GATE = 50,
+    VT_TARGET_ID = 52,
+    VT_TARGET_BORN = 54,
+    VT_CONDITION = 56,
+    VT_CAPACITY = 58,
+    VT_HAS_RATES = 60,
+    VT_SEES_TABLE = 62,
+    VT_SLICE_RATES = 64,
+    VT_LEAVING = 66,
+    VT_OPERATOR_ROWS_SEEN = 68,
+    VT_OWN_ROWS_SEEN = 70,
+    VT_ROWS = 72
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -557,6 +570,9 @@
   bool nested() const {
     return GetField<uint8_t>(VT_NESTED, 0) != 0;
   }
+  bool large_answer() const {
+    return GetField<uint8_t>(VT_LARGE_ANSWER, 0) != 0;
+  }
   int32_t key() const {
     return GetField<int32_t>(VT_KEY, -1);
   }
@@ -644,6 +660,7 @@
            VerifyField<uint8_t>(verifier, VT_NON_IDEMPOTENT, 1) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint8_t>(verifier, VT_NESTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_LARGE_ANSWER, 1) &&
            VerifyField<int32_t>(verifier, VT_KEY, 4) &&
            VerifyField<int64_t>(verifier, VT_OBJECTIVE_LEFT, 8) &&
            VerifyField<int64_t>(verifier, VT_DEADLINE_LEFT, 8) &&
@@ -721,6 +738,9 @@
   void add_nested(bool nested) {
     fbb_.AddElement<uint8_t>(Frame::VT_NESTED, static_cast<uint8_t>(nested), 0);
   }
+  void add_large_answer(bool large_answer) {
+    fbb_.AddElement<uint8_t>(Frame::VT_LARGE_ANSWER, static_cast<uint8_t>(large_answer), 0);
+  }
   void add_key(int32_t key) {
     fbb_.AddElement<int32_t>(Frame::VT_KEY, key, -1);
   }
@@ -810,6 +830,7 @@
     bool non_idempotent = false,
     uint32_t priority = 0,
     bool nested = false,
+    bool large_answer = false,
     int32_t key = -1,
     int64_t objective_left = 0,
     int64_t deadline_left = 0,
@@ -863,6 +884,7 @@
   builder_.add_reached_target(reached_target);
   builder_.add_reason(reason);
   builder_.add_outcome(outcome);
+  builder_.add_large_answer(large_answer);
   builder_.add_nested(nested);
   builder_.add_non_idempotent(non_idempotent);
   builder_.add_kind(kind);
@@ -884,6 +906,7 @@
     bool non_idempotent = false,
     uint32_t priority = 0,
     bool nested = false,
+    bool large_answer = false,
     int32_t key = -1,
     int64_t objective_left = 0,
     int64_t deadline_left = 0,
@@ -931,6 +954,7 @@
       non_idempotent,
       priority,
       nested,
+      large_answer,
       key,
       objective_left,
       deadline_left,
@@ -1066,6 +1090,7 @@
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = service(); _o->service = _e; }
   { auto _e = rate_limit(); _o->rate_limit = _e; }
+  { auto _e = link_wait(); _o->link_wait = _e; }
 }
 
 inline flatbuffers::Offset<GateState> GateState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GateStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1081,13 +1106,15 @@
   auto _slots = _o->slots;
   auto _service = _o->service;
   auto _rate_limit = _o->rate_limit;
+  auto _link_wait = _o->link_wait;
   return balsamwheel::link_wire::CreateGateState(
       _fbb,
       _running,
       _waiting,
       _slots,
       _service,
-      _rate_limit);
+      _rate_limit,
+      _link_wait);
 }
 
 inline FrameT::FrameT(const FrameT &o)
@@ -1103,6 +1130,7 @@
         non_idempotent(o.non_idempotent),
         priority(o.priority),
         nested(o.nested),
+        large_answer(o.large_answer),
         key(o.key),
         objective_left(o.objective_left),
         deadline_left(o.deadline_left),
@@ -1144,6 +1172,7 @@
   std::swap(non_idempotent, o.non_idempotent);
   std::swap(priority, o.priority);
   std::swap(nested, o.nested);
+  std::swap(large_answer, o.large_answer);
   std::swap(key, o.key);
   std::swap(objective_left, o.objective_left);
   std::swap(deadline_left, o.deadline_left);
@@ -1190,6 +1219,7 @@
   { auto _e = non_idempotent(); _o->non_idempotent = _e; }
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = nested(); _o->nested = _e; }
+  { auto _e = large_answer(); _o->large_answer = _e; }
   { auto _e = key(); _o->key = _e; }
   { auto _e = objective_left(); _o->objective_left = _e; }
   { auto _e = deadline_left(); _o->deadline_left = _e; }
@@ -1234,6 +1264,7 @@
   auto _non_idempotent = _o->non_idempotent;
   auto _priority = _o->priority;
   auto _nested = _o->nested;
+  auto _large_answer = _o->large_answer;
   auto _key = _o->key;
   auto _objective_left = _o->objective_left;
   auto _deadline_left = _o->deadline_left;
@@ -1270,6 +1301,7 @@
       _non_idempotent,
       _priority,
       _nested,
+      _large_answer,
       _key,
       _objective_left,
       _deadline_left,
--- a/src/link/peer_link.cpp
+++ b/src/link/peer_link.cpp
@@ -10,6 +10,9 @@
 
 /// Length of the frame and of the body, both 32 bits, little endian.
 constexpr std::size_t PrefixSize = 8;
+/// What the kernel holds of a link's output: the rest waits here, where small
+/// frames of other links can pass.
+constexpr int KernelBuffer = 32768;
 /// Input buffers above this are given back when they are empty.
 constexpr std::size_t KeptInput = 4096;
 
@@ -55,7 +58,13 @@
        .m_OnEnd =
            [this](StreamEnd How) {
              fail(How == StreamEnd::Closed ? "closed" : "connection failed");
+           },
+       .m_OnDrained =
+           [this] {
+             if (m_Events.m_OnDrained)
+               m_Events.m_OnDrained();
            }});
+  m_Stream.setSendBuffer(KernelBuffer);
 }
 
 void PeerLink::send(const LinkFrame &Frame, std::string_view Body) {
--- a/src/link/peer_link.h
+++ b/src/link/peer_link.h
@@ -25,6 +25,8 @@
   std::function<void(std::unique_ptr<LinkFrame>, std::string Body)> m_OnFrame;
   /// At most once.
   std::function<void(const char *Why)> m_OnEnd;
+  /// All that was sent has left the process.
+  std::function<void()> m_OnDrained;
 };
 
 /// One connection. Invariant: frames arrive whole, in order, checked.
--- a/src/load/target_board.cpp
+++ b/src/load/target_board.cpp
@@ -69,6 +69,9 @@
     if (!Completion)
       continue;
     auto Cost = static_cast<double>(Completion->count());
+    if (LargeAnswer && !Each.m_Local)
+      Cost += static_cast<double>(
+          m_Entries.at(Each.m_Target).m_Report.m_LinkWait.count());
     if (LargeAnswer && !Each.m_SameDomain)
       Cost += m_Options.m_RemoteDownloadPenalty *
               static_cast<double>(
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -20,7 +20,7 @@
 /// Output buffers above this are given back when they are empty.
 constexpr std::size_t KeptOutput = 4096;
 
-void configure(ACE_HANDLE Handle, Duration Unacknowledged) {
+void configure(ACE_HANDLE Handle, Duration Unacknowledged, int SendBuffer) {
   const int Flags = fcntl(Handle, F_GETFL);
   fcntl(Handle, F_SETFL, Flags | O_NONBLOCK);
   const int On = 1;
@@ -30,6 +30,8 @@
           .count());
   setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Milliseconds,
              sizeof Milliseconds);
+  if (SendBuffer > 0)
+    setsockopt(Handle, SOL_SOCKET, SO_SNDBUF, &SendBuffer, sizeof SendBuffer);
 }
 
 ACE_INET_Addr toAce(const Endpoint &From) {
@@ -59,7 +61,7 @@
   m_Handle = ACE_OS::socket(AF_INET, SOCK_STREAM, 0);
   if (m_Handle == ACE_INVALID_HANDLE)
     return false;
-  configure(m_Handle, m_Unacknowledged);
+  configure(m_Handle, m_Unacknowledged, m_SendBuffer);
   const ACE_INET_Addr Address = toAce(To);
   const int Result =
       ACE_OS::connect(m_Handle, static_cast<sockaddr *>(Address.get_addr()),
@@ -76,7 +78,7 @@
 
 bool Stream::adopt(ACE_HANDLE Handle) {
   m_Handle = Handle;
-  configure(m_Handle, m_Unacknowledged);
+  configure(m_Handle, m_Unacknowledged, m_SendBuffer);
   return watch(ACE_Event_Handler::READ_MASK);
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -49,6 +49,8 @@
   void setEvents(StreamEvents Events) { m_Events = std::move(Events); }
   /// For connect(): how long the other end may acknowledge nothing.
   void setUnacknowledgedLimit(Duration Limit) { m_Unacknowledged = Limit; }
+  /// Bytes that the kernel may hold for the other end; 0 leaves its default.
+  void setSendBuffer(int Bytes) { m_SendBuffer = Bytes; }
   /// Begins to connect; the end is reported through the events.
   bool connect(const Endpoint &To);
   /// Takes over an accepted socket.
@@ -81,6 +83,7 @@
   bool m_WriteWatched = false;
   bool m_CloseWhenDrained = false;
   Duration m_Unacknowledged = std::chrono::seconds(4);
+  int m_SendBuffer = 0;
   std::string m_Output;
   /// Bytes of m_Output that have been written.
   std::size_t m_Written = 0;
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -171,6 +171,7 @@
   Frame.non_idempotent = !Via.idempotent();
   Frame.priority = Via.m_Priority;
   Frame.nested = Of.m_Nested;
+  Frame.large_answer = Via.m_Kind == RouteKind::Download;
   if (Of.m_Marks.m_Key)
     Frame.key = *Of.m_Marks.m_Key;
   Frame.objective_left = micros(Of.m_Objective - Now);
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -138,6 +138,12 @@
     receivedFromCaller(Id, *Frame, std::move(Body));
   };
   Events.m_OnEnd = [this, Id](const char *) { callerEnded(Id); };
+  Events.m_OnDrained = [this, Id] {
+    if (m_LargeOn != Id)
+      return;
+    m_LargeOn = 0;
+    sendNextLarge();
+  };
   Caller &Added = m_Callers[Id];
   Added.m_Link = std::make_unique<PeerLink>(m_Loop, std::move(Events));
   if (!Added.m_Link->adopt(Handle))
@@ -174,6 +180,31 @@
     return;
   m_Loop.retire(std::move(Node.mapped().m_Link));
   m_Events.m_OnCallerLost(LinkId);
+  std::erase_if(m_Large,
+                [&](const LargeAnswer &Each) { return Each.m_Link == LinkId; });
+  if (m_LargeOn != LinkId)
+    return;
+  m_LargeOn = 0;
+  sendNextLarge();
+}
+
+void PeerMesh::answerLarge(std::uint64_t LinkId, const LinkFrame &Frame,
+                           std::string_view Body) {
+  m_Large.push_back({.m_Link = LinkId, .m_Text = encodeFrame(Frame, Body)});
+  sendNextLarge();
+}
+
+void PeerMesh::sendNextLarge() {
+  while (m_LargeOn == 0 && !m_Large.empty()) {
+    const LargeAnswer Next = std::move(m_Large.front());
+    m_Large.pop_front();
+    auto Found = m_Callers.find(Next.m_Link);
+    if (Found == m_Callers.end())
+      continue;
+    Found->second.m_Link->sendEncoded(Next.m_Text);
+    if (Found->second.m_Link->pending() > 0)
+      m_LargeOn = Next.m_Link;
+  }
 }
 
 Duration PeerMesh::reportInterval() const {
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -7,6 +7,7 @@
 
 #include "link/peer_link.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -81,6 +82,9 @@
   void cancel(const InstanceName &Peer, std::uint64_t Stream);
   void answer(std::uint64_t LinkId, const LinkFrame &Frame,
               std::string_view Body);
+  /// Like answer(), but large answers leave one after the other.
+  void answerLarge(std::uint64_t LinkId, const LinkFrame &Frame,
+                   std::string_view Body);
   /// Sends \p Report to all who are connected; \p ForService, if any, goes to
   /// those of this instance's service in its place.
   void broadcast(const LinkFrame &Report,
@@ -115,6 +119,8 @@
   void receivedFromCaller(std::uint64_t LinkId, LinkFrame &Frame,
                           std::string Body);
   void callerEnded(std::uint64_t LinkId);
+  /// Begins with the next large answer if none is on its way.
+  void sendNextLarge();
   void check();
   Duration silenceLimit() const;
 
@@ -126,6 +132,13 @@
   Acceptor m_Acceptor;
   std::map<InstanceName, Peer> m_Peers;
   std::map<std::uint64_t, Caller> m_Callers;
+  struct LargeAnswer {
+    std::uint64_t m_Link;
+    std::string m_Text;
+  };
+  std::deque<LargeAnswer> m_Large;
+  /// Link that a large answer leaves on; 0 when there is none.
+  std::uint64_t m_LargeOn = 0;
   std::uint64_t m_LastLink = 0;
   std::uint64_t m_LastStream = 0;
 };
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -22,6 +22,9 @@
 constexpr Duration OwnerLostAfter = std::chrono::milliseconds(2500);
 /// Daemons that watch the own table themselves.
 constexpr std::ptrdiff_t Watchers = 3;
+/// Bodies from this size on leave one after the other, so that small answers
+/// don't queue behind all of them.
+constexpr std::size_t LargeBody = 24576;
 /// How often loads of keys are told to the daemons of the same service.
 constexpr Duration RatesInterval = std::chrono::milliseconds(700);
 /// Requests a second of a slice of keys that are worth telling.
@@ -102,7 +105,8 @@
           .m_Waiting = From.waiting,
           .m_Slots = From.slots,
           .m_Service = Duration(From.service),
-          .m_RateLimit = From.rate_limit};
+          .m_RateLimit = From.rate_limit,
+          .m_LinkWait = Duration(From.link_wait)};
 }
 
 std::unique_ptr<link_wire::GateStateT> gateToWire(const GateReport &Report) {
@@ -112,6 +116,7 @@
   Result->slots = Report.m_Slots;
   Result->service = Report.m_Service.count();
   Result->rate_limit = Report.m_RateLimit;
+  Result->link_wait = Report.m_LinkWait.count();
   return Result;
 }
 
@@ -479,6 +484,7 @@
   Job.m_Priority = Frame.priority;
   Job.m_Idempotent = !Frame.non_idempotent;
   Job.m_Nested = Frame.nested;
+  Job.m_LargeOverLink = Frame.large_answer;
   const KeyMap *Map = keyMap(m_Settings.m_Service);
   if (Frame.key >= 0 && Map)
     Job.m_Key = static_cast<KeyIndex>(Frame.key);
@@ -511,7 +517,10 @@
     Frame.headers.push_back(std::move(Header));
   }
   Frame.gate = gateToWire(m_Agent.gateReport());
-  m_Mesh.answer(Link, Frame, Result.m_Answer.m_Body);
+  if (Result.m_Answer.m_Body.size() >= LargeBody)
+    m_Mesh.answerLarge(Link, Frame, Result.m_Answer.m_Body);
+  else
+    m_Mesh.answer(Link, Frame, Result.m_Answer.m_Body);
 }
 
 std::vector<KeyCandidate> Router::keyCandidates() const {
@@ -613,7 +622,8 @@
     const bool Local = Each.m_Instance == m_Settings.m_Instance;
     if (Each.m_Service == Service && (Local || m_Mesh.isUp(Each.m_Instance)))
       Result.push_back({.m_Target = Each.m_Instance,
-                        .m_SameDomain = Each.m_Domain == m_Settings.m_Domain});
+                        .m_SameDomain = Each.m_Domain == m_Settings.m_Domain,
+                        .m_Local = Local});
   }
   return Result;
 }
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -25,6 +25,8 @@
   std::optional<Endpoint> m_Metrics;
   Endpoint m_Table;
   std::size_t m_MaxHandles = 1024;
+  /// Of the machine's own link; 0 means no limit.
+  double m_LinkBytesPerSecond = 0;
 
   /// How often targets send heartbeats.
   Duration m_Heartbeat = std::chrono::seconds(1);
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -28,7 +28,8 @@
                          const ExchangeFormat &Format,
                          TargetAgentOptions Options)
     : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Format(Format),
-      m_Options(Options), m_StartedAt(Loop.now()), m_Gate(Options.m_Gate) {}
+      m_Options(Options), m_StartedAt(Loop.now()), m_Gate(Options.m_Gate),
+      m_Link({.m_BytesPerSecond = Settings.m_LinkBytesPerSecond}) {}
 
 std::optional<KeyOwner> TargetAgent::owner() const {
   if (!m_Target)
@@ -182,7 +183,8 @@
           .m_Waiting = static_cast<std::uint32_t>(m_Gate.waiting()),
           .m_Slots = leaving() || m_Stopping ? 0 : m_Gate.slots(),
           .m_Service = m_Gate.meanService(),
-          .m_RateLimit = m_Gate.rateLimit(m_Loop.now())};
+          .m_RateLimit = m_Gate.rateLimit(m_Loop.now()),
+          .m_LinkWait = m_Link.wait(m_Loop.now())};
 }
 
 double TargetAgent::capacity() const {
@@ -228,6 +230,14 @@
       return Id;
     }
   }
+  const TimePoint Now = m_Loop.now();
+  if (Added.m_Job.m_LargeOverLink &&
+      !m_Link.reserve(Added.m_Job.m_Objective - Now, Now)) {
+    finish(Id, {.m_Outcome = Outcome::Wait,
+                .m_Reason = Reason::Overloaded,
+                .m_RetryAfter = m_Link.wait(Now) / 2});
+    return Id;
+  }
   offer(Id);
   return Id;
 }
@@ -334,6 +344,8 @@
       Out.m_Outcome = Outcome::Done;
       Out.m_Answer = std::move(Result.m_Answer);
       Served = Out.m_Answer.m_Status < 500;
+      if (Of.m_Job.m_LargeOverLink && Served)
+        m_Link.sent(Out.m_Answer.m_Body.size());
       break;
     case TargetVerdict::Shed:
       Out.m_Outcome = Outcome::Wait;
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -9,6 +9,7 @@
 #include "balsamwheel/detail/core/outcome.h"
 #include "balsamwheel/detail/keyspace/hold_ledger.h"
 #include "balsamwheel/detail/keyspace/key_planner.h"
+#include "balsamwheel/detail/load/link_budget.h"
 #include "balsamwheel/detail/load/request_gate.h"
 #include "balsamwheel/detail/load/target_board.h"
 #include "balsamwheel/detail/routing/route_table.h"
@@ -44,6 +45,8 @@
   bool m_Idempotent = false;
   /// Made by a target while it runs another request.
   bool m_Nested = false;
+  /// Its answer is large and leaves over the machine's link.
+  bool m_LargeOverLink = false;
   std::optional<KeyIndex> m_Key;
   TimePoint m_Objective;
   TimePoint m_Deadline;
@@ -162,6 +165,7 @@
   TargetAgentOptions m_Options;
   TimePoint m_StartedAt;
   RequestGate m_Gate;
+  LinkBudget m_Link;
   std::optional<TargetIncarnation> m_Target;
   std::optional<HoldLedger> m_Ledger;
   std::unique_ptr<HttpClient> m_Client;
