Give large answers two thirds of the link

Cause: with 0.85 of the link reserved the answers' real sizes, reports and small answers filled it, and nested requests came too late. Change: m_Share 0.85 to 0.65; the test of the budget names its share.

--- a/include/balsamwheel/detail/load/link_budget.h
+++ b/include/balsamwheel/detail/load/link_budget.h
@@ -17,7 +17,7 @@
   /// Bytes a second that the link carries; 0 means no limit.
   double m_BytesPerSecond = 0;
   /// Part of the link that large answers may use.
-  double m_Share = 0.85;
+  double m_Share = 0.65;
   /// Part of a request's remaining time that its answer may wait for the link.
   double m_WaitShare = 0.7;
   /// Weight of the newest answer in the mean size.
--- a/tests/unit-link-budget.cpp
+++ b/tests/unit-link-budget.cpp
@@ -10,7 +10,7 @@
 
 const TimePoint Start{std::chrono::hours(1)};
 // 10 Mbit/s.
-const LinkBudgetOptions SlowLink{.m_BytesPerSecond = 1.25e6};
+const LinkBudgetOptions SlowLink{.m_BytesPerSecond = 1.25e6, .m_Share = 0.85};
 
 LinkBudget budget(std::size_t Bytes) {
   LinkBudget Budget(SlowLink);
