Split the router's sources by whom they speak to

Change: its dealings with peers and what it knows of keys are files of their own; no behaviour changes.

--- /dev/null
+++ b/src/router/router_keys.cpp
@@ -0,0 +1,97 @@
+// What a router knows of the targets of its own service, for the planner of
+// its keys.
+#include "router.h"
+
+#include <algorithm>
+
+namespace balsamwheel {
+
+namespace {
+
+/// How long an unreachable owner of keys is taken to be restarting.
+constexpr Duration OwnerLostAfter = std::chrono::milliseconds(2500);
+
+} // namespace
+
+std::vector<KeyCandidate> Router::keyCandidates() const {
+  std::vector<KeyCandidate> Result;
+  double Total = 0;
+  if (const auto Self = m_Agent.owner())
+    Result.push_back({.m_Owner = *Self,
+                      .m_Condition = m_Agent.condition(),
+                      .m_Capacity = m_Agent.capacity()});
+  for (const Member &Each : m_Members) {
+    if (Each.m_Service != m_Settings.m_Service ||
+        Each.m_Instance == m_Settings.m_Instance)
+      continue;
+    auto Known = m_PeerTargets.find(Each.m_Instance);
+    if (Known == m_PeerTargets.end() ||
+        Known->second.m_Owner.m_Target.m_Id.empty())
+      continue;
+    const auto Down = m_Mesh.downSince(Each.m_Instance);
+    TargetCondition Condition = Known->second.m_Condition;
+    if (Down)
+      Condition = m_Loop.now() - *Down > OwnerLostAfter
+                      ? TargetCondition::Lost
+                      : TargetCondition::Shaken;
+    Result.push_back({.m_Owner = Known->second.m_Owner,
+                      .m_Condition = Condition,
+                      .m_Capacity = Known->second.m_Capacity});
+  }
+  // Owners that the map names and nobody reports: their daemon or target has
+  // just been started again, or they are lost.
+  if (const KeyMap *Map = keyMap(m_Settings.m_Service))
+    for (const KeySpan &Span : Map->spans()) {
+      const KeyOwner &Owner = Span.m_Owner;
+      if (Owner.m_Target.m_Id.empty() ||
+          std::any_of(
+              Result.begin(), Result.end(),
+              [&](const KeyCandidate &Each) { return Each.m_Owner == Owner; }))
+        continue;
+      const bool Local = Owner.m_Instance == m_Settings.m_Instance;
+      const auto Down = m_Mesh.downSince(Owner.m_Instance);
+      const bool Up = Local || m_Mesh.isUp(Owner.m_Instance);
+      auto Known = m_PeerTargets.find(Owner.m_Instance);
+      TargetCondition Condition = TargetCondition::Lost;
+      if (Local)
+        Condition =
+            m_Agent.owner() ? TargetCondition::Ended : m_Agent.condition();
+      else if (Up && Known != m_PeerTargets.end())
+        Condition = Known->second.m_Condition == TargetCondition::Ended
+                        ? TargetCondition::Ended
+                        : TargetCondition::Shaken;
+      else if (Down && m_Loop.now() - *Down <= OwnerLostAfter)
+        Condition = TargetCondition::Shaken;
+      Result.push_back({.m_Owner = Owner, .m_Condition = Condition});
+    }
+  for (const KeyCandidate &Each : Result)
+    Total += Each.m_Capacity;
+  // Measured speeds differ by noise as well: only half of what is seen counts.
+  const double Mean = Total / std::max(1.0, static_cast<double>(Result.size()));
+  for (KeyCandidate &Each : Result)
+    Each.m_Capacity = std::clamp(
+        0.5 + 0.5 * Each.m_Capacity / std::max(Mean, 1e-6), 0.5, 2.0);
+  return Result;
+}
+
+SliceLoads Router::keyLoads() const {
+  SliceLoads Sum = m_Agent.sliceRates();
+  for (const auto &[Peer, Known] : m_PeerTargets)
+    if (m_Mesh.isUp(Peer))
+      for (std::size_t Slice = 0; Slice < KeySlices; ++Slice)
+        Sum[Slice] += Known.m_Rates[Slice];
+  return Sum;
+}
+
+bool Router::isKeyPlanner() const {
+  if (m_StopBegan || !m_Follower.isReachable(TableName::Operators))
+    return false;
+  return std::none_of(m_Members.begin(), m_Members.end(),
+                      [&](const Member &Each) {
+                        return Each.m_Service == m_Settings.m_Service &&
+                               Each.m_Instance < m_Settings.m_Instance &&
+                               m_Mesh.isUp(Each.m_Instance);
+                      });
+}
+
+} // namespace balsamwheel
--- /dev/null
+++ b/src/router/router_peers.cpp
@@ -0,0 +1,218 @@
+// What a router tells the daemons of other instances, and what it does for
+// them.
+#include "router.h"
+
+namespace balsamwheel {
+
+namespace {
+
+/// Bodies from this size on leave one after the other, so that small answers
+/// don't queue behind all of them.
+constexpr std::size_t LargeBody = 24576;
+/// How often loads of keys are told to the daemons of the same service.
+constexpr Duration RatesInterval = std::chrono::milliseconds(700);
+/// Requests a second of a slice of keys that are worth telling.
+constexpr float LeastRate = 0.1F;
+
+link_wire::TableRowT wireRow(const MirroredRow &Row) {
+  link_wire::TableRowT Result;
+  Result.table_name = Row.m_Table == TableName::Operators ? "operators" : "own";
+  Result.key = Row.m_Key.value();
+  Result.version = Row.m_Version.value();
+  Result.removed = !Row.m_Value;
+  Result.value = Row.m_Value.value_or("");
+  return Result;
+}
+
+MirroredRow rowFromWire(const link_wire::TableRowT &From) {
+  MirroredRow Row{.m_Table = From.table_name == "operators"
+                                 ? TableName::Operators
+                                 : TableName::Own,
+                  .m_Key = RowKey(From.key),
+                  .m_Version = RowVersion(From.version)};
+  if (!From.removed)
+    Row.m_Value = From.value;
+  return Row;
+}
+
+GateReport gateFrom(const link_wire::GateStateT &From) {
+  return {.m_Running = From.running,
+          .m_Waiting = From.waiting,
+          .m_Slots = From.slots,
+          .m_Service = Duration(From.service),
+          .m_RateLimit = From.rate_limit,
+          .m_LinkWait = Duration(From.link_wait)};
+}
+
+std::unique_ptr<link_wire::GateStateT> gateToWire(const GateReport &Report) {
+  auto Result = std::make_unique<link_wire::GateStateT>();
+  Result->running = Report.m_Running;
+  Result->waiting = Report.m_Waiting;
+  Result->slots = Report.m_Slots;
+  Result->service = Report.m_Service.count();
+  Result->rate_limit = Report.m_RateLimit;
+  Result->link_wait = Report.m_LinkWait.count();
+  return Result;
+}
+
+} // namespace
+
+void Router::passOn(const MirroredRow &Row) {
+  const MirroredRow *Known = m_Follower.mirror().find(Row.m_Table, Row.m_Key);
+  if (Known && Known->m_Version >= Row.m_Version)
+    return;
+  m_Follower.apply(Row, "commit");
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::Rows;
+  Frame.rows.push_back(std::make_unique<link_wire::TableRowT>(wireRow(Row)));
+  m_Mesh.broadcast(Frame, std::nullopt);
+}
+
+LinkFrame Router::makeReport(bool WithRates) const {
+  LinkFrame Report;
+  Report.kind = LinkFrameKind::Report;
+  Report.gate = gateToWire(m_Agent.gateReport());
+  if (const auto Owner = m_Agent.owner()) {
+    Report.target_id = Owner->m_Target.m_Id;
+    Report.target_born = Owner->m_Target.m_BornMs;
+  }
+  Report.condition = static_cast<std::uint8_t>(m_Agent.condition());
+  Report.capacity = m_Agent.capacity();
+  Report.leaving = m_Agent.leaving();
+  Report.has_rates = WithRates;
+  Report.sees_table = m_Follower.isReachable(TableName::Operators);
+  Report.operator_rows_seen =
+      m_Follower.mirror().seen(TableName::Operators).value();
+  Report.own_rows_seen = m_Follower.mirror().seen(TableName::Own).value();
+  if (m_Coordinator && WithRates)
+    for (std::size_t Slice = 0; Slice < KeySlices; ++Slice)
+      if (const float Rate = m_Agent.sliceRates()[Slice]; Rate > LeastRate) {
+        auto Each = std::make_unique<link_wire::SliceRateT>();
+        Each->slice = static_cast<std::uint16_t>(Slice);
+        Each->rate = Rate;
+        Report.slice_rates.push_back(std::move(Each));
+      }
+  return Report;
+}
+
+void Router::sendReports() {
+  m_Loop.cancel(m_ReportTimer);
+  ensureCoordinator();
+  const TimePoint Now = m_Loop.now();
+  m_Agent.decaySliceRates(Now - m_LastReport);
+  m_LastReport = Now;
+  m_Board.report(m_Settings.m_Instance, m_Agent.gateReport());
+  const bool WithRates = m_Coordinator && Now - m_LastRates >= RatesInterval;
+  if (WithRates)
+    m_LastRates = Now;
+  m_Mesh.broadcast(makeReport(false),
+                   WithRates ? std::optional(makeReport(true)) : std::nullopt);
+  m_Metrics.gate(m_Agent.gateReport().m_Running,
+                 m_Agent.gateReport().m_Waiting);
+  m_Follower.setWatching(isWatcher());
+  m_ReportTimer =
+      m_Loop.after(m_Mesh.reportInterval(), [this] { sendReports(); });
+}
+
+void Router::reported(const InstanceName &Peer, const LinkFrame &Report) {
+  if (Report.gate)
+    m_Board.report(Peer, gateFrom(*Report.gate));
+  if (Report.kind != LinkFrameKind::Report)
+    return;
+  PeerTarget &Known = m_PeerTargets[Peer];
+  Known.m_Owner = {
+      .m_Instance = Peer,
+      .m_Target = {.m_Id = Report.target_id, .m_BornMs = Report.target_born}};
+  Known.m_Condition = static_cast<TargetCondition>(Report.condition);
+  Known.m_Capacity = Report.capacity;
+  Known.m_SeesTable = Report.sees_table;
+  if (Report.has_rates)
+    Known.m_Rates.fill(0);
+  for (const auto &Each : Report.slice_rates)
+    if (Each->slice < KeySlices)
+      Known.m_Rates[Each->slice] = Each->rate;
+  const TableMirror &Mirror = m_Follower.mirror();
+  const RowVersion OperatorsSeen = Mirror.seen(TableName::Operators);
+  const RowVersion OwnSeen = Mirror.seen(TableName::Own);
+  if (Report.operator_rows_seen <= OperatorsSeen.value() &&
+      Report.own_rows_seen <= OwnSeen.value())
+    return;
+  LinkFrame Wanted;
+  Wanted.kind = LinkFrameKind::RowsWanted;
+  Wanted.operator_rows_seen = OperatorsSeen.value();
+  Wanted.own_rows_seen = OwnSeen.value();
+  m_Mesh.askForRows(Peer, Wanted);
+}
+
+LinkFrame Router::rowsFor(const LinkFrame &Wanted) const {
+  LinkFrame Reply;
+  Reply.kind = LinkFrameKind::Rows;
+  const auto Append = [&](TableName Table, std::uint64_t Since) {
+    for (const MirroredRow &Row :
+         m_Follower.mirror().newerThan(Table, RowVersion(Since)))
+      Reply.rows.push_back(
+          std::make_unique<link_wire::TableRowT>(wireRow(Row)));
+  };
+  Append(TableName::Operators, Wanted.operator_rows_seen);
+  Append(TableName::Own, Wanted.own_rows_seen);
+  return Reply;
+}
+
+void Router::takeRows(const LinkFrame &Rows) {
+  for (const auto &Each : Rows.rows)
+    m_Follower.apply(rowFromWire(*Each), "peer");
+}
+
+void Router::peerRequest(std::uint64_t Link, LinkFrame &Frame,
+                         std::string Body) {
+  TargetJob Job;
+  Job.m_Request.m_Method = std::move(Frame.method);
+  Job.m_Request.m_Target = std::move(Frame.target);
+  for (const auto &Each : Frame.headers)
+    Job.m_Request.m_Headers.add(Each->name, Each->value);
+  Job.m_Request.m_Body = std::move(Body);
+  Job.m_Id = Frame.request_id;
+  Job.m_Route = Frame.route;
+  Job.m_Priority = Frame.priority;
+  Job.m_Idempotent = !Frame.non_idempotent;
+  Job.m_Nested = Frame.nested;
+  Job.m_LargeOverLink = Frame.large_answer;
+  const KeyMap *Map = keyMap(m_Settings.m_Service);
+  if (Frame.key >= 0 && Map)
+    Job.m_Key = static_cast<KeyIndex>(Frame.key);
+  Job.m_Objective = m_Loop.now() + Duration(Frame.objective_left);
+  Job.m_Deadline = m_Loop.now() + Duration(Frame.deadline_left);
+  const std::uint64_t Stream = Frame.stream;
+  if (Frame.service != m_Settings.m_Service.value())
+    return peerAnswer(Link, Stream, {.m_Reason = Reason::UnknownService});
+  m_PeerJobs[{Link, Stream}] = m_Agent.submit(
+      std::move(Job), Map, [this, Link, Stream](TargetJobResult Result) {
+        peerAnswer(Link, Stream, std::move(Result));
+      });
+}
+
+void Router::peerAnswer(std::uint64_t Link, std::uint64_t Stream,
+                        const TargetJobResult &Result) {
+  m_PeerJobs.erase({Link, Stream});
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::Answer;
+  Frame.stream = Stream;
+  Frame.outcome = static_cast<std::uint8_t>(Result.m_Outcome);
+  Frame.reason = static_cast<std::uint8_t>(Result.m_Reason);
+  Frame.reached_target = Result.m_ReachedTarget;
+  Frame.status = static_cast<std::uint16_t>(Result.m_Answer.m_Status);
+  Frame.retry_after = Result.m_RetryAfter.count();
+  for (const HttpHeader &Each : Result.m_Answer.m_Headers.all()) {
+    auto Header = std::make_unique<link_wire::HeaderT>();
+    Header->name = Each.m_Name;
+    Header->value = Each.m_Value;
+    Frame.headers.push_back(std::move(Header));
+  }
+  Frame.gate = gateToWire(m_Agent.gateReport());
+  if (Result.m_Answer.m_Body.size() >= LargeBody)
+    m_Mesh.answerLarge(Link, Frame, Result.m_Answer.m_Body);
+  else
+    m_Mesh.answer(Link, Frame, Result.m_Answer.m_Body);
+}
+
+} // namespace balsamwheel
