Let nobody plan who can't commit, and end waiting calls of a lost target

Cause: the lowest instance planned even while the table turned it away, so nobody did; calls that waited for a connection to a target that was replaced never ended and kept their slots. Both found on reading. Change: planners and watchers are those that say they reach the table; giving an endpoint up ends waiting calls as unsent. Tests for both.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -243,11 +243,16 @@
 }
 
 void HttpClient::reset() {
+  std::list<Waiting> Unsent;
+  Unsent.swap(m_Waiting);
   std::vector<HttpClientConnection *> All;
   for (const auto &Each : m_Connections)
     All.push_back(Each.get());
   for (HttpClientConnection *Each : All)
     Each->fail(HttpCallEnd::Broken, "the endpoint was given up");
+  for (const Waiting &Each : Unsent)
+    Each.m_Done({.m_End = HttpCallEnd::NotSent,
+                 .m_Error = "the endpoint was given up"});
 }
 
 void HttpClient::remove(HttpClientConnection *Connection) {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -318,10 +318,8 @@
 bool Router::isWatcher() const {
   const auto Before = std::count_if(
       m_Members.begin(), m_Members.end(), [&](const Member &Each) {
-        const auto Known = m_PeerTargets.find(Each.m_Instance);
         return Each.m_Instance < m_Settings.m_Instance &&
-               m_Mesh.isUp(Each.m_Instance) && Known != m_PeerTargets.end() &&
-               Known->second.m_SeesTable;
+               seesTable(Each.m_Instance);
       });
   return Before < Watchers;
 }
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -71,6 +71,8 @@
   void takeRows(const LinkFrame &Rows);
   std::vector<KeyCandidate> keyCandidates() const;
   SliceLoads keyLoads() const;
+  /// Whether a peer is up and says that it reaches the platform's table.
+  bool seesTable(const InstanceName &Peer) const;
   bool isKeyPlanner() const;
   /// Whether this daemon is one of the few that watch the own table.
   bool isWatcher() const;
--- a/src/router/router_keys.cpp
+++ b/src/router/router_keys.cpp
@@ -83,14 +83,21 @@
   return Sum;
 }
 
+bool Router::seesTable(const InstanceName &Peer) const {
+  const auto Known = m_PeerTargets.find(Peer);
+  return m_Mesh.isUp(Peer) && Known != m_PeerTargets.end() &&
+         Known->second.m_SeesTable;
+}
+
 bool Router::isKeyPlanner() const {
   if (m_StopBegan || !m_Follower.isReachable(TableName::Operators))
     return false;
+  // Whoever can't reach the table is passed over: it couldn't commit a plan.
   return std::none_of(m_Members.begin(), m_Members.end(),
                       [&](const Member &Each) {
                         return Each.m_Service == m_Settings.m_Service &&
                                Each.m_Instance < m_Settings.m_Instance &&
-                               m_Mesh.isUp(Each.m_Instance);
+                               seesTable(Each.m_Instance);
                       });
 }
 
--- a/tests/unit-http-loop.cpp
+++ b/tests/unit-http-loop.cpp
@@ -201,6 +201,23 @@
   CHECK(Client.connectionsOpened() == 1);
 }
 
+TEST_CASE("giving an endpoint up ends every call, those that wait as unsent") {
+  RawServer Server(
+      [](const std::string &, int) { return RawReply{.m_Silent = true}; });
+  EventLoop Loop({});
+  HttpClient Client(Loop, *Endpoint::fromText(Server.address()),
+                    {.m_MaxConnections = 1});
+  std::vector<HttpCallEnd> Ends;
+  for (int Count = 0; Count < 3; ++Count)
+    Client.call(makeCall("1"), [&](const HttpCallResult &Result) {
+      Ends.push_back(Result.m_End);
+    });
+  runUntil(Loop, [&] { return !Server.requests().empty(); });
+  Client.reset();
+  CHECK(Ends == std::vector{HttpCallEnd::Broken, HttpCallEnd::NotSent,
+                            HttpCallEnd::NotSent});
+}
+
 namespace {
 
 /// A server under test, and a client's socket to it.
--- a/tests/unit-router.cpp
+++ b/tests/unit-router.cpp
@@ -388,6 +388,19 @@
   CHECK(B.m_Target.m_Arrivals > 0);
 }
 
+TEST_CASE("a daemon that the table turns away doesn't plan for the others") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "keyed");
+  Instance &B = Rig.add("b", "keyed");
+  A.m_Table.m_Down = true;
+  Rig.configure(1);
+  REQUIRE(Rig.until([&] {
+    A.beat();
+    const BeatReply Reply = B.beat();
+    return Reply.m_Grants && !Reply.m_Grants->empty();
+  }));
+}
+
 TEST_CASE("no grant is given once the map can't be checked") {
   Rig Rig;
   Instance &A = Rig.add("a", "keyed");
