Wait for answers to be taken before a stopping process ends

Change: bytes still buffered for callers and peers count as work, and the kernel gets 0.2 s for the last ones.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -29,6 +29,7 @@
   }
 
   bool adopt(ACE_HANDLE Handle) { return m_Stream.adopt(Handle); }
+  std::size_t pending() const { return m_Stream.pending(); }
   bool busy() const { return m_Exchange != nullptr; }
 
   void answered(HttpAnswer Answer) {
@@ -189,6 +190,13 @@
   return Count;
 }
 
+std::size_t HttpServer::pending() const {
+  std::size_t Sum = 0;
+  for (const auto &[Key, Connection] : m_Connections)
+    Sum += Connection->pending();
+  return Sum;
+}
+
 void HttpServer::accepted(ACE_HANDLE Handle) {
   if (m_Connections.size() >= m_Options.m_MaxConnections) {
     ACE_OS::closesocket(Handle);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -63,6 +63,8 @@
   std::size_t connections() const { return m_Connections.size(); }
   /// Requests that have been read and not answered.
   std::size_t active() const;
+  /// Bytes of answers that callers haven't taken yet.
+  std::size_t pending() const;
 
 private:
   friend class HttpServerConnection;
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -280,6 +280,15 @@
     Found->second.m_Link->send(Frame, Body);
 }
 
+std::size_t PeerMesh::pendingAnswers() const {
+  std::size_t Sum = 0;
+  for (const LargeAnswer &Each : m_Large)
+    Sum += Each.m_Text.size();
+  for (const auto &[Id, Caller] : m_Callers)
+    Sum += Caller.m_Link->pending();
+  return Sum;
+}
+
 void PeerMesh::broadcast(const LinkFrame &Report,
                          const std::optional<LinkFrame> &ForService) {
   const std::string Plain = encodeFrame(Report, {});
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -90,6 +90,8 @@
   void broadcast(const LinkFrame &Report,
                  const std::optional<LinkFrame> &ForService);
   void askForRows(const InstanceName &Peer, const LinkFrame &Wanted);
+  /// Bytes of answers that peers haven't taken yet.
+  std::size_t pendingAnswers() const;
   /// Interval at which broadcast() is due.
   Duration reportInterval() const;
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -16,6 +16,8 @@
 /// How long callers may still come after SIGTERM: their readiness checks fail
 /// twice, a second apart, before they go elsewhere.
 constexpr Duration StopLinger = std::chrono::milliseconds(2300);
+/// How long the kernel is given for the last bytes of answers.
+constexpr Duration LastBytes = std::chrono::milliseconds(200);
 /// Kept from the grace time for the end of the process itself.
 constexpr Duration StopMargin = std::chrono::milliseconds(400);
 /// Daemons that watch the own table themselves.
@@ -157,8 +159,11 @@
     m_Entrance.refuseNew();
     m_Agent.refuseNew();
   }
-  const bool Idle = m_Entrance.active() == 0 && m_Agent.jobs() == 0;
-  return (Since > StopLinger && Idle) ||
+  const bool Idle = m_Entrance.active() == 0 && m_Agent.jobs() == 0 &&
+                    m_Callers.pending() == 0 && m_Mesh.pendingAnswers() == 0;
+  if (!Idle)
+    m_IdleSince = m_Loop.now();
+  return (Since > StopLinger && m_Loop.now() - m_IdleSince > LastBytes) ||
          Since > m_Settings.m_Grace - StopMargin;
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -120,6 +120,8 @@
   TimePoint m_LastRates;
   bool m_Announced = false;
   std::optional<TimePoint> m_StopBegan;
+  /// While stopping: since when nothing has been under way.
+  TimePoint m_IdleSince;
 };
 
 } // namespace balsamwheel
