Test the store's client against a scripted store

Change: tests of commits, conflicts, refusals, lost answers, watches, lost history and reads of several pages.

--- /dev/null
+++ b/tests/unit-store-client.cpp
@@ -0,0 +1,159 @@
+// The platform's store over HTTP, against a scripted one: what is asked, and
+// what each kind of answer or silence means.
+#include "platform/store_client.h"
+#include "support/raw_server.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace balsamwheel;
+using namespace balsamwheel::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+RawReply answer(const std::string &Status, const std::string &Body) {
+  return {.m_Bytes = "HTTP/1.1 " + Status + "\r\nContent-Length: " +
+                     std::to_string(Body.size()) + "\r\n\r\n" + Body};
+}
+
+/// One store call against a script.
+class StoreRig {
+public:
+  explicit StoreRig(RawServer::Script Script)
+      : m_Server(std::move(Script)), m_Loop({.m_LongestSleep = 20ms}),
+        m_Log(m_Loop, {.m_Output = -1}),
+        m_Store(m_Loop, *Endpoint::fromText(m_Server.address()), m_Metrics,
+                m_Log) {}
+
+  TableServiceReply
+  run(const std::function<void(platform::StoreClient &, TableService::OnReply)>
+          &Call) {
+    std::optional<TableServiceReply> Result;
+    Call(m_Store, [&](TableServiceReply Reply) { Result = std::move(Reply); });
+    const TimePoint Limit = bootNow() + 10s;
+    m_Loop.run([&] {
+      if (Result || bootNow() > Limit)
+        m_Loop.stop();
+    });
+    REQUIRE(Result.has_value());
+    return *Result;
+  }
+
+  RawServer m_Server;
+  EventLoop m_Loop;
+  EventLog m_Log;
+  RouterMetrics m_Metrics;
+  platform::StoreClient m_Store;
+};
+
+TableServiceReply commitOnce(RawServer::Script Script,
+                             std::string *Request = nullptr) {
+  StoreRig Rig(std::move(Script));
+  TableServiceReply Reply = Rig.run([](auto &Store, auto Done) {
+    Store.commit({.m_Key = RowKey("keys/s"),
+                  .m_Expected = RowVersion(7),
+                  .m_Value = "node-1"},
+                 Done);
+  });
+  if (Request)
+    *Request = Rig.m_Server.requests().front();
+  return Reply;
+}
+
+} // namespace
+
+TEST_CASE("a commit names its condition, and its row comes back") {
+  std::string Request;
+  const TableServiceReply Reply = commitOnce(
+      [](const std::string &, int) {
+        return answer("200 OK", R"({"Ver":412,"NowS":51.2})");
+      },
+      &Request);
+  CHECK(Reply.m_End == TableEnd::Ok);
+  REQUIRE(Reply.m_Rows.size() == 1);
+  CHECK(Reply.m_Rows[0].m_Version == RowVersion(412));
+  CHECK(Request.starts_with("POST /v1/rows-tx HTTP/1.1\r\n"));
+  const auto Body =
+      nlohmann::json::parse(Request.substr(Request.find("\r\n\r\n") + 4));
+  CHECK(Body["Expected"][0]["Ver"] == 7);
+  CHECK(Body["Writes"][0]["Value"] == "bm9kZS0x");
+  CHECK(Body["Remove"].empty());
+}
+
+TEST_CASE("a conflict brings the present row") {
+  const TableServiceReply Reply = commitOnce([](const std::string &, int) {
+    return answer("412 Precondition Failed",
+                  R"({"Rows":[{"Table":"balsamwheel","part":"","Key":"keys/s",
+                  "Value":"bm9kZS0x","Ver":9}],"Ver":11})");
+  });
+  CHECK(Reply.m_End == TableEnd::Conflict);
+  REQUIRE(Reply.m_Rows.size() == 1);
+  CHECK(*Reply.m_Rows[0].m_Value == "node-1");
+}
+
+TEST_CASE("only an answer tells that nothing was done") {
+  CHECK(commitOnce([](const std::string &, int) {
+          return answer("503 Busy", "");
+        }).m_End == TableEnd::Refused);
+  CHECK(commitOnce([](const std::string &, int) {
+          return answer("429 Too Many", "");
+        }).m_End == TableEnd::Refused);
+  CHECK(commitOnce([](const std::string &, int) {
+          return RawReply{.m_Bytes = "HTTP/1.1 200", .m_Close = true};
+        }).m_End == TableEnd::Unanswered);
+  CHECK(commitOnce([](const std::string &, int) {
+          return answer("200 OK", "not JSON");
+        }).m_End == TableEnd::Unanswered);
+  CHECK(commitOnce([](const std::string &, int) {
+          return RawReply{.m_Silent = true};
+        }).m_End == TableEnd::Unanswered);
+}
+
+TEST_CASE("a watch tells changes, removals and lost history") {
+  StoreRig Rig([](const std::string &Request, int) {
+    if (Request.find("after=5&") != std::string::npos)
+      return answer("410 Gone", "{}");
+    return answer("200 OK", R"({"Rows":[
+      {"Table":"op","part":"","Key":"config","Value":"e30=","Ver":531},
+      {"Table":"op","part":"","Key":"evacuate/z","Removed":true,"Ver":532},
+      {"Table":"foreign","part":"","Key":"x","Value":"e30=","Ver":533}],
+      "Ver":533})");
+  });
+  const auto Watch = [&](std::uint64_t After) {
+    return Rig.run([&](auto &Store, auto Done) {
+      Store.watch(TableName::Operators, RowVersion(After), 2s, Done);
+    });
+  };
+  CHECK(Watch(5).m_End == TableEnd::HistoryLost);
+  const TableServiceReply Reply = Watch(530);
+  CHECK(Reply.m_End == TableEnd::Ok);
+  CHECK(Reply.m_Version == RowVersion(533));
+  REQUIRE(Reply.m_Rows.size() == 2);
+  CHECK(*Reply.m_Rows[0].m_Value == "{}");
+  CHECK_FALSE(Reply.m_Rows[1].m_Value.has_value());
+}
+
+TEST_CASE("a table of more than one page is read whole, as of its first page") {
+  StoreRig Rig([](const std::string &Request, int) {
+    nlohmann::json Body{{"Rows", nlohmann::json::array()}};
+    const bool First = Request.find("From=") == std::string::npos;
+    const int Begin = First ? 0 : 499;
+    const int End = First ? 500 : 502;
+    for (int Index = Begin; Index < End; ++Index)
+      Body["Rows"].push_back({{"Table", "balsamwheel"},
+                              {"part", ""},
+                              {"Key", "member/" + std::to_string(1000 + Index)},
+                              {"Value", "e30="},
+                              {"Ver", Index + 1}});
+    Body["Ver"] = First ? 600 : 700;
+    return answer("200 OK", Body.dump());
+  });
+  const TableServiceReply Reply =
+      Rig.run([](auto &Store, auto Done) { Store.read(TableName::Own, Done); });
+  CHECK(Reply.m_End == TableEnd::Ok);
+  CHECK(Reply.m_Version == RowVersion(600));
+  CHECK(Reply.m_Rows.size() == 503);
+  CHECK(Rig.m_Server.requests().back().find("From=member%2F1499") !=
+        std::string::npos);
+}
