--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -122,9 +122,12 @@
     if (Frame.gate)
       m_Events.m_OnReport(Name, Frame);
     auto Found = Of.m_Waiting.extract(Frame.stream);
-    if (!Found.empty())
-      Found.mapped()({.m_Answer = std::make_unique<LinkFrame>(std::move(Frame)),
-                      .m_Body = std::move(Body)});
+    if (Found.empty())
+      return;
+    PeerReply Reply;
+    Reply.m_Answer = std::make_unique<LinkFrame>(std::move(Frame));
+    Reply.m_Body = std::move(Body);
+    Found.mapped()(std::move(Reply));
   } else if (Frame.kind == LinkFrameKind::Rows) {
     m_Events.m_OnRows(Frame);
   }
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -186,8 +186,8 @@
   if (Frame.service != m_Settings.m_Service.value())
     return peerAnswer(Link, Stream, {.m_Reason = Reason::UnknownService});
   m_PeerJobs[{Link, Stream}] = m_Agent.submit(
-      std::move(Job), Map, [this, Link, Stream](TargetJobResult Result) {
-        peerAnswer(Link, Stream, std::move(Result));
+      std::move(Job), Map, [this, Link, Stream](const TargetJobResult &Result) {
+        peerAnswer(Link, Stream, Result);
       });
 }
 
