--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -62,6 +62,11 @@
   CHECK(Read->m_DrainLimit == 2500ms);
   CHECK(Read->m_MaxHold == 5s);
   CHECK(Read->m_EvacuationLimit == 5s);
+  CHECK(Read->m_LinkBytesPerSecond == 0);
+  nlohmann::json Limited = settings();
+  Limited["Limits"]["LinkMbps"] = 10.0;
+  CHECK(parseSettings(Limited.dump(), Problem)->m_LinkBytesPerSecond ==
+        doctest::Approx(1.25e6));
 }
 
 TEST_CASE("a wrong settings file is rejected with the field's name") {
