Test that a stopping router refuses new requests

Change: the test, for callers of the same and of another instance. A check that the first moments still serve was left out: it depends on when reports go.

--- a/tests/unit-router.cpp
+++ b/tests/unit-router.cpp
@@ -498,3 +498,21 @@
   CHECK(Read > Body.size());
   close(Caller);
 }
+
+TEST_CASE("a stopping router refuses new requests in the end, from anywhere") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "plain");
+  Instance &B = Rig.add("b", "keyed");
+  Rig.configure(1);
+  A.beat();
+  Rig.served(A, "/read/1");
+  Rig.served(B, "/read/1");
+  A.m_Router->beginStop();
+  CHECK_FALSE(A.m_Router->ready());
+  Rig.settle(2400ms);
+  A.m_Router->stopped();
+  const int Before = A.m_Target.m_Arrivals;
+  CHECK(Rig.call(A, "/read/1").m_Status == 503);
+  CHECK(Rig.call(B, "/read/1").m_Status == 503);
+  CHECK(A.m_Target.m_Arrivals == Before);
+}
