Translate headers of frames in one place

Cause: the same loops between HTTP headers and frames stood twice each, whether a request is keyed was worked out twice, and a report's field was never read. Change: link/frame_headers.h, Entrance::isKeyed, the field is gone. No behaviour changes; assertions stay. Conclusion: one copy of each.

--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -480,7 +480,6 @@
   bool has_rates = false;
   bool sees_table = false;
   std::vector<std::unique_ptr<balsamwheel::link_wire::SliceRateT>> slice_rates{};
-  bool leaving = false;
   uint64_t operator_rows_seen = 0;
   uint64_t own_rows_seen = 0;
   std::vector<std::unique_ptr<balsamwheel::link_wire::TableRowT>> rows{};
@@ -525,10 +524,9 @@
     VT_HAS_RATES = 60,
     VT_SEES_TABLE = 62,
     VT_SLICE_RATES = 64,
-    VT_LEAVING = 66,
-    VT_OPERATOR_ROWS_SEEN = 68,
-    VT_OWN_ROWS_SEEN = 70,
-    VT_ROWS = 72
+    VT_OPERATOR_ROWS_SEEN = 66,
+    VT_OWN_ROWS_SEEN = 68,
+    VT_ROWS = 70
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -624,9 +622,6 @@
   const flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *slice_rates() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *>(VT_SLICE_RATES);
   }
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
-  }
   uint64_t operator_rows_seen() const {
     return GetField<uint64_t>(VT_OPERATOR_ROWS_SEEN, 0);
   }
@@ -682,7 +677,6 @@
            VerifyOffset(verifier, VT_SLICE_RATES) &&
            verifier.VerifyVector(slice_rates()) &&
            verifier.VerifyVectorOfTables(slice_rates()) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_ROWS_SEEN, 8) &&
            VerifyField<uint64_t>(verifier, VT_OWN_ROWS_SEEN, 8) &&
            VerifyOffset(verifier, VT_ROWS) &&
@@ -792,9 +786,6 @@
   void add_slice_rates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>>> slice_rates) {
     fbb_.AddOffset(Frame::VT_SLICE_RATES, slice_rates);
   }
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(Frame::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
-  }
   void add_operator_rows_seen(uint64_t operator_rows_seen) {
     fbb_.AddElement<uint64_t>(Frame::VT_OPERATOR_ROWS_SEEN, operator_rows_seen, 0);
   }
@@ -848,7 +839,6 @@
     bool has_rates = false,
     bool sees_table = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>>> slice_rates = 0,
-    bool leaving = false,
     uint64_t operator_rows_seen = 0,
     uint64_t own_rows_seen = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::TableRow>>> rows = 0) {
@@ -877,7 +867,6 @@
   builder_.add_domain(domain);
   builder_.add_instance(instance);
   builder_.add_status(status);
-  builder_.add_leaving(leaving);
   builder_.add_sees_table(sees_table);
   builder_.add_has_rates(has_rates);
   builder_.add_condition(condition);
@@ -924,7 +913,6 @@
     bool has_rates = false,
     bool sees_table = false,
     const std::vector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> *slice_rates = nullptr,
-    bool leaving = false,
     uint64_t operator_rows_seen = 0,
     uint64_t own_rows_seen = 0,
     const std::vector<flatbuffers::Offset<balsamwheel::link_wire::TableRow>> *rows = nullptr) {
@@ -972,7 +960,6 @@
       has_rates,
       sees_table,
       slice_rates__,
-      leaving,
       operator_rows_seen,
       own_rows_seen,
       rows__);
@@ -1147,7 +1134,6 @@
         capacity(o.capacity),
         has_rates(o.has_rates),
         sees_table(o.sees_table),
-        leaving(o.leaving),
         operator_rows_seen(o.operator_rows_seen),
         own_rows_seen(o.own_rows_seen) {
   headers.reserve(o.headers.size());
@@ -1190,7 +1176,6 @@
   std::swap(has_rates, o.has_rates);
   std::swap(sees_table, o.sees_table);
   std::swap(slice_rates, o.slice_rates);
-  std::swap(leaving, o.leaving);
   std::swap(operator_rows_seen, o.operator_rows_seen);
   std::swap(own_rows_seen, o.own_rows_seen);
   std::swap(rows, o.rows);
@@ -1237,7 +1222,6 @@
   { auto _e = has_rates(); _o->has_rates = _e; }
   { auto _e = sees_table(); _o->sees_table = _e; }
   { auto _e = slice_rates(); if (_e) { _o->slice_rates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->slice_rates[_i] = std::unique_ptr<balsamwheel::link_wire::SliceRateT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = operator_rows_seen(); _o->operator_rows_seen = _e; }
   { auto _e = own_rows_seen(); _o->own_rows_seen = _e; }
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<balsamwheel::link_wire::TableRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
@@ -1282,7 +1266,6 @@
   auto _has_rates = _o->has_rates;
   auto _sees_table = _o->sees_table;
   auto _slice_rates = _o->slice_rates.size() ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>> (_o->slice_rates.size(), [](size_t i, _VectorArgs *__va) { return CreateSliceRate(*__va->__fbb, __va->__o->slice_rates[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _leaving = _o->leaving;
   auto _operator_rows_seen = _o->operator_rows_seen;
   auto _own_rows_seen = _o->own_rows_seen;
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::TableRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateTableRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
@@ -1319,7 +1302,6 @@
       _has_rates,
       _sees_table,
       _slice_rates,
-      _leaving,
       _operator_rows_seen,
       _own_rows_seen,
       _rows);
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -1,6 +1,8 @@
 // The way of a caller's request, from reading it to its one answer.
 #include "entrance.h"
 
+#include "link/frame_headers.h"
+
 #include <algorithm>
 
 namespace balsamwheel {
@@ -68,6 +70,11 @@
   return true;
 }
 
+bool Entrance::isKeyed(const Active &Of) {
+  const ServiceSpec *Spec = Of.m_Table->service(Of.m_Service);
+  return Spec && Spec->m_DividedByKey && Of.m_Marks.m_Key;
+}
+
 std::optional<InstanceName> Entrance::ownerOf(const Active &Of) const {
   const KeyMap *Map = m_View.m_KeyMap(Of.m_Service);
   if (!Map)
@@ -102,9 +109,7 @@
   if (Found == m_Active.end())
     return;
   Active &Of = Found->second;
-  const ServiceSpec *Spec = Of.m_Table->service(Of.m_Service);
-  const bool Keyed = Spec && Spec->m_DividedByKey && Of.m_Marks.m_Key;
-  if (!Keyed) {
+  if (!isKeyed(Of)) {
     const auto To = choose(Of);
     if (!To)
       return refuse(Request, Reason::Overloaded, m_Options.m_DefaultRetryAfter);
@@ -158,12 +163,7 @@
   Frame.service = Of.m_Service.value();
   Frame.method = Of.m_Request.m_Method;
   Frame.target = Of.m_Request.m_Target;
-  for (const HttpHeader &Each : Of.m_Request.m_Headers.all()) {
-    auto Header = std::make_unique<link_wire::HeaderT>();
-    Header->name = Each.m_Name;
-    Header->value = Each.m_Value;
-    Frame.headers.push_back(std::move(Header));
-  }
+  setHeaders(Frame, Of.m_Request.m_Headers);
   Frame.request_id = Of.m_Marks.m_Id;
   Frame.route = Via.m_Name;
   Frame.non_idempotent = !Via.idempotent();
@@ -190,8 +190,7 @@
                        Result.m_ReachedTarget = From.reached_target;
                        Result.m_RetryAfter = Duration(From.retry_after);
                        Result.m_Answer.m_Status = From.status;
-                       for (const auto &Each : From.headers)
-                         Result.m_Answer.m_Headers.add(Each->name, Each->value);
+                       Result.m_Answer.m_Headers = headersOf(From);
                        Result.m_Answer.m_Body = std::move(Reply.m_Body);
                        resulted(Request, std::move(Result));
                      });
@@ -240,9 +239,7 @@
       return dispatch(Request);
     return lookUpOwnerAgain(Request);
   }
-  const ServiceSpec *Spec = Of.m_Table->service(Of.m_Service);
-  const bool Keyed = Spec && Spec->m_DividedByKey && Of.m_Marks.m_Key;
-  const bool Elsewhere = !Keyed && Of.m_Offers < m_Options.m_MaxOffers;
+  const bool Elsewhere = !isKeyed(Of) && Of.m_Offers < m_Options.m_MaxOffers;
   if (Elsewhere && (!Result.m_ReachedTarget || mayRepeat(Of))) {
     Of.m_Refused.insert(Of.m_At);
     const auto To = choose(Of);
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -95,6 +95,8 @@
   bool place(Active &Of);
   void dispatch(Id Request);
   std::optional<InstanceName> choose(const Active &Of);
+  /// Whether only the owner of its key may serve the request.
+  static bool isKeyed(const Active &Of);
   std::optional<InstanceName> ownerOf(const Active &Of) const;
   void passOn(Id Request, const InstanceName &To);
   void resulted(Id Request, TargetJobResult Result);
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -2,6 +2,8 @@
 // them.
 #include "router.h"
 
+#include "link/frame_headers.h"
+
 namespace balsamwheel {
 
 namespace {
@@ -78,7 +80,6 @@
   }
   Report.condition = static_cast<std::uint8_t>(m_Agent.condition());
   Report.capacity = m_Agent.capacity();
-  Report.leaving = m_Agent.leaving();
   Report.has_rates = WithRates;
   Report.sees_table = m_Follower.isReachable(TableName::Operators);
   Report.operator_rows_seen =
@@ -168,8 +169,7 @@
   TargetJob Job;
   Job.m_Request.m_Method = std::move(Frame.method);
   Job.m_Request.m_Target = std::move(Frame.target);
-  for (const auto &Each : Frame.headers)
-    Job.m_Request.m_Headers.add(Each->name, Each->value);
+  Job.m_Request.m_Headers = headersOf(Frame);
   Job.m_Request.m_Body = std::move(Body);
   Job.m_Id = Frame.request_id;
   Job.m_Route = Frame.route;
@@ -202,12 +202,7 @@
   Frame.reached_target = Result.m_ReachedTarget;
   Frame.status = static_cast<std::uint16_t>(Result.m_Answer.m_Status);
   Frame.retry_after = Result.m_RetryAfter.count();
-  for (const HttpHeader &Each : Result.m_Answer.m_Headers.all()) {
-    auto Header = std::make_unique<link_wire::HeaderT>();
-    Header->name = Each.m_Name;
-    Header->value = Each.m_Value;
-    Frame.headers.push_back(std::move(Header));
-  }
+  setHeaders(Frame, Result.m_Answer.m_Headers);
   Frame.gate = gateToWire(m_Agent.gateReport());
   if (Result.m_Answer.m_Body.size() >= LargeBody)
     m_Mesh.answerLarge(Link, Frame, Result.m_Answer.m_Body);
