Keep double runs of retried requests out of pool services

Cause: three ways by which a retry of a non-idempotent request was cleared although another attempt ran or could run. A first attempt waited in its entrance and went to a target that joined after a later attempt had been cleared without it. Two attempts were cleared by different sets of sessions, the second without the session where the first ran. A retry lay in the socket of a suspended daemon, so the age of its first attempt was told too low. Besides: a superseded attempt that never ran was answered "unknown"; a daemon gave up leaving its group after 2 s and left its session there; the rig ticked a node that had ended in its own resumption.

Ruled out: lost outcome records (each record was in place in the traces).

Change: a first attempt is cleared before it goes to a member seen for less than a lease and a heartbeat; a clearing names the set it asks, and sessions that were asked with different sets vouch for nothing; gaps over 0.5 s between calls count as suspension and age retries too; superseded attempts are "not run"; leaving is tried for 6 s.

--- a/include/balsamwheel/detail/node/entrance.h
+++ b/include/balsamwheel/detail/node/entrance.h
@@ -111,6 +111,8 @@
     /// Every daemon that may have run an earlier attempt refuses it now.
     bool m_Cleared = false;
     std::unordered_map<SessionId, Clearance> m_Clearances;
+    /// Stands for the sessions that the last clearing asked.
+    std::uint64_t m_Asked = 0;
     std::optional<Destination> m_First;
     /// What the last reply said about the owner.
     std::optional<Destination> m_Redirect;
@@ -141,6 +143,8 @@
 
   void clearKeyed(RequestHandle Handle, Request &Value, const Destination &To,
                   TimePoint Now);
+  /// The same for equal sets of sessions, in any order.
+  static std::uint64_t digestOf(const std::vector<Destination> &Sessions);
   void clearAny(RequestHandle Handle, Request &Value, TimePoint Now);
   void sendClear(RequestHandle Handle, Request &Value, const Destination &To,
                  TimePoint Now);
--- a/include/balsamwheel/detail/node/member_history.h
+++ b/include/balsamwheel/detail/node/member_history.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace balsamwheel {
@@ -22,7 +23,8 @@
       m_Since = Now;
     for (const Member &Each : Members)
       if (!Each.m_Service.value().empty())
-        m_Seen[Each.m_Session] = {Each.m_Service, Now};
+        m_Seen.try_emplace(Each.m_Session, Each.m_Service, Now)
+            .first->second.m_LastSeen = Now;
     std::erase_if(m_Seen, [&](const auto &Entry) {
       return Entry.second.m_LastSeen + m_Memory < Now;
     });
@@ -40,9 +42,20 @@
     return true;
   }
 
+  /// When a member was first seen; the latest time for an unknown one.
+  /// Complexity: constant on average.
+  TimePoint firstSeen(const SessionId &Session) const {
+    const auto It = m_Seen.find(Session);
+    return It == m_Seen.end() ? TimePoint::max() : It->second.m_FirstSeen;
+  }
+
 private:
   struct Sighting {
+    Sighting(ServiceName Service, TimePoint At)
+        : m_Service(std::move(Service)), m_FirstSeen(At), m_LastSeen(At) {}
+
     ServiceName m_Service;
+    TimePoint m_FirstSeen;
     TimePoint m_LastSeen;
   };
 
--- a/include/balsamwheel/detail/node/outcome_store.h
+++ b/include/balsamwheel/detail/node/outcome_store.h
@@ -47,6 +47,11 @@
 struct OutcomeRecord {
   RecordState m_State = RecordState::Pending;
   Ballot m_Ballot;
+  /// The sets of sessions that attempts were cleared by: 0 for none yet.
+  std::uint64_t m_Asked = 0;
+  /// Attempts were cleared by different sets, so one of them may have run where
+  /// another did not ask.
+  bool m_AskedDiffer = false;
   /// Epoch under which it was cleared or accepted.
   Epoch m_Epoch;
   TimePoint m_Created;
--- a/include/balsamwheel/detail/wire/request.h
+++ b/include/balsamwheel/detail/wire/request.h
@@ -116,6 +116,9 @@
   /// The forward whose fate is asked. 0 asks for the request id as a whole, to
   /// clear a retry: earlier attempts are refused from then on.
   std::uint64_t m_Forward = 0;
+  /// Stands for the set of sessions that are asked to clear this attempt; 0
+  /// for a request with a key, whose owners are asked in turn.
+  std::uint64_t m_Asked = 0;
 
   bool operator==(const OutcomeQuery &) const = default;
 };
--- a/src/adapters/peer_tcp/decode.cpp
+++ b/src/adapters/peer_tcp/decode.cpp
@@ -230,7 +230,8 @@
   return {.m_Stream = Value.stream(),
           .m_Meta = meta(Value.meta()),
           .m_To = SessionId(Value.receiver()),
-          .m_Forward = Value.forward()};
+          .m_Forward = Value.forward(),
+          .m_Asked = Value.asked()};
 }
 
 ForwardCancel fromWire(const wire::ForwardCancel &Value) {
--- a/src/adapters/peer_tcp/encode.cpp
+++ b/src/adapters/peer_tcp/encode.cpp
@@ -207,9 +207,9 @@
 }
 
 Content encodeOne(Builder &To, const OutcomeQuery &Value) {
-  return content(wire::CreateOutcomeQuery(To, Value.m_Stream,
-                                          meta(To, Value.m_Meta),
-                                          Value.m_To.value(), Value.m_Forward));
+  return content(wire::CreateOutcomeQuery(
+      To, Value.m_Stream, meta(To, Value.m_Meta), Value.m_To.value(),
+      Value.m_Forward, Value.m_Asked));
 }
 
 Content encodeOne(Builder &To, const ForwardCancel &Value) {
--- a/src/adapters/peer_tcp/peer_generated.h
+++ b/src/adapters/peer_tcp/peer_generated.h
@@ -2507,7 +2507,8 @@
     VT_STREAM = 4,
     VT_META = 6,
     VT_RECEIVER = 8,
-    VT_FORWARD = 10
+    VT_FORWARD = 10,
+    VT_ASKED = 12
   };
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
@@ -2521,6 +2522,9 @@
   uint64_t forward() const {
     return GetField<uint64_t>(VT_FORWARD, 0);
   }
+  uint64_t asked() const {
+    return GetField<uint64_t>(VT_ASKED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
@@ -2528,6 +2532,7 @@
            verifier.VerifyTable(meta()) &&
            VerifyField<uint64_t>(verifier, VT_RECEIVER, 8) &&
            VerifyField<uint64_t>(verifier, VT_FORWARD, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ASKED, 8) &&
            verifier.EndTable();
   }
 };
@@ -2548,6 +2553,9 @@
   void add_forward(uint64_t forward) {
     fbb_.AddElement<uint64_t>(OutcomeQuery::VT_FORWARD, forward, 0);
   }
+  void add_asked(uint64_t asked) {
+    fbb_.AddElement<uint64_t>(OutcomeQuery::VT_ASKED, asked, 0);
+  }
   explicit OutcomeQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2564,8 +2572,10 @@
     uint64_t stream = 0,
     flatbuffers::Offset<balsamwheel::peer_tcp::wire::Meta> meta = 0,
     uint64_t receiver = 0,
-    uint64_t forward = 0) {
+    uint64_t forward = 0,
+    uint64_t asked = 0) {
   OutcomeQueryBuilder builder_(_fbb);
+  builder_.add_asked(asked);
   builder_.add_forward(forward);
   builder_.add_receiver(receiver);
   builder_.add_stream(stream);
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -22,7 +22,7 @@
 /// Heartbeats in a row that the first writer left unanswered before that.
 constexpr std::size_t FailoversToPrefer = 2;
 /// Leaving the group is given up after this time.
-constexpr Duration LeaveTimeout = std::chrono::seconds(2);
+constexpr Duration LeaveTimeout = std::chrono::seconds(6);
 constexpr std::size_t MostGroupDoublings = 6;
 
 Duration grantTime(const CoordinationTiming &Timing) {
--- a/src/node/entrance.cpp
+++ b/src/node/entrance.cpp
@@ -14,14 +14,18 @@
 constexpr Duration RouteDelay = std::chrono::milliseconds(5);
 constexpr Duration MaxRouteDelay = std::chrono::milliseconds(80);
 constexpr std::uint32_t MaxRetries = 3;
-/// A gap between calls that counts as a suspension of the process.
-constexpr Duration SuspensionGap = std::chrono::milliseconds(1000);
+/// A gap between calls that counts as a suspension of the process: above
+/// IdleWake, and no longer than CallerTransit allows for.
+constexpr Duration SuspensionGap = std::chrono::milliseconds(500);
 /// The executor gives up this long before the caller's deadline.
 constexpr Duration ReplyMargin = std::chrono::milliseconds(5);
 constexpr Duration IdleWake = std::chrono::milliseconds(250);
 constexpr Duration HistoryPeriod = std::chrono::milliseconds(250);
 /// Longest time from a caller's send to this daemon's receipt.
 constexpr Duration CallerTransit = std::chrono::milliseconds(500);
+/// How much later than this daemon another one may learn of a new member: the
+/// lease that its leader's last word gave it, and a heartbeat.
+constexpr Duration MemberViewLag = std::chrono::milliseconds(2400);
 
 } // namespace
 
@@ -42,9 +46,11 @@
   RequestMeta &Meta = Value.m_In.m_Meta;
   if (Meta.m_Id.value().empty())
     Meta.m_Id = RequestId("r" + std::to_string(m_Context.random()));
-  if (!Meta.m_Idempotent && Meta.m_Attempt <= 1 && Now < m_SuspectUntil) {
-    Meta.m_Attempt = 2;
-    Meta.m_FirstAttemptAge = m_SuspectAge;
+  if (!Meta.m_Idempotent && Now < m_SuspectUntil) {
+    // It may have waited in the socket for as long as the process stood still,
+    // and its caller may have tried elsewhere meanwhile.
+    Meta.m_FirstAttemptAge += m_SuspectAge;
+    Meta.m_Attempt = std::max(Meta.m_Attempt, 2U);
   }
   if (Meta.m_Attempt > 1)
     Value.m_FirstAt = Now - Meta.m_FirstAttemptAge - CallerTransit;
@@ -216,6 +222,14 @@
     retryRoute(Handle, Value, {Outcome::Wait, Reason::NoOwner}, Now);
     return;
   }
+  if (!Value.m_In.m_Meta.m_Idempotent && !Value.m_Cleared &&
+      m_History.firstSeen(*Picked) > Value.m_Received - MemberViewLag) {
+    // A later attempt may have been cleared before this member was known, so
+    // the member can't tell that this one is superseded.
+    Value.m_MustClear = true;
+    clearAny(Handle, Value, Now);
+    return;
+  }
   m_Picker.started(*Picked, Now);
   if (Value.m_In.m_Meta.m_Idempotent && Value.m_Retries == 0)
     if (const std::optional<Duration> Delay = m_Picker.hedgeDelay(Now))
--- a/src/node/entrance_clear.cpp
+++ b/src/node/entrance_clear.cpp
@@ -2,7 +2,10 @@
 // run, every daemon that may have run an earlier one is asked.
 #include "balsamwheel/detail/node/entrance.h"
 
+#include "balsamwheel/detail/core/hash.h"
+
 #include <algorithm>
+#include <string>
 
 namespace balsamwheel {
 
@@ -13,6 +16,18 @@
 
 } // namespace
 
+std::uint64_t Entrance::digestOf(const std::vector<Destination> &Sessions) {
+  std::vector<std::string> Names;
+  Names.reserve(Sessions.size());
+  for (const Destination &Each : Sessions)
+    Names.push_back(std::to_string(Each.m_Session.value()));
+  std::ranges::sort(Names);
+  std::string All;
+  for (const std::string &Name : Names)
+    All += Name + ',';
+  return hashKey(All).value();
+}
+
 bool Entrance::covers(const Request &Value, Duration MemoryAge,
                       TimePoint Now) const {
   const Duration Sure = MemoryAge - MemoryAge / DriftDivisor;
@@ -26,6 +41,7 @@
   Query.m_Stream = Opened.m_Stream;
   Query.m_Meta = Value.m_In.m_Meta;
   Query.m_To = To.m_Session;
+  Query.m_Asked = Value.m_Asked;
   m_Context.send(To.m_Peer, std::move(Query));
 }
 
@@ -44,9 +60,13 @@
     notCleared(Handle, Value, Now);
     return;
   }
+  std::vector<Destination> Everyone;
   for (const Member &Each : m_Context.coordinator().members())
     if (Each.m_Service == Value.m_In.m_Meta.m_Service)
-      sendClear(Handle, Value, {Each.m_Session, Each.m_Peer, Epoch()}, Now);
+      Everyone.push_back({Each.m_Session, Each.m_Peer, Epoch()});
+  Value.m_Asked = digestOf(Everyone);
+  for (const Destination &To : Everyone)
+    sendClear(Handle, Value, To, Now);
   if (Value.m_Legs.empty())
     retryRoute(Handle, Value, {Outcome::Wait, Reason::NoOwner}, Now);
   else
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -117,11 +117,15 @@
 
 bool Executor::admitCleared(const OutcomeRecord &Record, const Job &Value,
                             const Ballot &Asked) {
+  if (Asked < Record.m_Ballot) {
+    // A later attempt superseded this one before it ran.
+    reply(Value.m_From, Value.m_Stream, {Outcome::NotRun, Reason::Cancelled},
+          {}, Value.m_Meta);
+    return false;
+  }
   if (Asked != Record.m_Ballot) {
-    const Reason Why =
-        Asked < Record.m_Ballot ? Reason::Cancelled : Reason::MemoryLost;
-    reply(Value.m_From, Value.m_Stream, {Outcome::Unknown, Why}, {},
-          Value.m_Meta);
+    reply(Value.m_From, Value.m_Stream, {Outcome::Unknown, Reason::MemoryLost},
+          {}, Value.m_Meta);
     return false;
   }
   if (Value.m_Expected != Record.m_Epoch) {
@@ -192,6 +196,9 @@
   const Permit Current = permitFor(Probe, Now);
   if (Known == nullptr)
     Known = &m_Outcomes.insert(Meta.m_Service, Meta.m_Id, Now);
+  if (Known->m_Asked != 0 && Known->m_Asked != Query.m_Asked)
+    Known->m_AskedDiffer = true;
+  Known->m_Asked = Query.m_Asked;
   Known->m_State = RecordState::Cleared;
   Known->m_Ballot = Asked;
   Known->m_Epoch = Current.m_Granted ? Current.m_Epoch : Epoch();
@@ -202,7 +209,7 @@
   Reply.m_Outcome = Outcome::NotRun;
   Reply.m_Reason = Current.m_Granted ? Reason::None : Current.m_Reason;
   Reply.m_RetryAfter = Current.m_RetryAfter;
-  Reply.m_MemoryAge = memoryAge(Meta, Now);
+  Reply.m_MemoryAge = Known->m_AskedDiffer ? Duration(0) : memoryAge(Meta, Now);
   if (Probe.m_Shard)
     Reply.m_Former = m_Context.coordinator().formerOwner(*Probe.m_Shard);
   sendReply(From, std::move(Reply), Meta);
--- a/tests/node_rig.cpp
+++ b/tests/node_rig.cpp
@@ -170,7 +170,9 @@
   Value.m_Paused = false;
   for (EventQueue::Action &Waiting : std::exchange(Value.m_Inbox, {}))
     Waiting();
-  scheduleTick(Index);
+  // A waiting event may have ended the shutdown, and with it the node.
+  if (Value.m_Alive)
+    scheduleTick(Index);
 }
 
 void NodeRig::call(std::size_t Index,
--- a/tests/unit-peer-codec.cpp
+++ b/tests/unit-peer-codec.cpp
@@ -149,7 +149,7 @@
 
 template <> OutcomeQuery anyMessage() {
   return {any<std::uint64_t>(), anyMeta(), anyId<SessionId>(),
-          any<std::uint64_t>()};
+          any<std::uint64_t>(), any<std::uint64_t>()};
 }
 
 template <> ForwardCancel anyMessage() { return {any<std::uint64_t>()}; }
