Count a request's time limits from its sending, not from its arrival

Cause: requests between daemons carry the time that is left when they are sent. Behind large answers on a 10 Mbit/s link they arrive up to seconds later, and their limits are extended by that: targets then work for callers who have left, and are told more time than is left.

Ruled out: late cancellations alone, as most callers leave at their limit.

Change: frames carry the sender's clock; LinkDelay tells how much longer than the quickest frame of the last one to two minutes each took, and the limits are cut by that. Test: a request that waited 3 s with 2 s left reaches the target without the change, and doesn't with it.

--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -451,6 +451,7 @@
   typedef Frame TableType;
   balsamwheel::link_wire::Kind kind = balsamwheel::link_wire::Kind::Hello;
   uint64_t stream = 0;
+  int64_t sent_at = 0;
   std::string instance{};
   std::string domain{};
   std::string service{};
@@ -495,38 +496,39 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KIND = 4,
     VT_STREAM = 6,
-    VT_INSTANCE = 8,
-    VT_DOMAIN = 10,
-    VT_SERVICE = 12,
-    VT_METHOD = 14,
-    VT_TARGET = 16,
-    VT_HEADERS = 18,
-    VT_REQUEST_ID = 20,
-    VT_ROUTE = 22,
-    VT_NON_IDEMPOTENT = 24,
-    VT_PRIORITY = 26,
-    VT_NESTED = 28,
-    VT_LARGE_ANSWER = 30,
-    VT_KEY = 32,
-    VT_OBJECTIVE_LEFT = 34,
-    VT_DEADLINE_LEFT = 36,
-    VT_OUTCOME = 38,
-    VT_REASON = 40,
-    VT_REACHED_TARGET = 42,
-    VT_STATUS = 44,
-    VT_RETRY_AFTER = 46,
-    VT_BODY_LENGTH = 48,
-    VT_GATE = 50,
-    VT_TARGET_ID = 52,
-    VT_TARGET_BORN = 54,
-    VT_CONDITION = 56,
-    VT_CAPACITY = 58,
-    VT_HAS_RATES = 60,
-    VT_SEES_TABLE = 62,
-    VT_SLICE_RATES = 64,
-    VT_OPERATOR_ROWS_SEEN = 66,
-    VT_OWN_ROWS_SEEN = 68,
-    VT_ROWS = 70
+    VT_SENT_AT = 8,
+    VT_INSTANCE = 10,
+    VT_DOMAIN = 12,
+    VT_SERVICE = 14,
+    VT_METHOD = 16,
+    VT_TARGET = 18,
+    VT_HEADERS = 20,
+    VT_REQUEST_ID = 22,
+    VT_ROUTE = 24,
+    VT_NON_IDEMPOTENT = 26,
+    VT_PRIORITY = 28,
+    VT_NESTED = 30,
+    VT_LARGE_ANSWER = 32,
+    VT_KEY = 34,
+    VT_OBJECTIVE_LEFT = 36,
+    VT_DEADLINE_LEFT = 38,
+    VT_OUTCOME = 40,
+    VT_REASON = 42,
+    VT_REACHED_TARGET = 44,
+    VT_STATUS = 46,
+    VT_RETRY_AFTER = 48,
+    VT_BODY_LENGTH = 50,
+    VT_GATE = 52,
+    VT_TARGET_ID = 54,
+    VT_TARGET_BORN = 56,
+    VT_CONDITION = 58,
+    VT_CAPACITY = 60,
+    VT_HAS_RATES = 62,
+    VT_SEES_TABLE = 64,
+    VT_SLICE_RATES = 66,
+    VT_OPERATOR_ROWS_SEEN = 68,
+    VT_OWN_ROWS_SEEN = 70,
+    VT_ROWS = 72
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -535,6 +537,10 @@
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
   }
+  /// The sender's clock, on Hello and Request.
+  int64_t sent_at() const {
+    return GetField<int64_t>(VT_SENT_AT, 0);
+  }
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
   }
@@ -635,6 +641,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
            verifier.VerifyString(instance()) &&
            VerifyOffset(verifier, VT_DOMAIN) &&
@@ -699,6 +706,9 @@
   void add_stream(uint64_t stream) {
     fbb_.AddElement<uint64_t>(Frame::VT_STREAM, stream, 0);
   }
+  void add_sent_at(int64_t sent_at) {
+    fbb_.AddElement<int64_t>(Frame::VT_SENT_AT, sent_at, 0);
+  }
   void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
     fbb_.AddOffset(Frame::VT_INSTANCE, instance);
   }
@@ -810,6 +820,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     balsamwheel::link_wire::Kind kind = balsamwheel::link_wire::Kind::Hello,
     uint64_t stream = 0,
+    int64_t sent_at = 0,
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     flatbuffers::Offset<flatbuffers::String> domain = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
@@ -850,6 +861,7 @@
   builder_.add_retry_after(retry_after);
   builder_.add_deadline_left(deadline_left);
   builder_.add_objective_left(objective_left);
+  builder_.add_sent_at(sent_at);
   builder_.add_stream(stream);
   builder_.add_rows(rows);
   builder_.add_slice_rates(slice_rates);
@@ -884,6 +896,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     balsamwheel::link_wire::Kind kind = balsamwheel::link_wire::Kind::Hello,
     uint64_t stream = 0,
+    int64_t sent_at = 0,
     const char *instance = nullptr,
     const char *domain = nullptr,
     const char *service = nullptr,
@@ -931,6 +944,7 @@
       _fbb,
       kind,
       stream,
+      sent_at,
       instance__,
       domain__,
       service__,
@@ -1107,6 +1121,7 @@
 inline FrameT::FrameT(const FrameT &o)
       : kind(o.kind),
         stream(o.stream),
+        sent_at(o.sent_at),
         instance(o.instance),
         domain(o.domain),
         service(o.service),
@@ -1147,6 +1162,7 @@
 inline FrameT &FrameT::operator=(FrameT o) FLATBUFFERS_NOEXCEPT {
   std::swap(kind, o.kind);
   std::swap(stream, o.stream);
+  std::swap(sent_at, o.sent_at);
   std::swap(instance, o.instance);
   std::swap(domain, o.domain);
   std::swap(service, o.service);
@@ -1193,6 +1209,7 @@
   (void)_resolver;
   { auto _e = kind(); _o->kind = _e; }
   { auto _e = stream(); _o->stream = _e; }
+  { auto _e = sent_at(); _o->sent_at = _e; }
   { auto _e = instance(); if (_e) _o->instance = _e->str(); }
   { auto _e = domain(); if (_e) _o->domain = _e->str(); }
   { auto _e = service(); if (_e) _o->service = _e->str(); }
@@ -1237,6 +1254,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FrameT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _kind = _o->kind;
   auto _stream = _o->stream;
+  auto _sent_at = _o->sent_at;
   auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
   auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
@@ -1273,6 +1291,7 @@
       _fbb,
       _kind,
       _stream,
+      _sent_at,
       _instance,
       _domain,
       _service,
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -63,6 +63,7 @@
     Of.m_Greeted = true;
     LinkFrame Hello;
     Hello.kind = LinkFrameKind::Hello;
+    Hello.sent_at = sentAt();
     Hello.instance = m_Settings.m_Instance.value();
     Hello.domain = m_Settings.m_Domain.value();
     Hello.service = m_Settings.m_Service.value();
@@ -158,6 +159,7 @@
   Caller &From = m_Callers.at(LinkId);
   switch (Frame.kind) {
   case LinkFrameKind::Hello: {
+    From.m_Delay.note(Frame.sent_at, m_Loop.now());
     From.m_Instance = InstanceName(Frame.instance);
     From.m_Service = ServiceName(Frame.service);
     // A peer that reaches this daemon is likely to be reachable, too.
@@ -166,8 +168,12 @@
       Known->second.m_NextTry = m_Loop.now();
     return;
   }
-  case LinkFrameKind::Request:
+  case LinkFrameKind::Request: {
+    const Duration Waited = From.m_Delay.note(Frame.sent_at, m_Loop.now());
+    Frame.objective_left -= Waited.count();
+    Frame.deadline_left -= Waited.count();
     return m_Events.m_OnRequest(LinkId, Frame, std::move(Body));
+  }
   case LinkFrameKind::Cancel:
     return m_Events.m_OnCancel(LinkId, Frame.stream);
   case LinkFrameKind::RowsWanted:
@@ -210,6 +216,10 @@
   }
 }
 
+std::int64_t PeerMesh::sentAt() const {
+  return m_Loop.now().time_since_epoch().count();
+}
+
 Duration PeerMesh::reportInterval() const {
   return m_Options.m_ReportInterval +
          m_Options.m_ReportIntervalPerPeer * m_Peers.size();
@@ -261,6 +271,7 @@
     return 0;
   Frame.kind = LinkFrameKind::Request;
   Frame.stream = ++m_LastStream;
+  Frame.sent_at = sentAt();
   Found->second.m_Waiting.emplace(Frame.stream, std::move(Done));
   Found->second.m_Link->send(Frame, Body);
   return Frame.stream;
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -5,6 +5,8 @@
 #include "event_log.h"
 #include "router_settings.h"
 
+#include "balsamwheel/detail/load/link_delay.h"
+
 #include "link/peer_link.h"
 
 #include <deque>
@@ -112,6 +114,7 @@
     std::unique_ptr<PeerLink> m_Link;
     InstanceName m_Instance;
     ServiceName m_Service;
+    LinkDelay m_Delay;
   };
 
   void connect(const InstanceName &Name, Peer &To);
@@ -125,6 +128,8 @@
   void sendNextLarge();
   void check();
   Duration silenceLimit() const;
+  /// This daemon's clock, for frames whose wait on the way is told.
+  std::int64_t sentAt() const;
 
   EventLoop &m_Loop;
   EventLog &m_Log;
--- a/tests/unit-router.cpp
+++ b/tests/unit-router.cpp
@@ -1,5 +1,6 @@
 // Whole routers on loopback: what callers and targets see of them.
 #include "fake_table_service.h"
+#include "link/peer_link.h"
 #include "platform/http_marks.h"
 #include "platform/operator_tables.h"
 #include "router/router.h"
@@ -458,6 +459,43 @@
     CHECK(Rig.call(A, "/read/1").m_Status == 200);
 }
 
+TEST_CASE("a request that waited on the link past its deadline isn't run") {
+  Rig Rig;
+  Instance &There = Rig.add("b", "plain");
+  Rig.configure(1);
+  There.beat();
+  REQUIRE(Rig.until([&] { return There.m_Router->ready(); }));
+
+  std::vector<std::unique_ptr<LinkFrame>> Answers;
+  PeerLink Link(Rig.m_Loop, {.m_OnFrame = [&](auto Frame, std::string) {
+                  if (Frame->kind == LinkFrameKind::Answer)
+                    Answers.push_back(std::move(Frame));
+                }});
+  REQUIRE(Link.connect(There.m_Settings.m_Peers));
+  const auto Send = [&](LinkFrameKind Kind, Duration Ago) {
+    LinkFrame Frame;
+    Frame.kind = Kind;
+    Frame.instance = "a";
+    Frame.service = "plain";
+    Frame.method = "GET";
+    Frame.target = "/read/1";
+    Frame.route = "read";
+    Frame.stream = 1;
+    Frame.objective_left = Frame.deadline_left = Duration(2s).count();
+    Frame.sent_at = (bootNow() - Ago).time_since_epoch().count();
+    Link.send(Frame);
+  };
+  Send(LinkFrameKind::Hello, 0s);
+  Send(LinkFrameKind::Request, 3s);
+  REQUIRE(Rig.until([&] { return Answers.size() == 1; }));
+  CHECK(Answers[0]->outcome != static_cast<std::uint8_t>(Outcome::Done));
+  CHECK(!Answers[0]->reached_target);
+  CHECK(There.m_Target.m_Arrivals == 0);
+  Send(LinkFrameKind::Request, 0s);
+  REQUIRE(Rig.until([&] { return Answers.size() == 2; }));
+  CHECK(There.m_Target.m_Arrivals == 1);
+}
+
 TEST_CASE("a stopping router doesn't end before its answers are taken") {
   Rig Rig;
   Instance &A = Rig.add("a", "plain");
