Keep planning moves of keys while one key exceeds a target

Cause: a single key with more requests than a target serves made its owner the fullest one for good.

Change: a slice counts for at most 1.5 fair parts; an owner without a movable piece is passed over.

--- a/src/keyspace/key_planner.cpp
+++ b/src/keyspace/key_planner.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace balsamwheel {
 
@@ -19,6 +20,37 @@
 /// to fit the answer to a heartbeat.
 constexpr std::size_t MaxSpansPerOwner = 60;
 
+/// A slice counts for at most this many fair parts of the load: what a single
+/// key causes beyond can't be served, wherever its slice is.
+constexpr double MostFairPartsOfSlice = 1.5;
+/// Rounds in which the fair part and the bound on slices settle.
+constexpr int BoundRounds = 12;
+
+/// Bounds the load of each slice for a service of this capacity.
+SliceLoads bounded(const SliceLoads &Loads, double Capacity) {
+  SliceLoads Result = Loads;
+  if (Capacity <= MostFairPartsOfSlice)
+    return Result;
+  for (int Round = 0; Round < BoundRounds; ++Round) {
+    double Sum = 0;
+    for (const float Load : Result)
+      Sum += Load;
+    const auto Bound =
+        static_cast<float>(MostFairPartsOfSlice * Sum / Capacity);
+    for (float &Load : Result)
+      Load = std::min(Load, Bound);
+  }
+  return Result;
+}
+
+double capacityOf(const std::vector<KeyCandidate> &Candidates) {
+  double Sum = 0;
+  for (const KeyCandidate &Each : Candidates)
+    if (Each.m_Condition == TargetCondition::Fit)
+      Sum += Each.m_Capacity;
+  return Sum;
+}
+
 /// Load of some keys, by the slices they touch.
 class LoadIndex {
 public:
@@ -45,6 +77,8 @@
 struct Burden {
   KeyCandidate m_Candidate;
   double m_Load = 0;
+  /// None of its keys can move, as they are too hot or too scattered.
+  bool m_Stuck = false;
 
   double relative() const {
     return m_Load / std::max(m_Candidate.m_Capacity, 0.05);
@@ -55,7 +89,7 @@
 public:
   Planning(const KeyMap &Map, const std::vector<KeyCandidate> &Candidates,
            const SliceLoads &Loads)
-      : m_Map(Map), m_Loads(Loads) {
+      : m_Map(Map), m_Loads(bounded(Loads, capacityOf(Candidates))) {
     for (const KeyCandidate &Each : Candidates) {
       m_Conditions[Each.m_Owner] = Each.m_Condition;
       if (Each.m_Condition == TargetCondition::Fit)
@@ -103,12 +137,15 @@
     if (m_Fit.size() < 2)
       return;
     const double Fair = fairPart();
-    for (int Move = 0; Move < MaxMovesPerPlan; ++Move) {
-      Burden &Fullest =
-          *std::max_element(m_Fit.begin(), m_Fit.end(),
-                            [](const Burden &Left, const Burden &Right) {
-                              return Left.relative() < Right.relative();
-                            });
+    for (int Move = 0; Move < MaxMovesPerPlan;) {
+      Burden &Fullest = *std::max_element(
+          m_Fit.begin(), m_Fit.end(),
+          [](const Burden &Left, const Burden &Right) {
+            return std::pair(!Left.m_Stuck, Left.relative()) <
+                   std::pair(!Right.m_Stuck, Right.relative());
+          });
+      if (Fullest.m_Stuck)
+        return;
       Burden &Emptiest = leastLoaded();
       const bool Starved = Emptiest.relative() < Fair * (1 - Tolerance);
       const bool Overfull = Fullest.relative() > Fair * (1 + Tolerance);
@@ -118,8 +155,11 @@
           std::min(Fullest.m_Load - Fair * Fullest.m_Candidate.m_Capacity,
                    Fair * Emptiest.m_Candidate.m_Capacity - Emptiest.m_Load);
       auto Piece = hottestPiece(Fullest.m_Candidate.m_Owner, Excess);
-      if (!Piece)
-        return;
+      if (!Piece) {
+        Fullest.m_Stuck = true;
+        continue;
+      }
+      ++Move;
       const double Load = m_Loads.of(Piece->m_First, Piece->m_Last);
       Piece->m_State = SpanState::Releasing;
       Piece->m_Heir = Emptiest.m_Candidate.m_Owner;
--- a/tests/unit-key-planner.cpp
+++ b/tests/unit-key-planner.cpp
@@ -173,6 +173,29 @@
   CHECK(Moved <= KeyCount / 20);
 }
 
+TEST_CASE("a key hotter than a target doesn't stop the other moves") {
+  // One key gets nearly half of all requests, others a steep head as well.
+  const KeyPlanner Planner({});
+  constexpr int Targets = 12;
+  const KeyMap Map = settle(Planner, KeyMap(), fit(Targets), NoLoad);
+  SliceLoads Loads{};
+  Loads.fill(0.02F);
+  for (std::size_t Slice = 0; Slice < 24; ++Slice)
+    Loads[Slice] = 30.0F / static_cast<float>(Slice + 3);
+  SliceLoads Hot = Loads;
+  Hot[400] = 100;
+  const KeyMap Planned = settle(Planner, Map, fit(Targets), Hot);
+  double Most = 0;
+  double Total = 0;
+  for (int Index = 0; Index < Targets; ++Index) {
+    Most = std::max(Most, loadOf(Planned, owner(Index), Loads));
+    Total += loadOf(Planned, owner(Index), Loads);
+  }
+  CHECK(Most <= 1.45 * Total / Targets);
+  const KeyOwner &Busy = Planned.find(400 * KeysPerSlice).m_Owner;
+  CHECK(loadOf(Planned, Busy, Loads) <= 0.5 * Total / Targets);
+}
+
 TEST_CASE("plans settle for any load and any mix of conditions") {
   rc::check([] {
     const KeyPlanner Planner({});
