Ask one peer at a time for rows, and read large rows at the link's pace

Ruled out: a silent watch (the daemon's own connections to the store failed as well); late parsing.

Change: RowCatchUp asks one peer at a time, and for operators' rows only when the own watch has been behind for a second or the table is out of reach. After a watch that brought large rows the next one waits until they took a quarter of the link at most.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -23,13 +23,17 @@
 /// Daemons that watch the own table themselves.
 constexpr std::ptrdiff_t Watchers = 3;
 constexpr std::size_t MaxCallerConnections = 1024;
+/// Part of the machine's link that reading changed rows may take: the rest is
+/// for requests, and for rows that a part of the daemons fetch from this one.
+constexpr double RowsLinkShare = 0.25;
 
 using nlohmann::json;
 
 std::string memberText(const RouterSettings &Settings) {
-  return json{{"address", Settings.m_Peers.toText()},
-              {"domain", Settings.m_Domain.value()},
-              {"service", Settings.m_Service.value()}}
+  return json{
+      {"address", Settings.m_Advertised.value_or(Settings.m_Peers).toText()},
+      {"domain", Settings.m_Domain.value()},
+      {"service", Settings.m_Service.value()}}
       .dump();
 }
 
@@ -110,9 +114,11 @@
                [this](const LinkFrame &Wanted) { return rowsFor(Wanted); },
            .m_OnPeerDown =
                [this](const InstanceName &Peer) { m_Board.forget(Peer); }}),
-      m_Follower(Loop, Log, Table, {},
-                 std::hash<InstanceName>()(m_Settings.m_Instance),
-                 [this](const MirroredRow &Row) { rowChanged(Row); }),
+      m_Follower(
+          Loop, Log, Table,
+          {.m_BytesPerSecond = RowsLinkShare * m_Settings.m_LinkBytesPerSecond},
+          std::hash<InstanceName>()(m_Settings.m_Instance),
+          [this](const MirroredRow &Row) { rowChanged(Row); }),
       m_Entrance(
           Loop, Log, m_Settings, Format, m_Agent, m_Mesh, m_Board, Metrics,
           {.m_Retries = {.m_Ratio = m_Settings.m_RetryRatio / 2, .m_Burst = 4}},
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -4,6 +4,7 @@
 
 #include "entrance.h"
 #include "key_coordinator.h"
+#include "row_catch_up.h"
 #include "table_follower.h"
 
 namespace balsamwheel {
@@ -104,6 +105,7 @@
   TargetBoard m_Board;
   TargetAgent m_Agent;
   PeerMesh m_Mesh;
+  RowCatchUp m_CatchUp;
   TableFollower m_Follower;
   Entrance m_Entrance;
   HttpServer m_Callers;
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -135,13 +135,17 @@
   const TableMirror &Mirror = m_Follower.mirror();
   const RowVersion OperatorsSeen = Mirror.seen(TableName::Operators);
   const RowVersion OwnSeen = Mirror.seen(TableName::Own);
-  if (Report.operator_rows_seen <= OperatorsSeen.value() &&
-      Report.own_rows_seen <= OwnSeen.value())
+  const auto Lacking = m_CatchUp.onReport(
+      {.m_Operators = RowVersion(Report.operator_rows_seen),
+       .m_Own = RowVersion(Report.own_rows_seen)},
+      {.m_Operators = OperatorsSeen, .m_Own = OwnSeen},
+      m_Follower.isReachable(TableName::Operators), m_Loop.now());
+  if (!Lacking)
     return;
   LinkFrame Wanted;
   Wanted.kind = LinkFrameKind::RowsWanted;
-  Wanted.operator_rows_seen = OperatorsSeen.value();
-  Wanted.own_rows_seen = OwnSeen.value();
+  Wanted.operator_rows_seen = Lacking->m_Operators.value();
+  Wanted.own_rows_seen = Lacking->m_Own.value();
   m_Mesh.askForRows(Peer, Wanted);
 }
 
@@ -160,6 +164,7 @@
 }
 
 void Router::takeRows(const LinkFrame &Rows) {
+  m_CatchUp.onRows();
   for (const auto &Each : Rows.rows)
     m_Follower.apply(rowFromWire(*Each), "peer");
 }
--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Pauses below this are left out.
+constexpr Duration ShortestPause = std::chrono::milliseconds(20);
+
 const char *nameOf(TableName Table) {
   return Table == TableName::Operators ? "operators" : "own";
 }
@@ -117,7 +120,22 @@
   for (const MirroredRow &Row : Reply.m_Rows)
     apply(Row, "watch");
   Of.m_Position = std::max(*Of.m_Position, Reply.m_Version);
-  next(Of);
+  const Duration Pause = pauseAfter(Reply.m_Rows);
+  if (Pause <= Duration::zero())
+    return next(Of);
+  m_Loop.after(Pause, [this, &Of] { next(Of); });
+}
+
+Duration TableFollower::pauseAfter(const std::vector<MirroredRow> &Rows) const {
+  if (m_Options.m_BytesPerSecond <= 0)
+    return Duration::zero();
+  double Bytes = 0;
+  for (const MirroredRow &Row : Rows)
+    Bytes += Row.m_Value ? static_cast<double>(Row.m_Value->size()) : 0;
+  const Duration Pause(
+      static_cast<Duration::rep>(Bytes / m_Options.m_BytesPerSecond * 1e6));
+  return Pause < ShortestPause ? Duration::zero()
+                               : std::min(Pause, m_Options.m_LongestPause);
 }
 
 } // namespace balsamwheel
--- a/src/router/table_follower.h
+++ b/src/router/table_follower.h
@@ -17,6 +17,11 @@
   Duration m_LongestWait = std::chrono::seconds(8);
   Duration m_FirstRetry = std::chrono::milliseconds(150);
   Duration m_LongestRetry = std::chrono::milliseconds(1200);
+  /// Bytes a second that changes may take of the machine's link; 0 means no
+  /// limit. Large rows that change often are then read less often.
+  double m_BytesPerSecond = 0;
+  /// Longest pause between two watches for that.
+  Duration m_LongestPause = std::chrono::milliseconds(700);
 };
 
 class TableFollower {
@@ -57,6 +62,8 @@
   }
   void next(Followed &Of);
   Duration watchWait();
+  /// Until the next watch, after one that brought \p Rows.
+  Duration pauseAfter(const std::vector<MirroredRow> &Rows) const;
   void readDone(Followed &Of, const TableServiceReply &Reply);
   void watchDone(Followed &Of, const TableServiceReply &Reply);
   /// \returns whether the call succeeded; else it is repeated later.
