Find connections between daemons that have gone silent one way

Cause: a daemon took a peer for reachable as long as its reports arrived. When the other direction of the connection passed nothing, all requests to it waited until their deadlines, for good: keys of that peer weren't served from there any more.

Ruled out: the owner's gate and grants; requests from other daemons were served, and the logs of the owner don't name these.

Change: when a request has waited half a second without an answer to any, a ping is sent; without an answer within the limit for silent peers the connection is given up. Test with a deaf peer fails without it.

Also the gate learns from its starts how fast its queue moves, as calls that pass the queue and failed runs were left out of the expected wait.

--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -39,6 +39,11 @@
   double m_LeastServiceLeft = 0.6;
   /// Weight of the newest service time in the running mean.
   double m_ServiceWeight = 0.1;
+  /// Weight of the newest gap between two starts from the queue.
+  double m_StartGapWeight = 0.1;
+  /// How long the gap between starts is believed after the last start from a
+  /// queue: as long as a burst takes to build up or to end.
+  Duration m_StartGapLife = std::chrono::seconds(1);
   /// Service time assumed before any has been seen.
   Duration m_InitialService = std::chrono::milliseconds(200);
   /// Requests that a cold target may get at once, beyond its rate.
@@ -135,6 +140,9 @@
   bool before(const Waiting &Left, const Waiting &Right, TimePoint Now) const;
   Duration waitBehind(std::size_t Ahead, TimePoint Now) const;
   bool takeRate(TimePoint Now);
+  bool hasOrdinaryWaiting() const;
+  /// Learns from the start of a waiting request how fast the queue moves.
+  void noteStart(TimePoint Now);
   double ratePermits(TimePoint Now) const;
 
   RequestGateOptions m_Options;
@@ -145,6 +153,13 @@
   /// Running means, in microseconds.
   std::map<std::string, double> m_Service;
   double m_MeanService = 0;
+  /// Mean time between two starts of requests from the queue that are no calls
+  /// of running ones, in microseconds: what calls, failed runs and slow ones
+  /// leave of the slots. 0 when it isn't known.
+  double m_StartGap = 0;
+  TimePoint m_LastStart;
+  /// Such requests have been waiting ever since the last start.
+  bool m_Backlogged = false;
   double m_Rate = 0;
   TimePoint m_RateUntil;
   /// Requests that the rate allows now; at most the burst.
--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -45,11 +45,13 @@
   Report = 4,
   RowsWanted = 5,
   Rows = 6,
+  Ping = 7,
+  Pong = 8,
   MIN = Hello,
-  MAX = Rows
+  MAX = Pong
 };
 
-inline const Kind (&EnumValuesKind())[7] {
+inline const Kind (&EnumValuesKind())[9] {
   static const Kind values[] = {
     Kind::Hello,
     Kind::Request,
@@ -57,13 +59,15 @@
     Kind::Cancel,
     Kind::Report,
     Kind::RowsWanted,
-    Kind::Rows
+    Kind::Rows,
+    Kind::Ping,
+    Kind::Pong
   };
   return values;
 }
 
 inline const char * const *EnumNamesKind() {
-  static const char * const names[8] = {
+  static const char * const names[10] = {
     "Hello",
     "Request",
     "Answer",
@@ -71,13 +75,15 @@
     "Report",
     "RowsWanted",
     "Rows",
+    "Ping",
+    "Pong",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameKind(Kind e) {
-  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::Rows)) return "";
+  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::Pong)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesKind()[index];
 }
--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -24,6 +24,8 @@
   for (const Waiting &Each : m_Waiting)
     Result.push_back(Each.m_Request.m_Handle);
   m_Waiting.clear();
+  m_Backlogged = false;
+  m_StartGap = 0;
   return Result;
 }
 
@@ -120,6 +122,8 @@
   if (m_Running + Ahead >= m_Slots)
     Wait = micros(meanService()) *
            static_cast<double>(m_Running + Ahead - m_Slots + 1) / m_Slots;
+  if (m_StartGap > 0 && Now - m_LastStart < m_Options.m_StartGapLife)
+    Wait = std::max(Wait, m_StartGap * static_cast<double>(Ahead + 1));
   if (const double Rate = rateLimit(Now); Rate > 0) {
     const double Missing = static_cast<double>(Ahead) + 1 - ratePermits(Now);
     Wait = std::max(Wait, Missing / Rate * 1e6);
@@ -127,6 +131,26 @@
   return fromMicros(Wait);
 }
 
+bool RequestGate::hasOrdinaryWaiting() const {
+  return std::any_of(
+      m_Waiting.begin(), m_Waiting.end(),
+      [](const Waiting &Each) { return !Each.m_Request.m_Nested; });
+}
+
+void RequestGate::noteStart(TimePoint Now) {
+  const double Gap = micros(Now - m_LastStart);
+  const bool Believed = Now - m_LastStart < m_Options.m_StartGapLife;
+  if (m_Backlogged)
+    m_StartGap =
+        m_StartGap > 0 && Believed
+            ? m_StartGap + m_Options.m_StartGapWeight * (Gap - m_StartGap)
+            : Gap;
+  else if (!Believed)
+    m_StartGap = 0;
+  m_LastStart = Now;
+  m_Backlogged = hasOrdinaryWaiting();
+}
+
 GateDecision RequestGate::offer(const GateRequest &Request, TimePoint Now) {
   if (!isOpen() || hopeless(Request, Now))
     return refusal(meanService());
@@ -158,8 +182,11 @@
   if (!takeRate(Now))
     return std::nullopt;
   const RequestHandle Result = Best->m_Request.m_Handle;
+  const bool Nested = Best->m_Request.m_Nested;
   m_Waiting.erase(Best);
   ++m_Running;
+  if (!Nested)
+    noteStart(Now);
   return Result;
 }
 
@@ -177,13 +204,16 @@
       Result.push_back(Each.m_Request.m_Handle);
     return Hopeless;
   });
+  m_Backlogged = m_Backlogged && hasOrdinaryWaiting();
   return Result;
 }
 
 bool RequestGate::withdraw(RequestHandle Request) {
-  return std::erase_if(m_Waiting, [&](const Waiting &Each) {
-           return Each.m_Request.m_Handle == Request;
-         }) > 0;
+  const bool Found = std::erase_if(m_Waiting, [&](const Waiting &Each) {
+                       return Each.m_Request.m_Handle == Request;
+                     }) > 0;
+  m_Backlogged = m_Backlogged && hasOrdinaryWaiting();
+  return Found;
 }
 
 void RequestGate::finished(const std::string &Route, Duration Service,
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -91,8 +91,9 @@
   Of.m_Pause = std::clamp(Of.m_Pause * 2, m_Options.m_FirstReconnect,
                           m_Options.m_LongestReconnect);
   Of.m_NextTry = m_Loop.now() + Of.m_Pause;
-  const std::map<std::uint64_t, OnReply> Waiting = std::move(Of.m_Waiting);
+  const auto Unanswered = std::move(Of.m_Waiting);
   Of.m_Waiting.clear();
+  Of.m_PingSent.reset();
   if (Of.m_Up) {
     Of.m_Up = false;
     Of.m_DownSince = m_Loop.now();
@@ -101,11 +102,11 @@
         LogLine("peer_lost")
             .add("peer", Name.value())
             .add("why", Why)
-            .add("requests", static_cast<std::int64_t>(Waiting.size())));
+            .add("requests", static_cast<std::int64_t>(Unanswered.size())));
     m_Events.m_OnPeerDown(Name);
   }
-  for (const auto &[Stream, Done] : Waiting)
-    m_Loop.post([Done] { Done({}); });
+  for (const auto &[Stream, Each] : Unanswered)
+    m_Loop.post([Done = Each.m_Done] { Done({}); });
 }
 
 void PeerMesh::received(const InstanceName &Name, LinkFrame &Frame,
@@ -119,7 +120,10 @@
                   LogLine("peer_up").add("peer", Name.value()));
     }
     m_Events.m_OnReport(Name, Frame);
+  } else if (Frame.kind == LinkFrameKind::Pong) {
+    proved(Of);
   } else if (Frame.kind == LinkFrameKind::Answer) {
+    proved(Of);
     if (Frame.gate)
       m_Events.m_OnReport(Name, Frame);
     auto Found = Of.m_Waiting.extract(Frame.stream);
@@ -128,7 +132,7 @@
     PeerReply Reply;
     Reply.m_Answer = std::make_unique<LinkFrame>(std::move(Frame));
     Reply.m_Body = std::move(Body);
-    Found.mapped()(std::move(Reply));
+    Found.mapped().m_Done(std::move(Reply));
   } else if (Frame.kind == LinkFrameKind::Rows) {
     m_Events.m_OnRows(Frame);
   }
@@ -176,6 +180,11 @@
   }
   case LinkFrameKind::Cancel:
     return m_Events.m_OnCancel(LinkId, Frame.stream);
+  case LinkFrameKind::Ping: {
+    LinkFrame Pong;
+    Pong.kind = LinkFrameKind::Pong;
+    return From.m_Link->send(Pong);
+  }
   case LinkFrameKind::RowsWanted:
     return From.m_Link->send(m_Events.m_OnRowsWanted(Frame));
   default:
@@ -239,11 +248,36 @@
       drop(Name, Of, "no connection in time");
     } else if (Of.m_Greeted && Now - Of.m_Link->lastHeard() > silenceLimit()) {
       drop(Name, Of, "silent");
+    } else {
+      checkWaiting(Name, Of);
     }
   }
   m_Loop.after(CheckInterval, [this] { check(); });
 }
 
+void PeerMesh::proved(Peer &Of) {
+  Of.m_LastProof = m_Loop.now();
+  Of.m_PingSent.reset();
+}
+
+void PeerMesh::checkWaiting(const InstanceName &Name, Peer &Of) {
+  const TimePoint Now = m_Loop.now();
+  if (Of.m_PingSent) {
+    if (Now - *Of.m_PingSent > silenceLimit())
+      drop(Name, Of, "requests don't arrive");
+    return;
+  }
+  if (Of.m_Waiting.empty())
+    return;
+  const TimePoint Oldest = Of.m_Waiting.begin()->second.m_Sent;
+  if (Now - std::max(Oldest, Of.m_LastProof) <= m_Options.m_PingAfter)
+    return;
+  LinkFrame Ping;
+  Ping.kind = LinkFrameKind::Ping;
+  Of.m_Link->send(Ping);
+  Of.m_PingSent = Now;
+}
+
 bool PeerMesh::isUp(const InstanceName &Name) const {
   auto Found = m_Peers.find(Name);
   return Found != m_Peers.end() && Found->second.m_Up;
@@ -272,7 +306,8 @@
   Frame.kind = LinkFrameKind::Request;
   Frame.stream = ++m_LastStream;
   Frame.sent_at = sentAt();
-  Found->second.m_Waiting.emplace(Frame.stream, std::move(Done));
+  Found->second.m_Waiting.emplace(
+      Frame.stream, Waiting{.m_Done = std::move(Done), .m_Sent = m_Loop.now()});
   Found->second.m_Link->send(Frame, Body);
   return Frame.stream;
 }
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -34,6 +34,9 @@
   Duration m_ReportIntervalPerPeer = std::chrono::milliseconds(6);
   /// Reports missed in a row before a silent connection is given up.
   int m_MissedReports = 4;
+  /// A request that has waited this long raises the question whether requests
+  /// still reach the peer: longer than most requests take.
+  Duration m_PingAfter = std::chrono::milliseconds(500);
   Duration m_FirstReconnect = std::chrono::milliseconds(100);
   Duration m_LongestReconnect = std::chrono::seconds(2);
 };
@@ -98,6 +101,10 @@
   Duration reportInterval() const;
 
 private:
+  struct Waiting {
+    OnReply m_Done;
+    TimePoint m_Sent;
+  };
   struct Peer {
     Member m_Member;
     std::unique_ptr<PeerLink> m_Link;
@@ -108,7 +115,11 @@
     TimePoint m_ConnectingSince;
     Duration m_Pause{0};
     TimePoint m_NextTry;
-    std::map<std::uint64_t, OnReply> m_Waiting;
+    std::map<std::uint64_t, Waiting> m_Waiting;
+    /// When an answer or a pong last showed that requests reach the peer.
+    TimePoint m_LastProof;
+    /// A ping that hasn't been answered.
+    std::optional<TimePoint> m_PingSent;
   };
   struct Caller {
     std::unique_ptr<PeerLink> m_Link;
@@ -127,6 +138,10 @@
   /// Begins with the next large answer if none is on its way.
   void sendNextLarge();
   void check();
+  /// Finds out whether requests still reach a peer whose reports arrive: a
+  /// connection may have gone silent one way only.
+  void checkWaiting(const InstanceName &Name, Peer &Of);
+  void proved(Peer &Of);
   Duration silenceLimit() const;
   /// This daemon's clock, for frames whose wait on the way is told.
   std::int64_t sentAt() const;
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -22,6 +22,8 @@
   Endpoint m_Ready;
   Endpoint m_TargetControl;
   Endpoint m_Peers;
+  /// Where other daemons reach this one, if not where it listens.
+  std::optional<Endpoint> m_Advertised;
   std::optional<Endpoint> m_Metrics;
   Endpoint m_Table;
   std::size_t m_MaxHandles = 1024;
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,118 @@
+"""The platform's store in memory, with its faults."""
+
+import asyncio
+import base64
+import json
+import random
+import time
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import web
+
+HISTORY = 400
+
+
+class Store:
+    def __init__(self, seed):
+        self.rows = {}  # (table, key) -> (version, value or None)
+        self.version = 0
+        self.random = random.Random(seed)
+        self.changed = asyncio.Condition()
+        self.dropped_before = 0
+        # Faults, all set by the fleet.
+        self.down = None  # "refuse", "silent" or None
+        self.lost_answers = 0.0  # part of the answers to writes
+        self.delay = 0.0
+
+    async def start(self, host):
+        self.server = await web.serve(host, 0, self.handle)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def put(self, table, key, value):
+        """A write of the operator; acknowledged at once."""
+        text = json.dumps(value).encode() if value is not None else None
+        self.version += 1
+        self.rows[table, key] = (
+            self.version,
+            base64.b64encode(text).decode() if text is not None else None,
+        )
+        async with self.changed:
+            self.changed.notify_all()
+
+    def compact(self):
+        self.dropped_before = self.version
+
+    async def handle(self, method, target, headers, body):
+        if self.down == "refuse":
+            return 503, {}, b""
+        if self.down == "silent":
+            await asyncio.sleep(3600)
+        await asyncio.sleep(self.delay)
+        parts = urlsplit(target)
+        query = {n: v[0] for n, v in parse_qs(parts.query).items()}
+        if parts.path == "/v1/rows-get":
+            return self.answer(self.table_rows(query["Table"], query.get("From", "")))
+        if parts.path == "/v1/rows-feed":
+            return await self.feed(query)
+        if parts.path == "/v1/rows-tx":
+            reply = self.transact(json.loads(body))
+            if self.random.random() < self.lost_answers:
+                return None
+            async with self.changed:
+                self.changed.notify_all()
+            return reply
+        return 404, {}, b""
+
+    def answer(self, rows, status=200):
+        text = {"Rows": rows, "Ver": self.version, "NowS": time.monotonic()}
+        text["HasMore"] = False
+        return status, {"Content-Type": "application/json"}, json.dumps(text).encode()
+
+    def row(self, table, key):
+        version, value = self.rows.get((table, key), (0, None))
+        entry = {"Table": table, "part": "", "Key": key, "Ver": version}
+        if value is None:
+            entry["Removed"] = True
+        else:
+            entry["Value"] = value
+        return entry
+
+    def table_rows(self, table, first):
+        keys = sorted(k for t, k in self.rows if t == table and k >= first)
+        return [self.row(table, k) for k in keys if self.rows[table, k][1] is not None]
+
+    async def feed(self, query):
+        after, table = int(query["after"]), query["Table"]
+        until = time.monotonic() + int(query["WaitMs"]) / 1000
+        while True:
+            if after < self.dropped_before:
+                return 410, {}, b""
+            rows = [
+                (version, key)
+                for (t, key), (version, _) in self.rows.items()
+                if t == table and version > after
+            ]
+            left = until - time.monotonic()
+            if rows or left <= 0:
+                return self.answer([self.row(table, k) for _, k in sorted(rows)])
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+    def transact(self, call):
+        expected = call.get("Expected", [])
+        for entry in expected:
+            version, value = self.rows.get((entry["Table"], entry["Key"]), (0, None))
+            if (version if value is not None else 0) != entry["Ver"]:
+                found = [self.row(e["Table"], e["Key"]) for e in expected]
+                return self.answer([r for r in found if "Value" in r], 412)
+        writes = call.get("Writes", [])
+        if writes or call.get("Remove"):
+            self.version += 1
+        for entry in writes:
+            self.rows[entry["Table"], entry["Key"]] = (self.version, entry["Value"])
+        for entry in call.get("Remove", []):
+            self.rows[entry["Table"], entry["Key"]] = (self.version, None)
+        return self.answer([])
--- a/tests/unit-request-gate.cpp
+++ b/tests/unit-request-gate.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace balsamwheel;
 using namespace std::chrono_literals;
@@ -44,21 +45,40 @@
   Duration m_LongestRefusal{0};
 };
 
+/// Arrivals besides the requests that are counted.
+struct ReplayExtras {
+  /// Calls of requests that run elsewhere, each second.
+  double m_CallsPerSecond = 0;
+  Duration m_CallService = 40ms;
+  /// Part of the requests that fail after a longer time.
+  double m_FailingPart = 0;
+  Duration m_FailingService{0};
+};
+
 /// Replays open arrivals against a target with noisy service times. The gate
 /// decides, the replay is the target.
 ReplayResult replay(double ArrivalsPerSecond, double Seconds, Duration Service,
-                    std::uint32_t Slots, Duration Objective) {
+                    std::uint32_t Slots, Duration Objective,
+                    const ReplayExtras &Extras = {}) {
   RequestGate Gate = warmGate(Slots, Service);
   pcg32 Random(7);
   std::exponential_distribution<double> Gap(ArrivalsPerSecond);
   std::uniform_real_distribution<double> Spread(0.6, 1.4);
   std::map<std::uint64_t, TimePoint> Arrived;
   std::multimap<TimePoint, std::pair<std::uint64_t, Duration>> Running;
+  std::set<std::uint64_t> Calls;
+  std::set<std::uint64_t> Failing;
+  std::exponential_distribution<double> CallGap(
+      std::max(Extras.m_CallsPerSecond, 1e-9));
+  std::uniform_real_distribution<double> Part(0, 1);
   ReplayResult Result;
   TimePoint Now = Start;
   const auto Send = [&](std::uint64_t Handle) {
+    const Duration Mean = Calls.contains(Handle)     ? Extras.m_CallService
+                          : Failing.contains(Handle) ? Extras.m_FailingService
+                                                     : Service;
     const auto Took =
-        std::chrono::duration_cast<Duration>(Service * Spread(Random));
+        std::chrono::duration_cast<Duration>(Mean * Spread(Random));
     Running.emplace(Now + Took, std::pair(Handle, Took));
   };
   const auto Pump = [&] {
@@ -71,7 +91,12 @@
       Send(Next->value());
   };
   std::uint64_t Handle = 0;
+  const auto After = [&](std::exponential_distribution<double> &Law) {
+    return Now + std::chrono::duration_cast<Duration>(
+                     std::chrono::duration<double>(std::min(Law(Random), 1e6)));
+  };
   TimePoint NextArrival = Start;
+  TimePoint NextCall = After(CallGap);
   const TimePoint End = Start + std::chrono::duration_cast<Duration>(
                                     std::chrono::duration<double>(Seconds));
   while (NextArrival < End || !Running.empty()) {
@@ -80,17 +105,27 @@
       Now = Running.begin()->first;
       const auto [Ended, Took] = Running.begin()->second;
       Running.erase(Running.begin());
-      Gate.finished("r", Took, true);
-      ++(Now <= Arrived.at(Ended) + Objective ? Result.m_Timely
-                                              : Result.m_Late);
+      const bool Call = Calls.contains(Ended);
+      const bool Fails = Failing.contains(Ended);
+      Gate.finished(Call ? "call" : "r", Took, !Fails);
+      if (!Call && !Fails)
+        ++(Now <= Arrived.at(Ended) + Objective ? Result.m_Timely
+                                                : Result.m_Late);
       Pump();
       continue;
     }
-    Now = NextArrival;
-    NextArrival += std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(Gap(Random)));
-    const GateRequest Next = request(++Handle, Objective, 1, Now);
+    const bool Call = NextCall < NextArrival;
+    Now = Call ? NextCall : NextArrival;
+    (Call ? NextCall : NextArrival) = After(Call ? CallGap : Gap);
+    GateRequest Next = request(++Handle, Objective, 1, Now);
     Arrived[Handle] = Now;
+    if (Call) {
+      Calls.insert(Handle);
+      Next.m_Route = "call";
+      Next.m_Nested = true;
+    } else if (Part(Random) < Extras.m_FailingPart) {
+      Failing.insert(Handle);
+    }
     switch (Gate.offer(Next, Now).m_Verdict) {
     case GateVerdict::Send:
       Send(Handle);
@@ -209,6 +244,23 @@
   CHECK(Result.m_Expired <= 0.02 * Result.m_Timely);
 }
 
+TEST_CASE("overload beside calls that pass the queue: few wait in vain") {
+  // Calls take 2 of 9 slots, so 35 requests a second can be served.
+  const ReplayResult Result =
+      replay(80, 20, 200ms, 9, 600ms, {.m_CallsPerSecond = 50});
+  CHECK(Result.m_Timely >= 0.85 * 35 * 20);
+  CHECK(Result.m_Expired <= 0.05 * Result.m_Timely);
+}
+
+TEST_CASE("overload with requests that fail late: few wait in vain") {
+  // A third holds its slot for 500 ms and fails: 30 starts a second, 20 good.
+  const ReplayResult Result =
+      replay(80, 20, 200ms, 9, 600ms,
+             {.m_FailingPart = 1.0 / 3, .m_FailingService = 500ms});
+  CHECK(Result.m_Timely >= 0.8 * 20 * 20);
+  CHECK(Result.m_Expired <= 0.05 * Result.m_Timely);
+}
+
 TEST_CASE("load just under the capacity is hardly refused") {
   const ReplayResult Result = replay(36, 20, 200ms, 9, 600ms);
   CHECK(Result.m_Refused <= 0.02 * 36 * 20);
--- a/tests/unit-router.cpp
+++ b/tests/unit-router.cpp
@@ -459,6 +459,51 @@
     CHECK(Rig.call(A, "/read/1").m_Status == 200);
 }
 
+TEST_CASE("a connection that has gone silent one way is given up") {
+  // The peer reports as usual, but nothing that is sent to it arrives.
+  Rig Rig;
+  Instance &Here = Rig.add("a", "plain");
+  const Endpoint Address = freeEndpoint();
+  int Ended = 0;
+  int Requests = 0;
+  std::vector<std::unique_ptr<PeerLink>> Links;
+  Acceptor Deaf(Rig.m_Loop, [&](ACE_HANDLE Handle) {
+    Links.push_back(std::make_unique<PeerLink>(
+        Rig.m_Loop,
+        PeerLinkEvents{
+            .m_OnFrame =
+                [&](std::unique_ptr<LinkFrame> Frame, const std::string &) {
+                  Requests += Frame->kind == LinkFrameKind::Request ? 1 : 0;
+                },
+            .m_OnEnd = [&](const char *) { ++Ended; }}));
+    REQUIRE(Links.back()->adopt(Handle));
+  });
+  REQUIRE(Deaf.listen(Address));
+  std::function<void()> Report = [&] {
+    LinkFrame Frame;
+    Frame.kind = LinkFrameKind::Report;
+    Frame.gate = std::make_unique<link_wire::GateStateT>();
+    Frame.gate->slots = 4;
+    Frame.target_id = "t";
+    for (const auto &Link : Links)
+      Link->send(Frame);
+    Rig.m_Loop.after(100ms, Report);
+  };
+  Report();
+  Rig.m_Rows.put(TableName::Own, "member/b",
+                 R"({"address":")" + Address.toText() +
+                     R"(","domain":"d","service":"plain"})");
+  Rig.configure(1);
+  REQUIRE(Rig.until([&] { return Here.m_Router->ready(); }));
+  REQUIRE(Rig.until([&] { return !Links.empty(); }));
+  for (int Try = 0; Try < 50 && Requests == 0; ++Try) {
+    Rig.start(Here, "/write/1", "POST");
+    Rig.settle(50ms);
+  }
+  REQUIRE(Requests > 0);
+  CHECK(Rig.until([&] { return Ended > 0; }));
+}
+
 TEST_CASE("a request that waited on the link past its deadline isn't run") {
   Rig Rig;
   Instance &There = Rig.add("b", "plain");
