Don't take a daemon at a reused address for the one that was there

Cause: a machine was lost and its address given to a new machine of another service.

Change: a daemon says whom it wants to reach and is turned away by any other; no reports go to connections that haven't said who they are. The test saw the connection stay open with reports before.

--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -461,6 +461,7 @@
   std::string instance{};
   std::string domain{};
   std::string service{};
+  std::string wanted{};
   std::string method{};
   std::string target{};
   std::vector<std::unique_ptr<balsamwheel::link_wire::HeaderT>> headers{};
@@ -506,35 +507,36 @@
     VT_INSTANCE = 10,
     VT_DOMAIN = 12,
     VT_SERVICE = 14,
-    VT_METHOD = 16,
-    VT_TARGET = 18,
-    VT_HEADERS = 20,
-    VT_REQUEST_ID = 22,
-    VT_ROUTE = 24,
-    VT_NON_IDEMPOTENT = 26,
-    VT_PRIORITY = 28,
-    VT_NESTED = 30,
-    VT_LARGE_ANSWER = 32,
-    VT_KEY = 34,
-    VT_OBJECTIVE_LEFT = 36,
-    VT_DEADLINE_LEFT = 38,
-    VT_OUTCOME = 40,
-    VT_REASON = 42,
-    VT_REACHED_TARGET = 44,
-    VT_STATUS = 46,
-    VT_RETRY_AFTER = 48,
-    VT_BODY_LENGTH = 50,
-    VT_GATE = 52,
-    VT_TARGET_ID = 54,
-    VT_TARGET_BORN = 56,
-    VT_CONDITION = 58,
-    VT_CAPACITY = 60,
-    VT_HAS_RATES = 62,
-    VT_SEES_TABLE = 64,
-    VT_SLICE_RATES = 66,
-    VT_OPERATOR_ROWS_SEEN = 68,
-    VT_OWN_ROWS_SEEN = 70,
-    VT_ROWS = 72
+    VT_WANTED = 16,
+    VT_METHOD = 18,
+    VT_TARGET = 20,
+    VT_HEADERS = 22,
+    VT_REQUEST_ID = 24,
+    VT_ROUTE = 26,
+    VT_NON_IDEMPOTENT = 28,
+    VT_PRIORITY = 30,
+    VT_NESTED = 32,
+    VT_LARGE_ANSWER = 34,
+    VT_KEY = 36,
+    VT_OBJECTIVE_LEFT = 38,
+    VT_DEADLINE_LEFT = 40,
+    VT_OUTCOME = 42,
+    VT_REASON = 44,
+    VT_REACHED_TARGET = 46,
+    VT_STATUS = 48,
+    VT_RETRY_AFTER = 50,
+    VT_BODY_LENGTH = 52,
+    VT_GATE = 54,
+    VT_TARGET_ID = 56,
+    VT_TARGET_BORN = 58,
+    VT_CONDITION = 60,
+    VT_CAPACITY = 62,
+    VT_HAS_RATES = 64,
+    VT_SEES_TABLE = 66,
+    VT_SLICE_RATES = 68,
+    VT_OPERATOR_ROWS_SEEN = 70,
+    VT_OWN_ROWS_SEEN = 72,
+    VT_ROWS = 74
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -556,6 +558,10 @@
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
   }
+  /// The instance that the sender means to reach.
+  const flatbuffers::String *wanted() const {
+    return GetPointer<const flatbuffers::String *>(VT_WANTED);
+  }
   const flatbuffers::String *method() const {
     return GetPointer<const flatbuffers::String *>(VT_METHOD);
   }
@@ -654,6 +660,8 @@
            verifier.VerifyString(domain()) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_WANTED) &&
+           verifier.VerifyString(wanted()) &&
            VerifyOffset(verifier, VT_METHOD) &&
            verifier.VerifyString(method()) &&
            VerifyOffset(verifier, VT_TARGET) &&
@@ -724,6 +732,9 @@
   void add_service(flatbuffers::Offset<flatbuffers::String> service) {
     fbb_.AddOffset(Frame::VT_SERVICE, service);
   }
+  void add_wanted(flatbuffers::Offset<flatbuffers::String> wanted) {
+    fbb_.AddOffset(Frame::VT_WANTED, wanted);
+  }
   void add_method(flatbuffers::Offset<flatbuffers::String> method) {
     fbb_.AddOffset(Frame::VT_METHOD, method);
   }
@@ -830,6 +841,7 @@
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     flatbuffers::Offset<flatbuffers::String> domain = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> wanted = 0,
     flatbuffers::Offset<flatbuffers::String> method = 0,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::Header>>> headers = 0,
@@ -881,6 +893,7 @@
   builder_.add_headers(headers);
   builder_.add_target(target);
   builder_.add_method(method);
+  builder_.add_wanted(wanted);
   builder_.add_service(service);
   builder_.add_domain(domain);
   builder_.add_instance(instance);
@@ -906,6 +919,7 @@
     const char *instance = nullptr,
     const char *domain = nullptr,
     const char *service = nullptr,
+    const char *wanted = nullptr,
     const char *method = nullptr,
     const char *target = nullptr,
     const std::vector<flatbuffers::Offset<balsamwheel::link_wire::Header>> *headers = nullptr,
@@ -938,6 +952,7 @@
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto wanted__ = wanted ? _fbb.CreateString(wanted) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::Header>>(*headers) : 0;
@@ -954,6 +969,7 @@
       instance__,
       domain__,
       service__,
+      wanted__,
       method__,
       target__,
       headers__,
@@ -1131,6 +1147,7 @@
         instance(o.instance),
         domain(o.domain),
         service(o.service),
+        wanted(o.wanted),
         method(o.method),
         target(o.target),
         request_id(o.request_id),
@@ -1172,6 +1189,7 @@
   std::swap(instance, o.instance);
   std::swap(domain, o.domain);
   std::swap(service, o.service);
+  std::swap(wanted, o.wanted);
   std::swap(method, o.method);
   std::swap(target, o.target);
   std::swap(headers, o.headers);
@@ -1219,6 +1237,7 @@
   { auto _e = instance(); if (_e) _o->instance = _e->str(); }
   { auto _e = domain(); if (_e) _o->domain = _e->str(); }
   { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = wanted(); if (_e) _o->wanted = _e->str(); }
   { auto _e = method(); if (_e) _o->method = _e->str(); }
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<balsamwheel::link_wire::HeaderT>(_e->Get(_i)->UnPack(_resolver)); } } }
@@ -1264,6 +1283,7 @@
   auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
   auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _wanted = _o->wanted.empty() ? 0 : _fbb.CreateString(_o->wanted);
   auto _method = _o->method.empty() ? 0 : _fbb.CreateString(_o->method);
   auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
   auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::Header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeader(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
@@ -1301,6 +1321,7 @@
       _instance,
       _domain,
       _service,
+      _wanted,
       _method,
       _target,
       _headers,
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -64,6 +64,7 @@
     LinkFrame Hello;
     Hello.kind = LinkFrameKind::Hello;
     Hello.sent_at = sentAt();
+    Hello.wanted = Name.value();
     Hello.instance = m_Settings.m_Instance.value();
     Hello.domain = m_Settings.m_Domain.value();
     Hello.service = m_Settings.m_Service.value();
@@ -160,9 +161,21 @@
 
 void PeerMesh::receivedFromCaller(std::uint64_t LinkId, LinkFrame &Frame,
                                   std::string Body) {
-  Caller &From = m_Callers.at(LinkId);
+  const auto Found = m_Callers.find(LinkId);
+  if (Found == m_Callers.end())
+    return; // Turned away by an earlier frame.
+  Caller &From = Found->second;
   switch (Frame.kind) {
   case LinkFrameKind::Hello: {
+    if (!Frame.wanted.empty() &&
+        Frame.wanted != m_Settings.m_Instance.value()) {
+      // The address was another instance's before.
+      m_Log.write(LogClass::Belief, LogLine("peer_turned_away")
+                                        .add("peer", Frame.instance)
+                                        .add("wanted", Frame.wanted));
+      From.m_Link->close();
+      return callerEnded(LinkId);
+    }
     From.m_Delay.note(Frame.sent_at, m_Loop.now());
     From.m_Instance = InstanceName(Frame.instance);
     From.m_Service = ServiceName(Frame.service);
@@ -343,7 +356,8 @@
   const std::string Plain = encodeFrame(Report, {});
   const std::string Full = ForService ? encodeFrame(*ForService, {}) : Plain;
   for (auto &[Id, Caller] : m_Callers)
-    if (Caller.m_Link->pending() < MaxPendingForReport)
+    if (!Caller.m_Instance.value().empty() &&
+        Caller.m_Link->pending() < MaxPendingForReport)
       Caller.m_Link->sendEncoded(
           Caller.m_Service == m_Settings.m_Service ? Full : Plain);
 }
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -71,6 +71,8 @@
   LinkFrame rowsFor(const LinkFrame &Wanted) const;
   void takeRows(const LinkFrame &Rows);
   std::vector<KeyCandidate> keyCandidates() const;
+  /// Of an owner that the key map names and nobody reports.
+  TargetCondition conditionOfUnreported(const KeyOwner &Owner) const;
   SliceLoads keyLoads() const;
   /// Whether a peer is up and says that it reaches the platform's table.
   bool seesTable(const InstanceName &Peer) const;
--- a/src/router/router_keys.cpp
+++ b/src/router/router_keys.cpp
@@ -1,18 +1,12 @@
 // What a router knows of the targets of its own service, for the planner of
 // its keys.
 #include "router.h"
+#include "unreported_owner.h"
 
 #include <algorithm>
 
 namespace balsamwheel {
 
-namespace {
-
-/// How long an unreachable owner of keys is taken to be restarting.
-constexpr Duration OwnerLostAfter = std::chrono::milliseconds(2500);
-
-} // namespace
-
 std::vector<KeyCandidate> Router::keyCandidates() const {
   std::vector<KeyCandidate> Result;
   double Total = 0;
@@ -48,21 +42,8 @@
               Result.begin(), Result.end(),
               [&](const KeyCandidate &Each) { return Each.m_Owner == Owner; }))
         continue;
-      const bool Local = Owner.m_Instance == m_Settings.m_Instance;
-      const auto Down = m_Mesh.downSince(Owner.m_Instance);
-      const bool Up = Local || m_Mesh.isUp(Owner.m_Instance);
-      auto Known = m_PeerTargets.find(Owner.m_Instance);
-      TargetCondition Condition = TargetCondition::Lost;
-      if (Local)
-        Condition =
-            m_Agent.owner() ? TargetCondition::Ended : m_Agent.condition();
-      else if (Up && Known != m_PeerTargets.end())
-        Condition = Known->second.m_Condition == TargetCondition::Ended
-                        ? TargetCondition::Ended
-                        : TargetCondition::Shaken;
-      else if (Down && m_Loop.now() - *Down <= OwnerLostAfter)
-        Condition = TargetCondition::Shaken;
-      Result.push_back({.m_Owner = Owner, .m_Condition = Condition});
+      Result.push_back(
+          {.m_Owner = Owner, .m_Condition = conditionOfUnreported(Owner)});
     }
   for (const KeyCandidate &Each : Result)
     Total += Each.m_Capacity;
@@ -74,6 +55,21 @@
   return Result;
 }
 
+TargetCondition Router::conditionOfUnreported(const KeyOwner &Owner) const {
+  if (Owner.m_Instance == m_Settings.m_Instance)
+    return m_Agent.owner() ? TargetCondition::Ended : m_Agent.condition();
+  UnreportedOwner Seen{.m_Up = m_Mesh.isUp(Owner.m_Instance)};
+  for (const Member &Each : m_Members)
+    if (Each.m_Instance == Owner.m_Instance)
+      Seen.m_ServesOtherwise = Each.m_Service != m_Settings.m_Service;
+  if (const auto Known = m_PeerTargets.find(Owner.m_Instance);
+      Known != m_PeerTargets.end())
+    Seen.m_Reported = Known->second.m_Condition;
+  if (const auto Down = m_Mesh.downSince(Owner.m_Instance))
+    Seen.m_DownFor = m_Loop.now() - *Down;
+  return conditionOf(Seen);
+}
+
 SliceLoads Router::keyLoads() const {
   SliceLoads Sum = m_Agent.sliceRates();
   for (const auto &[Peer, Known] : m_PeerTargets)
--- a/tests/unit-router.cpp
+++ b/tests/unit-router.cpp
@@ -504,6 +504,43 @@
   CHECK(Rig.until([&] { return Ended > 0; }));
 }
 
+TEST_CASE("a daemon at another one's former address isn't taken for it") {
+  Rig Rig;
+  Instance &There = Rig.add("new", "plain");
+  Rig.configure(1);
+  There.beat();
+  REQUIRE(Rig.until([&] { return There.m_Router->ready(); }));
+  struct Seen {
+    std::unique_ptr<PeerLink> m_Link;
+    int m_Reports = 0;
+    int m_Ended = 0;
+  };
+  const auto Open = [&](const std::string &Wanted) {
+    auto Result = std::make_unique<Seen>();
+    Seen &Of = *Result;
+    PeerLinkEvents Events;
+    Events.m_OnFrame = [&Of](std::unique_ptr<LinkFrame> Frame,
+                             const std::string &) {
+      Of.m_Reports += Frame->kind == LinkFrameKind::Report ? 1 : 0;
+    };
+    Events.m_OnEnd = [&Of](const char *) { ++Of.m_Ended; };
+    Of.m_Link = std::make_unique<PeerLink>(Rig.m_Loop, std::move(Events));
+    REQUIRE(Of.m_Link->connect(There.m_Settings.m_Peers));
+    LinkFrame Hello;
+    Hello.kind = LinkFrameKind::Hello;
+    Hello.instance = "a";
+    Hello.wanted = Wanted;
+    Of.m_Link->send(Hello);
+    return Result;
+  };
+  const auto Former = Open("former");
+  const auto Present = Open("new");
+  CHECK(Rig.until([&] { return Present->m_Reports > 0; }));
+  CHECK(Rig.until([&] { return Former->m_Ended > 0; }));
+  CHECK(Former->m_Reports == 0);
+  CHECK(Present->m_Ended == 0);
+}
+
 TEST_CASE("a request that waited on the link past its deadline isn't run") {
   Rig Rig;
   Instance &There = Rig.add("b", "plain");
