Give new callers the place of idle connections when the limit is reached

Cause: a daemon took 1,024 callers' connections and reset any more.

Ruled out: faults of the network (the daemons' logs name none in that time); the descriptors (2,113 of 3,900).

Change: half of the descriptors are for callers, and at the limit the connections idle for longest are closed. The new test fails without it.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,6 +3,8 @@
 
 #include <ace/OS_NS_sys_socket.h>
 
+#include <algorithm>
+
 namespace balsamwheel {
 
 namespace {
@@ -12,6 +14,10 @@
 /// What a caller may send ahead while its request is being served.
 constexpr std::size_t MaxReadAhead = std::size_t{256} << 10;
 
+/// When the connections reach their limit, one part of this many is closed, if
+/// idle, so that room isn't searched for with each new one.
+constexpr std::size_t IdleBatch = 32;
+
 HttpAnswer plainAnswer(unsigned Status) {
   return {.m_Status = Status, .m_KeepAlive = false};
 }
@@ -31,6 +37,11 @@
   bool adopt(ACE_HANDLE Handle) { return m_Stream.adopt(Handle); }
   std::size_t pending() const { return m_Stream.pending(); }
   bool busy() const { return m_Exchange != nullptr; }
+  /// Nothing is being read, served or sent.
+  bool idle() const {
+    return !m_Exchange && !m_Parser && m_Input.empty() && pending() == 0;
+  }
+  TimePoint lastActive() const { return m_LastActive; }
 
   void answered(HttpAnswer Answer) {
     Answer.m_KeepAlive =
@@ -198,6 +209,8 @@
 }
 
 void HttpServer::accepted(ACE_HANDLE Handle) {
+  if (m_Connections.size() >= m_Options.m_MaxConnections)
+    closeLongestIdle();
   if (m_Connections.size() >= m_Options.m_MaxConnections) {
     ACE_OS::closesocket(Handle);
     return;
@@ -207,6 +220,22 @@
     m_Connections.emplace(Connection.get(), std::move(Connection));
 }
 
+void HttpServer::closeLongestIdle() {
+  std::vector<HttpServerConnection *> Idle;
+  for (const auto &[Key, Connection] : m_Connections)
+    if (Connection->idle())
+      Idle.push_back(Key);
+  const std::size_t Count =
+      std::min(Idle.size(), m_Options.m_MaxConnections / IdleBatch + 1);
+  std::partial_sort(Idle.begin(),
+                    Idle.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Idle.end(), [](const auto *Left, const auto *Right) {
+                      return Left->lastActive() < Right->lastActive();
+                    });
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Idle[Index]->aborted();
+}
+
 void HttpServer::remove(HttpServerConnection *Connection) {
   auto Found = m_Connections.extract(Connection);
   if (!Found.empty())
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -43,6 +43,7 @@
   /// From the first byte of a request to the end of its headers.
   Duration m_HeaderTimeout = std::chrono::seconds(3);
   Duration m_IdleTimeout = std::chrono::seconds(15);
+  /// Beyond it, new connections take the place of those idle for longest.
   std::size_t m_MaxConnections = 2048;
 };
 
@@ -70,6 +71,8 @@
   friend class HttpServerConnection;
 
   void accepted(ACE_HANDLE Handle);
+  /// Makes room for new connections; there may be none.
+  void closeLongestIdle();
   void remove(HttpServerConnection *Connection);
   void sweep();
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -22,7 +22,9 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(400);
 /// Daemons that watch the own table themselves.
 constexpr std::ptrdiff_t Watchers = 3;
-constexpr std::size_t MaxCallerConnections = 1024;
+/// Part of the descriptors that callers' connections may take; peers, the
+/// target and the table need the rest.
+constexpr std::size_t CallerHandlesDivisor = 2;
 /// Part of the machine's link that reading changed rows may take: the rest is
 /// for requests, and for rows that a part of the daemons fetch from this one.
 constexpr double RowsLinkShare = 0.25;
@@ -70,9 +72,9 @@
   return Options;
 }
 
-HttpServerOptions callerOptions() {
+HttpServerOptions callerOptions(const RouterSettings &Settings) {
   HttpServerOptions Options;
-  Options.m_MaxConnections = MaxCallerConnections;
+  Options.m_MaxConnections = Settings.m_MaxHandles / CallerHandlesDivisor;
   return Options;
 }
 
@@ -129,7 +131,7 @@
                [this](const ServiceName &Service) {
                  return candidates(Service);
                }}),
-      m_Callers(Loop, callerOptions(),
+      m_Callers(Loop, callerOptions(m_Settings),
                 [this](std::shared_ptr<HttpExchange> Exchange) {
                   m_Entrance.accept(std::move(Exchange));
                 }),
@@ -234,7 +236,7 @@
   m_Routes = std::move(Table);
   m_Metrics.configVersion(m_Routes->version().value());
   const CallerLimits &Limits = m_Routes->limits();
-  HttpServerOptions Options = callerOptions();
+  HttpServerOptions Options = callerOptions(m_Settings);
   Options.m_Limits = {.m_MaxHeaderBytes = Limits.m_MaxHeaderBytes,
                       .m_MaxBodyBytes = Limits.m_MaxBodyBytes};
   Options.m_HeaderTimeout = Limits.m_HeaderTimeout;
--- a/tests/unit-http-loop.cpp
+++ b/tests/unit-http-loop.cpp
@@ -300,6 +300,42 @@
   }
 }
 
+TEST_CASE("a new caller takes the place of the one idle for longest") {
+  // Callers keep connections open that they hardly use: a limit on them must
+  // not turn away those who have something to ask.
+  EventLoop Loop({});
+  HttpServer Server(Loop, {.m_MaxConnections = 4}, [](const auto &Exchange) {
+    Exchange->answer({.m_Status = 200});
+  });
+  const Endpoint At = *Endpoint::fromText(
+      RawServer([](const auto &, int) { return RawReply{}; }).address());
+  REQUIRE(Server.listen(At));
+  struct Caller {
+    std::unique_ptr<Stream> m_Stream;
+    bool m_Ended = false;
+    bool m_Answered = false;
+  };
+  std::vector<std::unique_ptr<Caller>> Callers;
+  for (std::size_t Count = 1; Count <= 6; ++Count) {
+    Callers.push_back(std::make_unique<Caller>());
+    Caller &Each = *Callers.back();
+    Each.m_Stream = std::make_unique<Stream>(Loop);
+    Each.m_Stream->setEvents(
+        {.m_OnOpen =
+             [&Each] {
+               Each.m_Stream->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+             },
+         .m_OnData = [&Each](std::string_view) { Each.m_Answered = true; },
+         .m_OnEnd = [&Each](StreamEnd) { Each.m_Ended = true; }});
+    REQUIRE(Each.m_Stream->connect(At));
+    runUntil(Loop, [&] { return Each.m_Answered || Each.m_Ended; });
+    CHECK(Each.m_Answered);
+    CHECK(Server.connections() <= 4);
+  }
+  runUntil(Loop, [&] { return Callers[0]->m_Ended && Callers[1]->m_Ended; });
+  CHECK_FALSE(Callers[5]->m_Ended);
+}
+
 TEST_CASE("a smuggling attempt is answered with 400 and nothing runs") {
   ServerRig Rig;
   Rig.listen();
