Find free ports for tests in one place

Cause: three tests wrote the same trick for a free port. Ruled out: nothing. Change: freeAddress() beside RawServer serves all three. Figures: the cases of unit-http-loop and unit-router* pass as before. Conclusion: one copy.

--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -16,11 +16,7 @@
 
 using namespace std::chrono_literals;
 
-/// A port of the kernel's choice, freed right before it is used.
-inline Endpoint freeEndpoint() {
-  RawServer Port([](const std::string &, int) { return RawReply{}; });
-  return *Endpoint::fromText(Port.address());
-}
+inline Endpoint freeEndpoint() { return *Endpoint::fromText(freeAddress()); }
 
 /// Routes to the services "plain" and "keyed".
 inline std::string configuration(int Version, const std::string &Extra = "") {
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -128,6 +128,13 @@
   std::thread m_Thread;
 };
 
+/// "HOST:PORT" with a port of the kernel's choice, freed right before it is
+/// used.
+inline std::string freeAddress() {
+  return RawServer([](const std::string &, int) { return RawReply{}; })
+      .address();
+}
+
 /// A whole HTTP answer.
 inline std::string httpAnswer(const std::string &Status,
                               const std::string &Body,
--- a/tests/unit-http-loop.cpp
+++ b/tests/unit-http-loop.cpp
@@ -227,9 +227,7 @@
       : m_Loop({}), m_Server(m_Loop, Options, [this](auto Exchange) {
           m_Exchanges.push_back(std::move(Exchange));
         }) {
-    // A port of the kernel's choice, freed right before it is used.
-    RawServer Port([](const std::string &, int) { return RawReply{}; });
-    m_At = *Endpoint::fromText(Port.address());
+    m_At = *Endpoint::fromText(freeAddress());
   }
 
   void listen() { REQUIRE(m_Server.listen(m_At)); }
@@ -307,8 +305,7 @@
   HttpServer Server(Loop, {.m_MaxConnections = 4}, [](const auto &Exchange) {
     Exchange->answer({.m_Status = 200});
   });
-  const Endpoint At = *Endpoint::fromText(
-      RawServer([](const auto &, int) { return RawReply{}; }).address());
+  const Endpoint At = *Endpoint::fromText(freeAddress());
   REQUIRE(Server.listen(At));
   struct Caller {
     std::unique_ptr<Stream> m_Stream;
