--- a/include/balsamwheel/detail/keyspace/hold_ledger.h
+++ b/include/balsamwheel/detail/keyspace/hold_ledger.h
@@ -64,7 +64,12 @@
   std::vector<ReleasedSpan> m_Released;
 };
 
-/// Not thread-safe.
+/// Whether the map assigns the key to \p Owner, now or once the present owner
+/// has released it.
+bool isAssigned(const KeyMap &Map, KeyIndex Key, const KeyOwner &Owner);
+
+/// For targets that get their grants in the answers to heartbeats; see
+/// CallHoldLedger for the others. Not thread-safe.
 class HoldLedger {
 public:
   HoldLedger(HoldOptions Options, KeyOwner Self)
@@ -84,9 +89,6 @@
   bool holds(KeyIndex Key, TimePoint Now) const;
   /// The keys that the target certainly holds at \p Now.
   std::vector<HeldSpan> held(TimePoint Now) const;
-  /// Whether the map assigns the key to this target, now or once the present
-  /// owner has released it.
-  bool owns(const KeyMap &Map, KeyIndex Key) const;
   /// Time from which on the target certainly holds no keys, unless it gets
   /// another grant.
   TimePoint heldUntil() const { return m_HeldUntil; }
--- a/src/keyspace/hold_ledger.cpp
+++ b/src/keyspace/hold_ledger.cpp
@@ -94,10 +94,10 @@
   return Result;
 }
 
-bool HoldLedger::owns(const KeyMap &Map, KeyIndex Key) const {
+bool isAssigned(const KeyMap &Map, KeyIndex Key, const KeyOwner &Owner) {
   const KeySpan &Span = Map.find(Key);
-  return (Span.m_State == SpanState::Owned && Span.m_Owner == m_Self) ||
-         (Span.m_State == SpanState::Releasing && Span.m_NextOwner == m_Self);
+  return (Span.m_State == SpanState::Owned && Span.m_Owner == Owner) ||
+         (Span.m_State == SpanState::Releasing && Span.m_NextOwner == Owner);
 }
 
 std::vector<ReleasedSpan>
