Grant keys by calls where the configuration says so

Cause: "Grants" of a service was not read, and the answers to heartbeats, which these targets ignore, counted as grants. A refusal of a key by the target did not end that belief. Change: TargetKeys sends the calls of CallHoldLedger on kept connections, four at a time at most; the grant mode is part of the configuration, checked and logged. When it changes, everything held counts as held until its time has run out. A refused key ends the belief at once, and the next attempt of its request is charged to the retry budget. Evidence: unit-router-grants; without the change its requests are refused. Why it works: the map, its authority and the revocation wait are the same for both ways; the wait is longer by the time that a call may take.

--- a/include/balsamwheel/detail/routing/route_table.h
+++ b/include/balsamwheel/detail/routing/route_table.h
@@ -51,6 +51,14 @@
   bool idempotent() const { return m_Kind != RouteKind::NonIdempotent; }
 };
 
+/// How the targets of a service are granted the keys that they serve.
+enum class GrantMode : std::uint8_t {
+  /// In the answers to their heartbeats.
+  Heartbeat,
+  /// By calls that their daemons send.
+  Call,
+};
+
 struct ServiceSpec {
   ServiceName m_Name;
   /// Maximum number of connections that one target of the service accepts, from
@@ -61,6 +69,8 @@
   /// Requests per second that a cold target can handle; 0 means no limit.
   double m_ColdRate = 0;
   bool m_DividedByKey = false;
+  /// Only for a service that is divided by key.
+  GrantMode m_GrantMode = GrantMode::Heartbeat;
 };
 
 /// Limits of requests and connections of callers.
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -277,6 +277,10 @@
 void Entrance::handleNotRun(Id Request, const TargetJobResult &Result) {
   ActiveRequest &Entry = m_Active.at(Request);
   if (Result.m_Reason == Reason::NotOwner && Entry.m_Metadata.m_Key) {
+    // A target that refused the key has got the request, so that another
+    // attempt is a repeat for the service.
+    if (Result.m_ReachedTarget && !retryBudget(Entry.m_Service).takeRetry())
+      return refuse(Request, Result.m_Reason, Result.m_RetryAfter);
     Entry.m_Excluded.insert(Entry.m_Destination);
     const KeyMap *Map = m_Callbacks.m_KeyMap(Entry.m_Service);
     const bool HandingOver =
--- a/src/router/exchange_format.h
+++ b/src/router/exchange_format.h
@@ -4,7 +4,7 @@
 
 #include "balsamwheel/detail/core/ids.h"
 #include "balsamwheel/detail/core/time.h"
-#include "balsamwheel/detail/keyspace/key_map.h"
+#include "balsamwheel/detail/keyspace/call_hold_ledger.h"
 
 #include "net/http_message.h"
 
@@ -56,6 +56,13 @@
   bool operator==(const TargetNotice &) const = default;
 };
 
+/// Answer of a target to a call that grants or releases keys.
+struct HoldCallAnswer {
+  HoldCallOutcome m_Outcome = HoldCallOutcome::Unknown;
+  /// Of an applied release; empty when the target gave none.
+  std::string m_HandoverToken;
+};
+
 /// Decodes and encodes the metadata; implemented by an adapter.
 class ExchangeFormat {
 public:
@@ -74,6 +81,13 @@
   virtual const std::string &idHeader() const = 0;
   /// Answer of this router that says the request hasn't run.
   virtual HttpAnswer notRunAnswer(Duration RetryAfter) const = 0;
+  /// Encodes a call that grants keys to a target or releases them.
+  /// \param Hold validity of a grant.
+  virtual HttpRequest holdRequest(const HoldCall &Call,
+                                  Duration Hold) const = 0;
+  /// Decodes the answer to such a call.
+  virtual HoldCallAnswer holdAnswer(HoldCallKind Kind,
+                                    const HttpAnswer &Answer) const = 0;
 };
 
 } // namespace balsamwheel
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -93,14 +93,14 @@
   m_Loop.post([this] { update(); });
 }
 
-bool KeyCoordinator::awaitsConfirmation(TimePoint Now) const {
+bool KeyCoordinator::awaitsConfirmation() const {
   const auto Self = m_Agent.owner();
   const bool Restored = std::any_of(
       m_Map->spans().begin(), m_Map->spans().end(), [](const KeySpan &Span) {
         return Span.m_State == SpanState::Unconfirmed;
       });
   return Restored && Self &&
-         confirmHeld(*m_Map, *Self, m_Agent.ledger()->held(Now)) != *m_Map;
+         confirmHeld(*m_Map, *Self, m_Agent.keys()->held()) != *m_Map;
 }
 
 std::optional<KeyMap> KeyCoordinator::firstMap() const {
@@ -123,12 +123,13 @@
   const TimePoint Now = m_Loop.now();
   if (const auto Self = m_Agent.owner()) {
     if (Now >= m_ConfirmAt)
-      Next = confirmHeld(Next, *Self, m_Agent.ledger()->held(Now));
+      Next = confirmHeld(Next, *Self, m_Agent.keys()->held());
     if (!m_Agent.leaving())
       Next = adoptEarlierIncarnations(Next, *Self);
     if (m_Agent.condition() == TargetCondition::Ended)
       Next = freeOwnedBy(Next, *Self);
-    for (const ReleasedSpan &Each : m_Agent.ledger()->completedReleases(Next))
+    Next = reissueFences(Next, *Self, m_Agent.keys()->refusedGrants());
+    for (const ReleasedSpan &Each : m_Agent.keys()->completedReleases(Next))
       Next = completeRelease(Next, *Self, Each.m_First, Each.m_Last,
                              Each.m_HandoverToken);
   }
@@ -176,7 +177,8 @@
                          Reply.m_Version.m_Era == Era;
   m_NextCheck = StartedAt + (Succeeded ? m_Options.m_CheckInterval
                                        : m_Options.m_CheckRetryDelay);
-  if (Succeeded && Era == m_MapEra)
+  const bool Confirmed = Succeeded && Era == m_MapEra;
+  if (Confirmed)
     m_AuthorityUntil =
         std::max(m_AuthorityUntil, StartedAt + m_Options.m_AuthorityDuration);
   if (HadWrite || !Succeeded)
@@ -191,6 +193,8 @@
   for (const MirroredRow &Row : Reply.m_Rows)
     m_Callbacks.m_OnRow(Row);
   m_Callbacks.m_OnEra(Reply.m_Version.m_Era);
+  if (Confirmed)
+    m_Callbacks.m_OnAuthority();
 }
 
 } // namespace balsamwheel
--- a/src/router/key_coordinator.h
+++ b/src/router/key_coordinator.h
@@ -73,6 +73,8 @@
   std::function<void(const MirroredRow &)> m_OnRow;
   /// Called with the era of each reply.
   std::function<void(StoreEra)> m_OnEra;
+  /// The authority to grant keys has been extended.
+  std::function<void()> m_OnAuthority;
 };
 
 class KeyCoordinator {
@@ -98,7 +100,7 @@
   void update();
   /// Whether keys may be granted at \p Now.
   bool mayGrant(TimePoint Now) const {
-    return m_Map && Now < m_AuthorityUntil && !awaitsConfirmation(Now);
+    return m_Map && Now < m_AuthorityUntil && !awaitsConfirmation();
   }
   const KeyMap *map() const { return m_Map ? &*m_Map : nullptr; }
   std::uint64_t commits() const { return m_Commits; }
@@ -106,7 +108,7 @@
 private:
   /// Whether the target holds keys that the map doesn't confirm yet: a grant
   /// without them would make it release them.
-  bool awaitsConfirmation(TimePoint Now) const;
+  bool awaitsConfirmation() const;
   /// First map of the era; none while this daemon isn't to create it.
   std::optional<KeyMap> firstMap() const;
   /// The map with all changes that this daemon has to make.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -67,16 +67,17 @@
 
 TargetAgentOptions agentOptions(const RouterSettings &Settings) {
   TargetAgentOptions Options;
-  Options.m_Holds.m_Hold = std::min(Options.m_Holds.m_Hold, Settings.m_MaxHold);
+  Duration &Hold = Options.m_Keys.m_Holds.m_Holds.m_Hold;
+  Hold = std::min(Hold, Settings.m_MaxHold);
   Options.m_EarlierGrantsExpiry = revocationWait(
-      Options.m_Holds, KeyCoordinatorOptions{}.m_AuthorityDuration);
+      Options.m_Keys.m_Holds, KeyCoordinatorOptions{}.m_AuthorityDuration);
   return Options;
 }
 
 KeyCoordinatorOptions coordinatorOptions(const RouterSettings &Settings) {
   KeyCoordinatorOptions Options;
   Options.m_Planner.m_RevocationWait = revocationWait(
-      agentOptions(Settings).m_Holds, Options.m_AuthorityDuration);
+      agentOptions(Settings).m_Keys.m_Holds, Options.m_AuthorityDuration);
   Options.m_ConfirmDelay =
       MaxConfirmDelay *
       (std::hash<InstanceName>()(Settings.m_Instance) % 1024) / 1024;
@@ -97,7 +98,18 @@
                TableService &Table, RouterMetrics &Metrics, EventLog &Log)
     : m_Loop(Loop), m_Log(Log), m_Settings(std::move(Settings)),
       m_Operators(Operators), m_Table(Table), m_Selector({}),
-      m_Agent(Loop, Log, m_Settings, Format, agentOptions(m_Settings)),
+      m_Agent(Loop, Log, m_Settings, Format, agentOptions(m_Settings),
+              {.m_Map = [this] { return keyMap(m_Settings.m_Service); },
+               .m_MayGrant =
+                   [this](TimePoint Now) {
+                     return m_Coordinator && m_Coordinator->mayGrant(Now);
+                   },
+               .m_OnGranted = [this] { m_Agent.grantsChanged(); },
+               .m_OnReleased =
+                   [this] {
+                     if (m_Coordinator)
+                       m_Coordinator->update();
+                   }}),
       m_Mesh(
           Loop, Log, m_Settings, {},
           {.m_OnRequest =
@@ -206,9 +218,10 @@
     return Reply;
   m_Coordinator->update();
   const TimePoint Now = m_Loop.refreshNow();
-  if (m_Coordinator->mayGrant(Now)) {
-    Reply.m_Grants = m_Agent.ledger()->grant(*m_Coordinator->map(), Now);
-    Reply.m_Hold = agentOptions(m_Settings).m_Holds.m_Hold;
+  if (m_Coordinator->mayGrant(Now))
+    Reply.m_Grants = m_Agent.keys()->grants(*m_Coordinator->map(), Now);
+  if (Reply.m_Grants) {
+    Reply.m_Hold = agentOptions(m_Settings).m_Keys.m_Holds.m_Holds.m_Hold;
     // A request sent now could overtake the heartbeat's answer, so that the
     // target wouldn't know of its grant yet.
     m_Loop.post([this] { m_Agent.grantsChanged(); });
@@ -340,8 +353,15 @@
   else if (Known != m_KeyMaps.end() && Known->second.m_Era == Id.m_Era)
     m_KeyMaps.erase(Known);
   ensureCoordinator();
-  if (m_Coordinator && Id.m_Service == m_Settings.m_Service)
+  if (m_Coordinator && Id.m_Service == m_Settings.m_Service) {
     m_Coordinator->mapChanged(Id.m_Era, std::move(Map), Row.m_Version);
+    updateGrants();
+  }
+}
+
+void Router::updateGrants() {
+  if (m_Agent.keys())
+    m_Agent.keys()->update();
 }
 
 void Router::commitMemberRow(OwnRowCommit Commit) {
@@ -393,7 +413,8 @@
                 [this](const MirroredRow &Row) {
                   m_Follower.apply(Row, "commit");
                 },
-            .m_OnEra = [this](StoreEra Era) { m_Follower.noteEra(Era); }});
+            .m_OnEra = [this](StoreEra Era) { m_Follower.noteEra(Era); },
+            .m_OnAuthority = [this] { updateGrants(); }});
     if (auto Known = m_KeyMaps.find(m_Settings.m_Service);
         Known != m_KeyMaps.end())
       m_Coordinator->mapChanged(Known->second.m_Era, Known->second.m_Map,
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -65,6 +65,8 @@
   void applyPeerRow(const MirroredRow &Row);
   void membersChanged();
   void keyMapChanged(const MirroredRow &Row);
+  /// Sends the grants and releases that are due.
+  void updateGrants();
   /// Writes this daemon's member row until the table contains it.
   void writeMemberRow();
   void commitMemberRow(OwnRowCommit Commit);
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -30,10 +30,12 @@
 TargetAgent::TargetAgent(EventLoop &Loop, EventLog &Log,
                          const RouterSettings &Settings,
                          const ExchangeFormat &Format,
-                         TargetAgentOptions Options)
+                         TargetAgentOptions Options,
+                         TargetKeysCallbacks KeyCallbacks)
     : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Format(Format),
       m_Options(Options), m_StartedAt(Loop.now()), m_Gate(Options.m_Gate),
-      m_LinkBudget({.m_BytesPerSecond = Settings.m_LinkBytesPerSecond}) {}
+      m_LinkBudget({.m_BytesPerSecond = Settings.m_LinkBytesPerSecond}),
+      m_KeyCallbacks(std::move(KeyCallbacks)) {}
 
 std::optional<KeyOwner> TargetAgent::owner() const {
   if (!m_Target)
@@ -63,7 +65,7 @@
   limitColdRate();
   if (Heartbeat.m_Draining && !m_Leaving)
     leave("draining");
-  m_Ledger->report(Heartbeat.m_Keys);
+  m_Keys->report(Heartbeat.m_Keys);
   return true;
 }
 
@@ -80,8 +82,20 @@
     m_Loop.destroyLater(std::move(m_Client));
   }
   m_Target = Heartbeat.m_Target;
-  m_Ledger.emplace(m_Options.m_Holds,
-                   KeyOwner{m_Settings.m_Instance, *m_Target});
+  // Only the first target that this daemon hears of can have grants of a
+  // previous daemon.
+  const TimePoint EarlierGrantsEnd =
+      m_Keys || m_Settings.m_SystemStart
+          ? TimePoint()
+          : m_StartedAt +
+                revocationWait(m_Options.m_Keys.m_Holds, Duration::zero());
+  if (m_Keys)
+    m_Loop.destroyLater(std::move(m_Keys));
+  m_Keys = std::make_unique<TargetKeys>(
+      m_Loop, m_Log, m_Format, m_Settings.m_Target, *owner(), m_Options.m_Keys,
+      EarlierGrantsEnd, m_KeyCallbacks);
+  if (m_ServiceSpec)
+    m_Keys->setMode(m_ServiceSpec->m_GrantMode);
   m_LastSequence = 0;
   m_Slots = Heartbeat.m_Slots;
   m_NamedLimit.reset();
@@ -99,6 +113,8 @@
 void TargetAgent::setService(const ServiceSpec *Spec) {
   const bool First = Spec && !m_ServiceSpec;
   m_ServiceSpec = Spec ? std::optional(*Spec) : std::nullopt;
+  if (Spec && m_Keys)
+    m_Keys->setMode(Spec->m_GrantMode);
   limitColdRate();
   if (First)
     openGate();
@@ -131,7 +147,7 @@
   m_Loop.cancel(m_CloseTimer);
   // Keys need time to be handed over; requests without a key can go to other
   // instances immediately.
-  const bool HoldsKeys = m_Ledger && m_Ledger->heldUntil() > m_Loop.now();
+  const bool HoldsKeys = m_Keys && m_Keys->heldUntil() > m_Loop.now();
   if (!HoldsKeys)
     return closeGate(Why);
   m_CloseTimer = m_Loop.after(Limit - m_Options.m_DrainMargin,
@@ -183,7 +199,7 @@
       Duration(static_cast<Duration::rep>(
           m_Options.m_MaxMissedHeartbeats *
           static_cast<double>(m_Settings.m_HeartbeatInterval.count())));
-  if (Silent && Now > m_Ledger->heldUntil() &&
+  if (Silent && Now > m_Keys->heldUntil() &&
       Now - m_StartedAt > m_Options.m_EarlierGrantsExpiry)
     return TargetCondition::Ended;
   if (leaving())
@@ -229,8 +245,8 @@
     // Adds one request to an exponentially decaying rate; 0.6931 is ln 2.
     m_SliceRates[Key / KeysPerSlice] +=
         static_cast<float>(0.6931 / SliceHalfLifeSeconds);
-    if (!m_Ledger || !m_Ledger->holds(Key, m_Loop.now())) {
-      if (!m_Ledger || !Map || !m_Ledger->owns(*Map, Key) || leaving()) {
+    if (!m_Keys || !m_Keys->holds(Key)) {
+      if (!m_Keys || !Map || !isAssigned(*Map, Key, *owner()) || leaving()) {
         finish(Id,
                {.m_Outcome = Outcome::NotRun, .m_Reason = Reason::NotOwner});
         return Id;
@@ -270,8 +286,7 @@
   std::vector<JobId> Ready;
   for (JobId Each : m_AwaitingGrant) {
     const Job &Entry = m_Jobs.at(Each);
-    (m_Ledger->holds(*Entry.m_Job.m_Key, m_Loop.now()) ? Ready : StillWaiting)
-        .push_back(Each);
+    (m_Keys->holds(*Entry.m_Job.m_Key) ? Ready : StillWaiting).push_back(Each);
   }
   m_AwaitingGrant = std::move(StillWaiting);
   for (JobId Each : Ready)
@@ -311,8 +326,7 @@
   Job &Entry = m_Jobs.at(Id);
   const TimePoint Now = m_Loop.now();
   const Duration TimeLeft = Entry.m_Job.m_Deadline - Now;
-  const bool KeyLost =
-      Entry.m_Job.m_Key && !m_Ledger->holds(*Entry.m_Job.m_Key, Now);
+  const bool KeyLost = Entry.m_Job.m_Key && !m_Keys->holds(*Entry.m_Job.m_Key);
   if (TimeLeft < MinTimeLeft || KeyLost) {
     m_Gate.finished(Entry.m_Job.m_Route, Duration::zero(), false);
     finish(Id,
@@ -379,7 +393,8 @@
       break;
     case TargetAnswerKind::Misdirected:
       JobResult.m_Reason = Reason::NotOwner;
-      JobResult.m_ReachedTarget = false; // Doesn't count as an attempt.
+      if (Entry.m_Job.m_Key)
+        m_Keys->refuted(*Entry.m_Job.m_Key);
       break;
     case TargetAnswerKind::Invalid:
       JobResult.m_Outcome = Outcome::Unknown;
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -5,9 +5,9 @@
 #include "event_log.h"
 #include "exchange_format.h"
 #include "router_settings.h"
+#include "target_keys.h"
 
 #include "balsamwheel/detail/core/outcome.h"
-#include "balsamwheel/detail/keyspace/hold_ledger.h"
 #include "balsamwheel/detail/keyspace/key_planner.h"
 #include "balsamwheel/detail/load/link_budget.h"
 #include "balsamwheel/detail/load/request_gate.h"
@@ -68,7 +68,7 @@
 };
 
 struct TargetAgentOptions {
-  HoldOptions m_Holds;
+  TargetKeysOptions m_Keys;
   RequestGateOptions m_Gate;
   /// Time after the start of the daemon until all grants of its predecessor
   /// have expired.
@@ -94,7 +94,8 @@
   using OnResult = std::function<void(TargetJobResult)>;
 
   TargetAgent(EventLoop &Loop, EventLog &Log, const RouterSettings &Settings,
-              const ExchangeFormat &Format, TargetAgentOptions Options);
+              const ExchangeFormat &Format, TargetAgentOptions Options,
+              TargetKeysCallbacks KeyCallbacks);
 
   /// Handles a heartbeat.
   /// \returns false for a late heartbeat or one of an earlier incarnation.
@@ -128,7 +129,8 @@
   bool isRunningRepeat(const std::string &RequestId) const {
     return m_RunningRepeats.contains(RequestId);
   }
-  HoldLedger *ledger() { return m_Ledger ? &*m_Ledger : nullptr; }
+  /// Keys of the target; null while there is no target.
+  TargetKeys *keys() { return m_Keys.get(); }
   std::optional<KeyOwner> owner() const;
   TargetCondition condition() const;
   GateReport gateReport() const;
@@ -188,7 +190,8 @@
   RequestGate m_Gate;
   LinkBudget m_LinkBudget;
   std::optional<TargetIncarnation> m_Target;
-  std::optional<HoldLedger> m_Ledger;
+  TargetKeysCallbacks m_KeyCallbacks;
+  std::unique_ptr<TargetKeys> m_Keys;
   std::unique_ptr<HttpClient> m_Client;
   std::uint64_t m_LastSequence = 0;
   std::uint32_t m_Slots = 0;
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -149,6 +149,68 @@
   CHECK(Format.notRunAnswer(250ms).m_Headers.get("Retry-After") == "0.250");
 }
 
+TEST_CASE("calls for keys are encoded, and their answers decoded") {
+  const HttpExchangeFormat Format;
+  HoldCall Call{.m_Kind = HoldCallKind::Grant,
+                .m_Span = {.m_First = 4096,
+                           .m_Last = 8191,
+                           .m_Fence = Epoch(12),
+                           .m_HandoverToken = "token"}};
+  const HttpRequest Grant = Format.holdRequest(Call, 4s);
+  CHECK(Grant.m_Target == "/v1/grant");
+  CHECK(nlohmann::json::parse(Grant.m_Body) ==
+        nlohmann::json{{"From", 4096},
+                       {"Target", 8191},
+                       {"fence", 12},
+                       {"HoldS", 4.0},
+                       {"Handover", "token"}});
+  Call.m_Kind = HoldCallKind::Release;
+  const HttpRequest Release = Format.holdRequest(Call, 4s);
+  CHECK(Release.m_Target == "/v1/release");
+  CHECK(nlohmann::json::parse(Release.m_Body) ==
+        nlohmann::json{{"From", 4096}, {"Target", 8191}, {"fence", 12}});
+  const auto Outcome = [&](HoldCallKind Kind, const HttpAnswer &Answer) {
+    return Format.holdAnswer(Kind, Answer).m_Outcome;
+  };
+  CHECK(Outcome(HoldCallKind::Grant, answer(200, {})) ==
+        HoldCallOutcome::Applied);
+  CHECK(Outcome(HoldCallKind::Grant, answer(409, {})) ==
+        HoldCallOutcome::FenceTooLow);
+  CHECK(Outcome(HoldCallKind::Grant, answer(400, {})) ==
+        HoldCallOutcome::Unknown);
+  CHECK(Outcome(HoldCallKind::Release, answer(200, {"X-Lease-Handover"})) ==
+        HoldCallOutcome::Applied);
+}
+
+TEST_CASE("a release is not taken as applied without its token") {
+  const HttpExchangeFormat Format;
+  CHECK(Format.holdAnswer(HoldCallKind::Release, answer(200, {})).m_Outcome ==
+        HoldCallOutcome::Unknown);
+  HttpAnswer Huge{.m_Status = 200};
+  Huge.m_Headers.add("X-Lease-Handover", std::string(1 << 20, 'x'));
+  const HoldCallAnswer Answer = Format.holdAnswer(HoldCallKind::Release, Huge);
+  CHECK(Answer.m_Outcome == HoldCallOutcome::Applied);
+  CHECK(Answer.m_HandoverToken.empty());
+}
+
+TEST_CASE("an unknown way of granting keys rejects the configuration") {
+  const OperatorTables Tables;
+  std::string Problem;
+  const auto Decode = [&](const std::string &Grants) {
+    return Tables.configuration(
+        {.m_Key = RowKey("config"),
+         .m_Value = R"({"Version":7,"Services":[{"Name":"a","Sharded":true,
+                    "Grants":")" +
+                    Grants + R"("}],"VirtualHosts":[]})"},
+        Problem);
+  };
+  const auto Direct = Decode("direct");
+  REQUIRE(Direct);
+  CHECK(Direct->service(ServiceName("a"))->m_GrantMode == GrantMode::Call);
+  CHECK_FALSE(Decode("other"));
+  CHECK(Problem.find("other") != std::string::npos);
+}
+
 TEST_CASE("an invalid configuration is rejected with a reason") {
   const OperatorTables Tables;
   const nlohmann::json Good = nlohmann::json::parse(
--- /dev/null
+++ b/tests/unit-router-grants.cpp
@@ -0,0 +1,90 @@
+// Complete routers whose targets are granted keys by calls.
+#include "router_rig.h"
+
+#include <doctest/doctest.h>
+
+using namespace balsamwheel;
+using namespace balsamwheel::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Makes a target answer calls for keys; requests are answered as usual while
+/// \p Refuse is false, and as sent to the wrong target otherwise.
+struct KeyedTarget {
+  explicit KeyedTarget(Target &Server) {
+    Server.m_Behaviour =
+        [this](const std::string &Request) -> std::optional<RawReply> {
+      if (Request.starts_with("POST /v1/grant ")) {
+        ++m_Grants;
+        return RawReply{.m_Bytes =
+                            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+      }
+      if (Request.starts_with("POST /v1/release ")) {
+        ++m_Releases;
+        return RawReply{.m_Bytes =
+                            "HTTP/1.1 200 OK\r\nX-Lease-Handover: token\r\n"
+                            "Content-Length: 0\r\n\r\n"};
+      }
+      ++m_Requests;
+      if (!m_Refuse)
+        return std::nullopt;
+      return RawReply{.m_Bytes = "HTTP/1.1 421 Other\r\nX-Request-Id: " +
+                                 Target::header(Request, "X-Request-Id: ") +
+                                 "\r\nX-Not-Executed: 1\r\n"
+                                 "Content-Length: 0\r\n\r\n"};
+    };
+  }
+
+  std::atomic<int> m_Grants = 0;
+  std::atomic<int> m_Releases = 0;
+  std::atomic<int> m_Requests = 0;
+  std::atomic<bool> m_Refuse = false;
+};
+
+void configureCalls(Rig &Rig) {
+  std::string Text = configuration(1);
+  const std::string Keyed = "\"Sharded\":true";
+  Text.replace(Text.find(Keyed), Keyed.size(),
+               Keyed + ",\"Grants\":\"direct\"");
+  Rig.m_Rows.put(TableName::Operators, "config", Text);
+}
+
+void waitUntilKeyServed(Rig &Rig, Instance &Entrance) {
+  for (int Try = 0; Try < 100; ++Try) {
+    Entrance.sendHeartbeat();
+    if (Rig.call(Entrance, "/key/1", "GET", 77).m_Status == 200)
+      return;
+    Rig.runFor(50ms);
+  }
+  FAIL("not served");
+}
+
+} // namespace
+
+TEST_CASE("keys are granted by calls, not in the answers to heartbeats") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "keyed");
+  const KeyedTarget Keyed(A.m_Target);
+  configureCalls(Rig);
+  waitUntilKeyServed(Rig, A);
+  CHECK(Keyed.m_Grants >= 1);
+  CHECK_FALSE(A.sendHeartbeat().m_Grants);
+}
+
+TEST_CASE("a target that refuses a key is not sent the request again and "
+          "again") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "keyed");
+  KeyedTarget Keyed(A.m_Target);
+  configureCalls(Rig);
+  waitUntilKeyServed(Rig, A);
+  const int Grants = Keyed.m_Grants;
+  const int Requests = Keyed.m_Requests;
+  Keyed.m_Refuse = true;
+  CHECK(Rig.call(A, "/key/1", "GET", 77).m_Status == 503);
+  // Once per grant that was answered since.
+  CHECK(Keyed.m_Requests - Requests <= 1 + Keyed.m_Grants - Grants);
+  Keyed.m_Refuse = false;
+  waitUntilKeyServed(Rig, A);
+}
