--- a/include/balsamwheel/detail/keyspace/key_map.h
+++ b/include/balsamwheel/detail/keyspace/key_map.h
@@ -98,6 +98,13 @@
   /// \returns std::nullopt when \p Text is not a valid map.
   static std::optional<KeyMap> fromText(const std::string &Text);
 
+  /// Encodes the spans that differ from \p Base, for peers that know it.
+  std::string changesSince(const KeyMap &Base) const;
+  /// Applies the result of changesSince() to the map that it was made from.
+  ///
+  /// \returns std::nullopt when \p Changes is not valid.
+  std::optional<KeyMap> withChanges(const std::string &Changes) const;
+
   bool operator==(const KeyMap &) const = default;
 
 private:
--- a/src/keyspace/key_map.cpp
+++ b/src/keyspace/key_map.cpp
@@ -1,24 +1,97 @@
 // Map of key spans and its encoding as a table row.
 #include "balsamwheel/detail/keyspace/key_map.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <map>
+#include <stdexcept>
+
 namespace balsamwheel {
 
 namespace {
 
 using nlohmann::json;
 
-json encodeOwner(const KeyOwner &Owner) {
-  return json::array({Owner.m_Instance.value(), Owner.m_Target.m_Id,
-                      Owner.m_Target.m_StartTimeMs});
+/// Index of an owner that isn't set.
+constexpr int NoOwner = -1;
+
+/// Numbers owners in the order in which they are first used, so that each is
+/// written once.
+class OwnerTable {
+public:
+  int indexOf(const KeyOwner &Owner) {
+    if (Owner == KeyOwner())
+      return NoOwner;
+    const auto [Found, Added] =
+        m_Indices.try_emplace(Owner, static_cast<int>(m_Indices.size()));
+    if (Added)
+      m_Encoded.push_back({Owner.m_Instance.value(), Owner.m_Target.m_Id,
+                           Owner.m_Target.m_StartTimeMs});
+    return Found->second;
+  }
+  json &encoded() { return m_Encoded; }
+
+private:
+  std::map<KeyOwner, int> m_Indices;
+  json m_Encoded = json::array();
+};
+
+std::string encode(const std::vector<KeySpan> &Spans, std::uint64_t LastFence) {
+  OwnerTable Owners;
+  json Encoded = json::array();
+  for (const KeySpan &Span : Spans)
+    Encoded.push_back(
+        {Span.m_First, Span.m_Last, static_cast<int>(Span.m_State),
+         Owners.indexOf(Span.m_Owner), Owners.indexOf(Span.m_NextOwner),
+         Span.m_Fence.value(), Span.m_HandoverToken});
+  return json{{"last_fence", LastFence},
+              {"owners", std::move(Owners.encoded())},
+              {"spans", std::move(Encoded)}}
+      .dump();
 }
 
-KeyOwner decodeOwner(const json &Encoded) {
-  return {.m_Instance = InstanceName(Encoded.at(0).get<std::string>()),
-          .m_Target = {.m_Id = Encoded.at(1).get<std::string>(),
-                       .m_StartTimeMs = Encoded.at(2).get<std::int64_t>()}};
+struct DecodedSpans {
+  std::vector<KeySpan> m_Spans;
+  std::uint64_t m_LastFence = 0;
+};
+
+/// Decodes what encode() returns; none if it isn't valid.
+std::optional<DecodedSpans> decode(const std::string &Text) {
+  try {
+    const json Encoded = json::parse(Text);
+    std::vector<KeyOwner> Owners;
+    for (const json &Each : Encoded.at("owners"))
+      Owners.push_back(
+          {.m_Instance = InstanceName(Each.at(0).get<std::string>()),
+           .m_Target = {.m_Id = Each.at(1).get<std::string>(),
+                        .m_StartTimeMs = Each.at(2).get<std::int64_t>()}});
+    const auto OwnerAt = [&](const json &Index) {
+      const int Number = Index.get<int>();
+      return Number == NoOwner ? KeyOwner()
+                               : Owners.at(static_cast<std::size_t>(Number));
+    };
+    DecodedSpans Result{.m_LastFence =
+                            Encoded.at("last_fence").get<std::uint64_t>()};
+    for (const json &Each : Encoded.at("spans")) {
+      const int State = Each.at(2).get<int>();
+      if (State < 0 || State > static_cast<int>(SpanState::Unconfirmed))
+        return std::nullopt;
+      Result.m_Spans.push_back(
+          {.m_First = Each.at(0).get<KeyIndex>(),
+           .m_Last = Each.at(1).get<KeyIndex>(),
+           .m_State = static_cast<SpanState>(State),
+           .m_Owner = OwnerAt(Each.at(3)),
+           .m_NextOwner = OwnerAt(Each.at(4)),
+           .m_Fence = Epoch(Each.at(5).get<std::uint64_t>()),
+           .m_HandoverToken = Each.at(6).get<std::string>()});
+    }
+    return Result;
+  } catch (const json::exception &) {
+    return std::nullopt;
+  } catch (const std::out_of_range &) {
+    return std::nullopt;
+  }
 }
 
 bool sameExceptKeys(const KeySpan &Left, const KeySpan &Right) {
@@ -85,39 +158,38 @@
   m_Spans = std::move(Result);
 }
 
-std::string KeyMap::toText() const {
-  json Spans = json::array();
+std::string KeyMap::toText() const { return encode(m_Spans, m_LastFence); }
+
+std::optional<KeyMap> KeyMap::fromText(const std::string &Text) {
+  auto Decoded = decode(Text);
+  if (!Decoded || !coversAllKeys(Decoded->m_Spans))
+    return std::nullopt;
+  KeyMap Map;
+  Map.m_Spans = std::move(Decoded->m_Spans);
+  Map.m_LastFence = Decoded->m_LastFence;
+  return Map;
+}
+
+std::string KeyMap::changesSince(const KeyMap &Base) const {
+  std::vector<KeySpan> Changed;
   for (const KeySpan &Span : m_Spans)
-    Spans.push_back({Span.m_First, Span.m_Last, static_cast<int>(Span.m_State),
-                     encodeOwner(Span.m_Owner), encodeOwner(Span.m_NextOwner),
-                     Span.m_Fence.value(), Span.m_HandoverToken});
-  return json{{"last_fence", m_LastFence}, {"spans", std::move(Spans)}}.dump();
+    if (Base.find(Span.m_First) != Span)
+      Changed.push_back(Span);
+  return encode(Changed, m_LastFence);
 }
 
-std::optional<KeyMap> KeyMap::fromText(const std::string &Text) {
-  try {
-    const json Encoded = json::parse(Text);
-    KeyMap Map;
-    Map.m_LastFence = Encoded.at("last_fence").get<std::uint64_t>();
-    Map.m_Spans.clear();
-    for (const json &Each : Encoded.at("spans")) {
-      const int State = Each.at(2).get<int>();
-      if (State < 0 || State > static_cast<int>(SpanState::Unconfirmed))
-        return std::nullopt;
-      Map.m_Spans.push_back({.m_First = Each.at(0).get<KeyIndex>(),
-                             .m_Last = Each.at(1).get<KeyIndex>(),
-                             .m_State = static_cast<SpanState>(State),
-                             .m_Owner = decodeOwner(Each.at(3)),
-                             .m_NextOwner = decodeOwner(Each.at(4)),
-                             .m_Fence = Epoch(Each.at(5).get<std::uint64_t>()),
-                             .m_HandoverToken = Each.at(6).get<std::string>()});
-    }
-    if (!coversAllKeys(Map.m_Spans))
-      return std::nullopt;
-    return Map;
-  } catch (const json::exception &) {
+std::optional<KeyMap> KeyMap::withChanges(const std::string &Changes) const {
+  const auto Decoded = decode(Changes);
+  if (!Decoded)
     return std::nullopt;
+  KeyMap Map = *this;
+  Map.m_LastFence = Decoded->m_LastFence;
+  for (const KeySpan &Span : Decoded->m_Spans) {
+    if (Span.m_Last < Span.m_First)
+      return std::nullopt;
+    Map.assign(Span);
   }
+  return Map;
 }
 
 } // namespace balsamwheel
--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -47,11 +47,15 @@
   Rows = 6,
   Ping = 7,
   Pong = 8,
+  TableFresh = 9,
+  MapCheckWanted = 10,
+  MapChecked = 11,
+  MapChanges = 12,
   MIN = Hello,
-  MAX = Pong
+  MAX = MapChanges
 };
 
-inline const Kind (&EnumValuesKind())[9] {
+inline const Kind (&EnumValuesKind())[13] {
   static const Kind values[] = {
     Kind::Hello,
     Kind::Request,
@@ -61,13 +65,17 @@
     Kind::RowsWanted,
     Kind::Rows,
     Kind::Ping,
-    Kind::Pong
+    Kind::Pong,
+    Kind::TableFresh,
+    Kind::MapCheckWanted,
+    Kind::MapChecked,
+    Kind::MapChanges
   };
   return values;
 }
 
 inline const char * const *EnumNamesKind() {
-  static const char * const names[10] = {
+  static const char * const names[14] = {
     "Hello",
     "Request",
     "Answer",
@@ -77,13 +85,17 @@
     "Rows",
     "Ping",
     "Pong",
+    "TableFresh",
+    "MapCheckWanted",
+    "MapChecked",
+    "MapChanges",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameKind(Kind e) {
-  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::Pong)) return "";
+  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::MapChanges)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesKind()[index];
 }
@@ -521,6 +533,11 @@
   bool operator_rows_wanted = false;
   double named_limit = -1.0;
   bool repeated = false;
+  uint64_t operator_rows_position = 0;
+  uint64_t map_era = 0;
+  uint64_t map_version = 0;
+  uint64_t map_base_version = 0;
+  std::string map_changes{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -572,7 +589,12 @@
     VT_CONFIG_VERSION = 80,
     VT_OPERATOR_ROWS_WANTED = 82,
     VT_NAMED_LIMIT = 84,
-    VT_REPEATED = 86
+    VT_REPEATED = 86,
+    VT_OPERATOR_ROWS_POSITION = 88,
+    VT_MAP_ERA = 90,
+    VT_MAP_VERSION = 92,
+    VT_MAP_BASE_VERSION = 94,
+    VT_MAP_CHANGES = 96
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -709,6 +731,30 @@
   bool repeated() const {
     return GetField<uint8_t>(VT_REPEATED, 0) != 0;
   }
+  /// TableFresh: version up to which the sender knows all changes of the
+  /// operators' rows, of the era operator_rows_era; at least
+  /// operator_rows_seen, the version of the last change.
+  uint64_t operator_rows_position() const {
+    return GetField<uint64_t>(VT_OPERATOR_ROWS_POSITION, 0);
+  }
+  /// MapChecked: the row of the service's key map that the check, started after
+  /// the question with the same stream had arrived, has found in force; 0 when
+  /// it has found none.
+  uint64_t map_era() const {
+    return GetField<uint64_t>(VT_MAP_ERA, 0);
+  }
+  uint64_t map_version() const {
+    return GetField<uint64_t>(VT_MAP_VERSION, 0);
+  }
+  /// MapChanges: the spans of the service's key map that differ between two
+  /// versions of its row, of the era map_era. RowsWanted: service, map_era and
+  /// map_version name the row that the sender has and doesn't want.
+  uint64_t map_base_version() const {
+    return GetField<uint64_t>(VT_MAP_BASE_VERSION, 0);
+  }
+  const flatbuffers::String *map_changes() const {
+    return GetPointer<const flatbuffers::String *>(VT_MAP_CHANGES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -769,6 +815,12 @@
            VerifyField<uint8_t>(verifier, VT_OPERATOR_ROWS_WANTED, 1) &&
            VerifyField<double>(verifier, VT_NAMED_LIMIT, 8) &&
            VerifyField<uint8_t>(verifier, VT_REPEATED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_OPERATOR_ROWS_POSITION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MAP_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MAP_BASE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_MAP_CHANGES) &&
+           verifier.VerifyString(map_changes()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -906,6 +958,21 @@
   void add_repeated(bool repeated) {
     fbb_.AddElement<uint8_t>(Frame::VT_REPEATED, static_cast<uint8_t>(repeated), 0);
   }
+  void add_operator_rows_position(uint64_t operator_rows_position) {
+    fbb_.AddElement<uint64_t>(Frame::VT_OPERATOR_ROWS_POSITION, operator_rows_position, 0);
+  }
+  void add_map_era(uint64_t map_era) {
+    fbb_.AddElement<uint64_t>(Frame::VT_MAP_ERA, map_era, 0);
+  }
+  void add_map_version(uint64_t map_version) {
+    fbb_.AddElement<uint64_t>(Frame::VT_MAP_VERSION, map_version, 0);
+  }
+  void add_map_base_version(uint64_t map_base_version) {
+    fbb_.AddElement<uint64_t>(Frame::VT_MAP_BASE_VERSION, map_base_version, 0);
+  }
+  void add_map_changes(flatbuffers::Offset<flatbuffers::String> map_changes) {
+    fbb_.AddOffset(Frame::VT_MAP_CHANGES, map_changes);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -960,8 +1027,17 @@
     uint64_t config_version = 0,
     bool operator_rows_wanted = false,
     double named_limit = -1.0,
-    bool repeated = false) {
+    bool repeated = false,
+    uint64_t operator_rows_position = 0,
+    uint64_t map_era = 0,
+    uint64_t map_version = 0,
+    uint64_t map_base_version = 0,
+    flatbuffers::Offset<flatbuffers::String> map_changes = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_map_base_version(map_base_version);
+  builder_.add_map_version(map_version);
+  builder_.add_map_era(map_era);
+  builder_.add_operator_rows_position(operator_rows_position);
   builder_.add_named_limit(named_limit);
   builder_.add_config_version(config_version);
   builder_.add_own_rows_era(own_rows_era);
@@ -975,6 +1051,7 @@
   builder_.add_objective_left(objective_left);
   builder_.add_sent_at(sent_at);
   builder_.add_stream(stream);
+  builder_.add_map_changes(map_changes);
   builder_.add_rows(rows);
   builder_.add_slice_rates(slice_rates);
   builder_.add_target_id(target_id);
@@ -1050,7 +1127,12 @@
     uint64_t config_version = 0,
     bool operator_rows_wanted = false,
     double named_limit = -1.0,
-    bool repeated = false) {
+    bool repeated = false,
+    uint64_t operator_rows_position = 0,
+    uint64_t map_era = 0,
+    uint64_t map_version = 0,
+    uint64_t map_base_version = 0,
+    const char *map_changes = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1063,6 +1145,7 @@
   auto target_id__ = target_id ? _fbb.CreateString(target_id) : 0;
   auto slice_rates__ = slice_rates ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>>(*slice_rates) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::TableRow>>(*rows) : 0;
+  auto map_changes__ = map_changes ? _fbb.CreateString(map_changes) : 0;
   return balsamwheel::link_wire::CreateFrame(
       _fbb,
       kind,
@@ -1106,7 +1189,12 @@
       config_version,
       operator_rows_wanted,
       named_limit,
-      repeated);
+      repeated,
+      operator_rows_position,
+      map_era,
+      map_version,
+      map_base_version,
+      map_changes__);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1293,7 +1381,12 @@
         config_version(o.config_version),
         operator_rows_wanted(o.operator_rows_wanted),
         named_limit(o.named_limit),
-        repeated(o.repeated) {
+        repeated(o.repeated),
+        operator_rows_position(o.operator_rows_position),
+        map_era(o.map_era),
+        map_version(o.map_version),
+        map_base_version(o.map_base_version),
+        map_changes(o.map_changes) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new balsamwheel::link_wire::HeaderT(*headers_) : nullptr); }
   slice_rates.reserve(o.slice_rates.size());
@@ -1345,6 +1438,11 @@
   std::swap(operator_rows_wanted, o.operator_rows_wanted);
   std::swap(named_limit, o.named_limit);
   std::swap(repeated, o.repeated);
+  std::swap(operator_rows_position, o.operator_rows_position);
+  std::swap(map_era, o.map_era);
+  std::swap(map_version, o.map_version);
+  std::swap(map_base_version, o.map_base_version);
+  std::swap(map_changes, o.map_changes);
   return *this;
 }
 
@@ -1399,6 +1497,11 @@
   { auto _e = operator_rows_wanted(); _o->operator_rows_wanted = _e; }
   { auto _e = named_limit(); _o->named_limit = _e; }
   { auto _e = repeated(); _o->repeated = _e; }
+  { auto _e = operator_rows_position(); _o->operator_rows_position = _e; }
+  { auto _e = map_era(); _o->map_era = _e; }
+  { auto _e = map_version(); _o->map_version = _e; }
+  { auto _e = map_base_version(); _o->map_base_version = _e; }
+  { auto _e = map_changes(); if (_e) _o->map_changes = _e->str(); }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1451,6 +1554,11 @@
   auto _operator_rows_wanted = _o->operator_rows_wanted;
   auto _named_limit = _o->named_limit;
   auto _repeated = _o->repeated;
+  auto _operator_rows_position = _o->operator_rows_position;
+  auto _map_era = _o->map_era;
+  auto _map_version = _o->map_version;
+  auto _map_base_version = _o->map_base_version;
+  auto _map_changes = _o->map_changes.empty() ? 0 : _fbb.CreateString(_o->map_changes);
   return balsamwheel::link_wire::CreateFrame(
       _fbb,
       _kind,
@@ -1494,7 +1602,12 @@
       _config_version,
       _operator_rows_wanted,
       _named_limit,
-      _repeated);
+      _repeated,
+      _operator_rows_position,
+      _map_era,
+      _map_version,
+      _map_base_version,
+      _map_changes);
 }
 
 inline const balsamwheel::link_wire::Frame *GetFrame(const void *buf) {
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -41,13 +41,16 @@
     : m_Loop(Loop), m_Log(Log), m_Table(Table), m_Agent(Agent),
       m_Service(std::move(Service)), m_Options(Options),
       m_Callbacks(std::move(Callbacks)), m_Planner(Options.m_Planner),
-      m_StartedAt(Loop.now()) {
+      m_StartedAt(Loop.now()), m_Asker(Options.m_Sharing),
+      m_Collector(Options.m_Sharing) {
   tick();
 }
 
 KeyCoordinator::~KeyCoordinator() {
   m_Loop.cancel(m_Timer);
   m_Loop.cancel(m_ConfirmTimer);
+  m_Loop.cancel(m_QuestionTimer);
+  m_Loop.cancel(m_CollectTimer);
 }
 
 void KeyCoordinator::tick() {
@@ -151,10 +154,73 @@
   const KeyMap Next = desired();
   if (Next != *m_Map)
     return commit(m_MapEra, m_Version, Next.toText());
-  if (m_Agent.owner() && m_Loop.now() >= m_NextCheck)
+  if (const auto Due = m_Collector.due(); Due && m_Loop.now() >= *Due)
+    return commit(m_MapEra, m_Version, std::nullopt);
+  if (m_Agent.owner() && m_Loop.now() >= m_NextCheck && !m_Question)
+    check();
+}
+
+void KeyCoordinator::check() {
+  const TimePoint Now = m_Loop.refreshNow();
+  const auto Peer = m_Asker.choose(m_Callbacks.m_Checkers(),
+                                   m_Agent.owner()->m_Instance, Now);
+  if (!Peer || !m_Callbacks.m_Ask(*Peer, ++m_LastQuestion))
+    return commit(m_MapEra, m_Version, std::nullopt);
+  m_Question = {.m_Peer = *Peer, .m_Stream = m_LastQuestion, .m_AskedAt = Now};
+  m_QuestionTimer = m_Loop.after(m_Options.m_Sharing.m_AnswerTimeout,
+                                 [this] { questionFailed(); });
+}
+
+void KeyCoordinator::questionFailed() {
+  m_Loop.cancel(m_QuestionTimer);
+  m_Asker.failed(m_Question->m_Peer, m_Loop.now());
+  m_Log.write(LogClass::StateChange,
+              LogLine("key_map_question_failed")
+                  .add("peer", m_Question->m_Peer.value())
+                  .add("took", m_Loop.now() - m_Question->m_AskedAt));
+  m_Question.reset();
+  if (!m_Committing && m_Map)
     commit(m_MapEra, m_Version, std::nullopt);
 }
 
+void KeyCoordinator::onAnswer(std::uint64_t Stream,
+                              std::optional<StoreVersion> Checked) {
+  if (!m_Question || m_Question->m_Stream != Stream)
+    return;
+  const StoreVersion Known{.m_Era = m_MapEra, .m_Version = m_Version};
+  if (!Checked || *Checked < Known)
+    return questionFailed();
+  m_Loop.cancel(m_QuestionTimer);
+  const TimePoint AskedAt = m_Question->m_AskedAt;
+  m_Question.reset();
+  if (*Checked != Known) { // The newer map is on its way.
+    m_NextCheck = TimePoint();
+    return update();
+  }
+  m_NextCheck = m_Loop.now() + m_Options.m_SharedCheckInterval;
+  extendAuthority(AskedAt);
+}
+
+void KeyCoordinator::onQuestion(std::uint64_t Link, std::uint64_t Stream) {
+  m_Collector.add({.m_Link = Link,
+                   .m_Stream = Stream,
+                   .m_ReceivedAt = m_Loop.refreshNow()});
+  scheduleCollected(Duration::zero());
+}
+
+void KeyCoordinator::scheduleCollected(Duration MinDelay) {
+  m_Loop.cancel(m_CollectTimer);
+  if (const auto Due = m_Collector.due())
+    m_CollectTimer = m_Loop.after(std::max(*Due - m_Loop.now(), MinDelay),
+                                  [this] { update(); });
+}
+
+void KeyCoordinator::extendAuthority(TimePoint StartedAt) {
+  m_AuthorityUntil =
+      std::max(m_AuthorityUntil, StartedAt + m_Options.m_AuthorityDuration);
+  m_Callbacks.m_OnAuthority();
+}
+
 void KeyCoordinator::commit(StoreEra Era, RowVersion Expected,
                             std::optional<std::string> Value) {
   m_Committing = true;
@@ -177,10 +243,6 @@
                          Reply.m_Version.m_Era == Era;
   m_NextCheck = StartedAt + (Succeeded ? m_Options.m_CheckInterval
                                        : m_Options.m_CheckRetryDelay);
-  const bool Confirmed = Succeeded && Era == m_MapEra;
-  if (Confirmed)
-    m_AuthorityUntil =
-        std::max(m_AuthorityUntil, StartedAt + m_Options.m_AuthorityDuration);
   if (HadWrite || !Succeeded)
     m_Log.write(
         LogClass::StateChange,
@@ -193,8 +255,21 @@
   for (const MirroredRow &Row : Reply.m_Rows)
     m_Callbacks.m_OnRow(Row);
   m_Callbacks.m_OnEra(Reply.m_Version.m_Era);
+  const bool Confirmed = Succeeded && Era == m_MapEra;
   if (Confirmed)
-    m_Callbacks.m_OnAuthority();
+    extendAuthority(StartedAt);
+  // After a conflict the check is repeated, with the row that it has returned.
+  const bool Conflict = Reply.m_CallOutcome == TableCallOutcome::Conflict;
+  if (!Conflict)
+    for (const MapCheckQuestion &Each : m_Collector.takeAnswered(StartedAt))
+      m_Callbacks.m_Answer(
+          Each, Confirmed ? std::optional(StoreVersion{.m_Era = m_MapEra,
+                                                       .m_Version = m_Version})
+                          : std::nullopt);
+  if (!Succeeded && !Conflict)
+    m_Callbacks.m_OnFailure();
+  scheduleCollected(Conflict ? m_Options.m_ConflictRetryDelay
+                             : Duration::zero());
 }
 
 } // namespace balsamwheel
--- a/src/router/key_coordinator.h
+++ b/src/router/key_coordinator.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include "event_log.h"
+#include "map_check_sharing.h"
 #include "router_settings.h"
 #include "table_service.h"
 #include "target_agent.h"
@@ -59,6 +60,11 @@
   /// holds keys.
   bool m_SystemStart = true;
   KeyPlannerOptions m_Planner;
+  MapCheckSharingOptions m_Sharing;
+  /// Interval between the answer to a shared check and the next question.
+  Duration m_SharedCheckInterval = std::chrono::milliseconds(1200);
+  /// Delay before a check for peers is repeated after a conflict.
+  Duration m_ConflictRetryDelay = std::chrono::milliseconds(50);
 };
 
 /// Functions of the router that the coordinator calls.
@@ -75,6 +81,17 @@
   std::function<void(StoreEra)> m_OnEra;
   /// The authority to grant keys has been extended.
   std::function<void()> m_OnAuthority;
+  /// Daemons of the service that can reach the table, up to this one.
+  std::function<std::vector<InstanceName>()> m_Checkers;
+  /// Asks a peer for a check.
+  /// \returns false if the peer isn't up.
+  std::function<bool(const InstanceName &, std::uint64_t Stream)> m_Ask;
+  /// Answers a question of a peer; \p Checked is none if no check succeeded.
+  std::function<void(const MapCheckQuestion &,
+                     std::optional<StoreVersion> Checked)>
+      m_Answer;
+  /// A commit or check has failed.
+  std::function<void()> m_OnFailure;
 };
 
 class KeyCoordinator {
@@ -102,6 +119,12 @@
   bool mayGrant(TimePoint Now) const {
     return m_Map && Now < m_AuthorityUntil && !awaitsConfirmation();
   }
+  /// Handles a question of a peer, which is answered by a callback.
+  void onQuestion(std::uint64_t Link, std::uint64_t Stream);
+  /// Handles a peer's answer.
+  /// \param Checked the row's version that a check has found; none if it
+  ///        failed.
+  void onAnswer(std::uint64_t Stream, std::optional<StoreVersion> Checked);
   const KeyMap *map() const { return m_Map ? &*m_Map : nullptr; }
   std::uint64_t commits() const { return m_Commits; }
 
@@ -119,6 +142,14 @@
               std::optional<std::string> Value);
   void onCommitReply(const TableServiceReply &Reply, StoreEra Era,
                      TimePoint StartedAt, bool HadWrite);
+  /// Checks the map, or asks a peer to do it.
+  void check();
+  /// Ends the question in progress without success.
+  void questionFailed();
+  void extendAuthority(TimePoint StartedAt);
+  /// Calls update() when a check for the collected questions is due, but not
+  /// before \p MinDelay.
+  void scheduleCollected(Duration MinDelay);
   void tick();
 
   EventLoop &m_Loop;
@@ -142,6 +173,18 @@
   std::optional<StoreEra> m_FirstReadEra;
   std::optional<StoreEra> m_ReadEra;
   TimePoint m_ConfirmAt;
+  struct Question {
+    InstanceName m_Peer;
+    std::uint64_t m_Stream = 0;
+    TimePoint m_AskedAt;
+  };
+  MapCheckAsker m_Asker;
+  MapCheckCollector m_Collector;
+  /// The question to a peer in progress.
+  std::optional<Question> m_Question;
+  std::uint64_t m_LastQuestion = 0;
+  EventLoop::TimerId m_QuestionTimer;
+  EventLoop::TimerId m_CollectTimer;
   bool m_Committing = false;
   std::uint64_t m_Commits = 0;
   EventLoop::TimerId m_Timer;
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -140,6 +140,12 @@
     Found.mapped().m_OnReply(std::move(Reply));
   } else if (Frame.kind == LinkFrameKind::Rows) {
     m_Events.m_OnRows(Frame);
+  } else if (Frame.kind == LinkFrameKind::TableFresh) {
+    m_Events.m_OnTableFresh(Name, Frame);
+  } else if (Frame.kind == LinkFrameKind::MapChecked) {
+    m_Events.m_OnMapChecked(Frame);
+  } else if (Frame.kind == LinkFrameKind::MapChanges) {
+    m_Events.m_OnMapChanges(Name, Frame);
   }
 }
 
@@ -182,6 +188,7 @@
     }
     Remote.m_Delay.recordFrame(Frame.sent_at, m_Loop.now());
     Remote.m_Instance = InstanceName(Frame.instance);
+    Remote.m_Domain = DomainName(Frame.domain);
     Remote.m_Service = ServiceName(Frame.service);
     // A peer that can connect to this daemon is probably reachable, too.
     auto Known = m_Peers.find(Remote.m_Instance);
@@ -205,6 +212,8 @@
   }
   case LinkFrameKind::RowsWanted:
     return Remote.m_Link->send(m_Events.m_OnRowsWanted(Frame));
+  case LinkFrameKind::MapCheckWanted:
+    return m_Events.m_OnMapCheckWanted(LinkId, Frame);
   default:
     return;
   }
@@ -374,10 +383,19 @@
                                      : ReportText);
 }
 
-void PeerMesh::requestRows(const InstanceName &Name, const LinkFrame &Wanted) {
+void PeerMesh::broadcastInDomain(const LinkFrame &Frame) {
+  const std::string Text = encodeFrame(Frame, {});
+  for (auto &[Id, Remote] : m_Inbound)
+    if (Remote.m_Domain == m_Settings.m_Domain)
+      Remote.m_Link->sendEncoded(Text);
+}
+
+bool PeerMesh::send(const InstanceName &Name, const LinkFrame &Frame) {
   auto Found = m_Peers.find(Name);
-  if (Found != m_Peers.end() && Found->second.m_Up)
-    Found->second.m_Link->send(Wanted);
+  if (Found == m_Peers.end() || !Found->second.m_Up)
+    return false;
+  Found->second.m_Link->send(Frame);
+  return true;
 }
 
 } // namespace balsamwheel
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -55,6 +55,12 @@
   std::function<void(const InstanceName &, const LinkFrame &)> m_OnReport;
   std::function<void(const LinkFrame &Rows)> m_OnRows;
   std::function<LinkFrame(const LinkFrame &Wanted)> m_OnRowsWanted;
+  std::function<void(const InstanceName &, const LinkFrame &)> m_OnTableFresh;
+  /// A peer's question; it is answered by answer() with the same link.
+  std::function<void(std::uint64_t LinkId, const LinkFrame &)>
+      m_OnMapCheckWanted;
+  std::function<void(const LinkFrame &)> m_OnMapChecked;
+  std::function<void(const InstanceName &, const LinkFrame &)> m_OnMapChanges;
   std::function<void(const InstanceName &)> m_OnPeerDown;
 };
 
@@ -101,7 +107,11 @@
   /// of this instance's service get that instead.
   void broadcast(const LinkFrame &Report,
                  const std::optional<LinkFrame> &ForService);
-  void requestRows(const InstanceName &Peer, const LinkFrame &Wanted);
+  /// Sends a frame to the connected peers of this daemon's failure domain.
+  void broadcastInDomain(const LinkFrame &Frame);
+  /// Sends a frame that is no request to a peer.
+  /// \returns false when the peer isn't up.
+  bool send(const InstanceName &Peer, const LinkFrame &Frame);
   /// Bytes of answers that haven't been written to their connections yet.
   std::size_t pendingAnswerBytes() const;
   /// Interval at which broadcast() is to be called.
@@ -133,6 +143,7 @@
   struct InboundPeer {
     std::unique_ptr<PeerLink> m_Link;
     InstanceName m_Instance;
+    DomainName m_Domain;
     ServiceName m_Service;
     LinkDelay m_Delay;
   };
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -29,6 +29,13 @@
 constexpr Duration ProcessExitMargin = std::chrono::milliseconds(400);
 /// Number of daemons that watch the daemons' own table directly.
 constexpr std::ptrdiff_t OwnTableWatchers = 3;
+/// Number of daemons in a failure domain that watch the operators' table for
+/// all of it.
+constexpr std::ptrdiff_t DomainWatchers = 2;
+/// In a failure domain with at most this many daemons, each watches the
+/// operators' table for itself: that costs fewer calls than short watches.
+constexpr std::ptrdiff_t MaxSeparateWatchers = 12;
+constexpr Duration FollowCheckInterval = std::chrono::milliseconds(250);
 /// Callers' connections may take the number of file descriptors divided by
 /// this; peers, the target and the table need the rest.
 constexpr std::size_t CallerHandlesDivisor = 2;
@@ -138,6 +145,31 @@
            .m_OnRows = [this](const LinkFrame &Rows) { applyRows(Rows); },
            .m_OnRowsWanted =
                [this](const LinkFrame &Wanted) { return rowsFor(Wanted); },
+           .m_OnTableFresh =
+               [this](const InstanceName &Peer, const LinkFrame &Frame) {
+                 handleTableFresh(Peer, Frame);
+               },
+           .m_OnMapCheckWanted =
+               [this](std::uint64_t Link, const LinkFrame &Frame) {
+                 if (m_Coordinator &&
+                     Frame.service == m_Settings.m_Service.value())
+                   m_Coordinator->onQuestion(Link, Frame.stream);
+               },
+           .m_OnMapChecked =
+               [this](const LinkFrame &Frame) {
+                 const StoreVersion Checked{.m_Era = StoreEra(Frame.map_era),
+                                            .m_Version =
+                                                RowVersion(Frame.map_version)};
+                 if (m_Coordinator)
+                   m_Coordinator->onAnswer(Frame.stream,
+                                           Frame.map_version == 0
+                                               ? std::nullopt
+                                               : std::optional(Checked));
+               },
+           .m_OnMapChanges =
+               [this](const InstanceName &Peer, const LinkFrame &Frame) {
+                 handleMapChanges(Peer, Frame);
+               },
            .m_OnPeerDown =
                [this](const InstanceName &Peer) { m_Selector.forget(Peer); }}),
       m_Follower(
@@ -145,7 +177,11 @@
           {.m_BytesPerSecond = RowsLinkRatio * m_Settings.m_LinkBytesPerSecond},
           std::hash<InstanceName>()(m_Settings.m_Instance),
           [this](const MirroredRow &Row) { rowChanged(Row); },
-          [this](TableName Table, StoreEra Era) { onFirstRead(Table, Era); }),
+          [this](TableName Table, StoreEra Era) { onFirstRead(Table, Era); },
+          [this](TableName Table) {
+            if (Table == TableName::Operators)
+              sendTableFresh();
+          }),
       m_Entrance(
           Loop, Log, m_Settings, Format, m_Agent, m_Mesh, m_Selector, Metrics,
           {.m_Retries = {.m_Ratio = m_Settings.m_RetryRatio / 2, .m_Burst = 4}},
@@ -173,6 +209,7 @@
     return false;
   m_Follower.start();
   sendReports();
+  updateFollowModes();
   writeMemberRow();
   return true;
 }
@@ -409,12 +446,24 @@
             .m_Candidates = [this] { return keyCandidates(); },
             .m_Loads = [this] { return keyLoads(); },
             .m_IsPlanner = [this] { return isKeyPlanner(); },
-            .m_OnRow =
-                [this](const MirroredRow &Row) {
-                  m_Follower.apply(Row, "commit");
-                },
+            .m_OnRow = [this](const MirroredRow &Row) { publishKeyMap(Row); },
             .m_OnEra = [this](StoreEra Era) { m_Follower.noteEra(Era); },
-            .m_OnAuthority = [this] { updateGrants(); }});
+            .m_OnAuthority = [this] { updateGrants(); },
+            .m_Checkers = [this] { return mapCheckers(); },
+            .m_Ask =
+                [this](const InstanceName &Peer, std::uint64_t Stream) {
+                  LinkFrame Frame;
+                  Frame.kind = LinkFrameKind::MapCheckWanted;
+                  Frame.service = m_Settings.m_Service.value();
+                  Frame.stream = Stream;
+                  return m_Mesh.send(Peer, Frame);
+                },
+            .m_Answer =
+                [this](const MapCheckQuestion &Question,
+                       std::optional<StoreVersion> Checked) {
+                  answerMapQuestion(Question, Checked);
+                },
+            .m_OnFailure = [this] { m_Follower.probe(TableName::Operators); }});
     if (auto Known = m_KeyMaps.find(m_Settings.m_Service);
         Known != m_KeyMaps.end())
       m_Coordinator->mapChanged(Known->second.m_Era, Known->second.m_Map,
@@ -424,13 +473,39 @@
     m_Coordinator->onTableRead(m_Follower.era());
 }
 
+template <typename Predicate>
+std::ptrdiff_t Router::precedingWatchers(Predicate Counts) const {
+  return std::count_if(m_Members.begin(), m_Members.end(),
+                       [&](const Member &Each) {
+                         return Each.m_Instance < m_Settings.m_Instance &&
+                                Counts(Each) && reachesTable(Each.m_Instance);
+                       });
+}
+
 bool Router::isWatcher() const {
-  const auto Preceding = std::count_if(
-      m_Members.begin(), m_Members.end(), [&](const Member &Each) {
-        return Each.m_Instance < m_Settings.m_Instance &&
-               reachesTable(Each.m_Instance);
-      });
-  return Preceding < OwnTableWatchers;
+  return precedingWatchers([](const Member &) { return true; }) <
+         OwnTableWatchers;
+}
+
+FollowMode Router::operatorsMode() const {
+  const auto InDomain = [&](const Member &Each) {
+    return Each.m_Domain == m_Settings.m_Domain;
+  };
+  if (std::count_if(m_Members.begin(), m_Members.end(), InDomain) <=
+      MaxSeparateWatchers)
+    return FollowMode::Watch;
+  if (precedingWatchers(InDomain) < DomainWatchers)
+    return FollowMode::WatchForOthers;
+  return m_Loop.now() < m_OperatorsFreshUntil ? FollowMode::FromPeers
+                                              : FollowMode::Watch;
+}
+
+void Router::updateFollowModes() {
+  m_FollowTimer =
+      m_Loop.after(FollowCheckInterval, [this] { updateFollowModes(); });
+  m_Follower.setMode(TableName::Own,
+                     isWatcher() ? FollowMode::Watch : FollowMode::FromPeers);
+  m_Follower.setMode(TableName::Operators, operatorsMode());
 }
 
 std::vector<TargetSelector::Candidate>
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -89,6 +89,10 @@
                       const TargetJobResult &Result);
   LinkFrame rowsFor(const LinkFrame &Wanted) const;
   void applyRows(const LinkFrame &Rows);
+  /// Applies the row of a key map that this daemon has committed, and sends the
+  /// changes to all peers.
+  void publishKeyMap(const MirroredRow &Row);
+  void handleMapChanges(const InstanceName &Peer, const LinkFrame &Frame);
   std::vector<KeyCandidate> keyCandidates() const;
   /// Condition of an owner that the key map names but no daemon reports.
   TargetCondition conditionOfUnreported(const KeyOwner &Owner) const;
@@ -99,6 +103,23 @@
   /// Whether this daemon is one of the few that watch the daemons' own
   /// table.
   bool isWatcher() const;
+  /// Number of daemons before this one, in the order of their names, that can
+  /// reach the table; only those for which \p Counts returns true.
+  template <typename Predicate>
+  std::ptrdiff_t precedingWatchers(Predicate Counts) const;
+  /// How this daemon learns of the changes of the operators' table.
+  FollowMode operatorsMode() const;
+  void updateFollowModes();
+  /// Tells the failure domain that a watch of the operators' table has ended.
+  void sendTableFresh();
+  void handleTableFresh(const InstanceName &Peer, const LinkFrame &Frame);
+  /// Requests the rows that a peer knows and this daemon lacks.
+  void requestMissingRows(const InstanceName &Peer, const RowsSeen &PeerSeen);
+  /// Requests the rows that have changed after the given versions.
+  void requestRows(const InstanceName &Peer, const RowsSeen &After);
+  std::vector<InstanceName> mapCheckers() const;
+  void answerMapQuestion(const MapCheckQuestion &Question,
+                         std::optional<StoreVersion> Checked);
   std::vector<TargetSelector::Candidate>
   candidates(const ServiceName &Service) const;
   std::optional<TargetIncarnation>
@@ -154,6 +175,9 @@
   std::map<PeerJob, TargetAgent::JobId> m_PeerJobs;
   EventLoop::TimerId m_ReportTimer;
   EventLoop::TimerId m_MemberRowTimer;
+  EventLoop::TimerId m_FollowTimer;
+  /// Until then a peer's watch of the operators' table counts as current.
+  TimePoint m_OperatorsFreshUntil;
   TimePoint m_LastReport;
   TimePoint m_LastRatesReport;
   bool m_Announced = false;
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -17,6 +17,10 @@
 constexpr Duration SliceRatesInterval = std::chrono::milliseconds(700);
 /// Slices with fewer requests per second aren't reported.
 constexpr float MinReportedRate = 0.1F;
+/// How long after a peer's message its watch of the operators' table counts as
+/// current. A daemon that gets no further one then has time to read a change
+/// itself before it has to be in force.
+constexpr Duration MaxFreshAge = std::chrono::milliseconds(1800);
 /// In a report of a target that names no limit.
 constexpr double NoNamedLimit = -1;
 
@@ -143,7 +147,6 @@
                    WithRates ? std::optional(makeReport(true)) : std::nullopt);
   m_Metrics.gate(Gate.m_Running, Gate.m_Waiting);
   m_Metrics.targetLimit(m_Agent.namedLimit().value_or(0));
-  m_Follower.setWatching(isWatcher());
   m_ReportTimer =
       m_Loop.after(m_Mesh.reportInterval(), [this] { sendReports(); });
 }
@@ -167,20 +170,131 @@
   for (const auto &Each : Report.slice_rates)
     if (Each->slice < KeySliceCount)
       Known.m_Rates[Each->slice] = Each->rate;
-  const RowsSeen PeerSeen = rowsSeenOf(Report);
+  requestMissingRows(Peer, rowsSeenOf(Report));
+}
+
+void Router::requestMissingRows(const InstanceName &Peer,
+                                const RowsSeen &PeerSeen) {
   const RowsSeen Seen = rowsSeen();
   m_Follower.noteEra(
       std::max(PeerSeen.m_Operators.m_Era, PeerSeen.m_Own.m_Era));
   const auto Missing = m_RowCatchUp.onReport(
-      PeerSeen, Seen, m_Follower.isReachable(TableName::Operators),
-      m_Loop.now());
-  if (!Missing)
-    return;
+      PeerSeen, Seen, m_Follower.follows(TableName::Operators), m_Loop.now());
+  if (Missing)
+    requestRows(Peer, *Missing);
+}
+
+void Router::requestRows(const InstanceName &Peer, const RowsSeen &After) {
   LinkFrame Wanted;
   Wanted.kind = LinkFrameKind::RowsWanted;
-  setRowsSeen(Wanted, *Missing);
-  Wanted.operator_rows_wanted = Missing->m_Operators == Seen.m_Operators;
-  m_Mesh.requestRows(Peer, Wanted);
+  setRowsSeen(Wanted, After);
+  Wanted.operator_rows_wanted = After.m_Operators == rowsSeen().m_Operators;
+  // The changes of one key map usually arrive before the row does.
+  for (const auto &[Service, Known] : m_KeyMaps)
+    if (Known.m_Era == Known.m_RowVersion.m_Era) {
+      Wanted.service = Service.value();
+      Wanted.map_era = Known.m_Era.value();
+      Wanted.map_version = Known.m_RowVersion.m_Version.value();
+    }
+  m_Mesh.send(Peer, Wanted);
+}
+
+void Router::publishKeyMap(const MirroredRow &Row) {
+  const auto Id = parseKeyMapRow(Row.m_Key);
+  const auto Known = Id ? m_KeyMaps.find(Id->m_Service) : m_KeyMaps.end();
+  const bool HasBase = Known != m_KeyMaps.end() &&
+                       Known->second.m_Era == Id->m_Era &&
+                       Known->second.m_RowVersion.m_Era == Id->m_Era;
+  const std::optional<KnownKeyMap> Base =
+      HasBase ? std::optional(Known->second) : std::nullopt;
+  if (!m_Follower.apply(Row, "commit") || !Base)
+    return;
+  const KeyMap *Map = keyMap(Id->m_Service);
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::MapChanges;
+  Frame.service = Id->m_Service.value();
+  Frame.map_era = Id->m_Era.value();
+  Frame.map_version = Row.m_Version.m_Version.value();
+  Frame.map_base_version = Base->m_RowVersion.m_Version.value();
+  Frame.map_changes = Map->changesSince(Base->m_Map);
+  m_Mesh.broadcast(Frame, std::nullopt);
+}
+
+void Router::handleMapChanges(const InstanceName &Peer,
+                              const LinkFrame &Frame) {
+  const ServiceName Service(Frame.service);
+  const StoreEra Era(Frame.map_era);
+  const StoreVersion Version{.m_Era = Era,
+                             .m_Version = RowVersion(Frame.map_version)};
+  const auto Known = m_KeyMaps.find(Service);
+  const bool SameEra = Known != m_KeyMaps.end() && Known->second.m_Era == Era &&
+                       Known->second.m_RowVersion.m_Era == Era;
+  if (SameEra && Known->second.m_RowVersion >= Version)
+    return;
+  std::optional<KeyMap> Map;
+  if (SameEra && Known->second.m_RowVersion.m_Version ==
+                     RowVersion(Frame.map_base_version))
+    Map = Known->second.m_Map.withChanges(Frame.map_changes);
+  if (Map) {
+    m_Follower.apply({.m_Table = TableName::Own,
+                      .m_Key = keyMapRow({.m_Service = Service, .m_Era = Era}),
+                      .m_Version = Version,
+                      .m_Value = Map->toText()},
+                     "changes");
+    return;
+  }
+  if (m_RowCatchUp.onGap(m_Loop.now()))
+    requestRows(Peer, rowsSeen());
+}
+
+void Router::sendTableFresh() {
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::TableFresh;
+  setRowsSeen(Frame, rowsSeen());
+  if (const auto Position = m_Follower.position(TableName::Operators))
+    Frame.operator_rows_position = Position->m_Version.value();
+  m_Mesh.broadcastInDomain(Frame);
+}
+
+void Router::handleTableFresh(const InstanceName &Peer,
+                              const LinkFrame &Frame) {
+  const RowsSeen PeerSeen = rowsSeenOf(Frame);
+  const StoreVersion Seen =
+      m_Follower.mirror().seenVersion(TableName::Operators);
+  if (PeerSeen.m_Operators.m_Era == m_Follower.era() &&
+      Seen >= PeerSeen.m_Operators) {
+    m_OperatorsFreshUntil = m_Loop.now() + MaxFreshAge;
+    m_Follower.advance(TableName::Operators,
+                       {.m_Era = PeerSeen.m_Operators.m_Era,
+                        .m_Version = RowVersion(Frame.operator_rows_position)});
+  }
+  requestMissingRows(Peer, PeerSeen);
+}
+
+std::vector<InstanceName> Router::mapCheckers() const {
+  std::vector<InstanceName> Result;
+  for (const Member &Each : m_Members) {
+    if (Each.m_Service != m_Settings.m_Service)
+      continue;
+    const bool Self = Each.m_Instance == m_Settings.m_Instance;
+    if (Self || reachesTable(Each.m_Instance))
+      Result.push_back(Each.m_Instance);
+    if (Self)
+      break;
+  }
+  return Result;
+}
+
+void Router::answerMapQuestion(const MapCheckQuestion &Question,
+                               std::optional<StoreVersion> Checked) {
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::MapChecked;
+  Frame.stream = Question.m_Stream;
+  if (Checked) {
+    Frame.map_era = Checked->m_Era.value();
+    Frame.map_version = Checked->m_Version.value();
+  }
+  m_Mesh.answer(Question.m_Link, Frame, {});
 }
 
 LinkFrame Router::rowsFor(const LinkFrame &Wanted) const {
@@ -201,9 +315,15 @@
   if (m_Routes && m_Routes->version() > Known.m_Configuration &&
       std::find(Newer.begin(), Newer.end(), m_RoutesRow) == Newer.end())
     Append(m_RoutesRow);
+  const RowKey KnownMap = keyMapRow({.m_Service = ServiceName(Wanted.service),
+                                     .m_Era = StoreEra(Wanted.map_era)});
+  const StoreVersion KnownMapVersion{.m_Era = StoreEra(Wanted.map_era),
+                                     .m_Version =
+                                         RowVersion(Wanted.map_version)};
   for (const MirroredRow &Row :
        m_Follower.mirror().newerThan(TableName::Own, Known.m_Own))
-    Append(Row);
+    if (Row.m_Key != KnownMap || Row.m_Version > KnownMapVersion)
+      Append(Row);
   return Reply;
 }
 
--- a/src/router/row_catch_up.h
+++ b/src/router/row_catch_up.h
@@ -74,6 +74,16 @@
     return Wanted;
   }
 
+  /// Changes of a row have arrived that this daemon can't apply.
+  ///
+  /// \returns whether the row is to be requested.
+  bool onGap(TimePoint Now) {
+    if (Now < m_RequestExpiry)
+      return false;
+    m_RequestExpiry = Now + m_Options.m_AnswerTimeout;
+    return true;
+  }
+
   /// Rows have arrived; they are taken as the answer to the request.
   void onRows() { m_RequestExpiry = TimePoint(); }
 
--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -19,10 +19,10 @@
 TableFollower::TableFollower(EventLoop &Loop, EventLog &Log,
                              TableService &Table, TableFollowerOptions Options,
                              std::uint64_t Seed, OnRow OnChange,
-                             OnRead OnFirstRead)
+                             OnRead OnFirstRead, OnWatched OnWatchDone)
     : m_Loop(Loop), m_Log(Log), m_Service(Table), m_Options(Options),
       m_OnChange(std::move(OnChange)), m_OnFirstRead(std::move(OnFirstRead)),
-      m_Random(Seed) {}
+      m_OnWatchDone(std::move(OnWatchDone)), m_Random(Seed) {}
 
 void TableFollower::start() {
   startCall(m_Operators);
@@ -87,17 +87,38 @@
   }
 }
 
-void TableFollower::setWatching(bool Watching) {
-  m_Own.m_Watching = Watching;
-  if (!Watching || !m_Own.m_Idle)
+void TableFollower::setMode(TableName Table, FollowMode Mode) {
+  FollowedTable &Followed = followed(Table);
+  Followed.m_Mode = Mode;
+  if (Mode != FollowMode::FromPeers && Followed.m_Idle)
+    resume(Followed);
+}
+
+void TableFollower::advance(TableName Table, StoreVersion Position) {
+  FollowedTable &Followed = followed(Table);
+  if (Followed.m_Idle && Position.m_Era == m_Era)
+    Followed.m_Position = std::max(*Followed.m_Position, Position);
+}
+
+void TableFollower::probe(TableName Table) {
+  FollowedTable &Followed = followed(Table);
+  if (!Followed.m_Idle)
     return;
-  // The changes since the last call may no longer be in the table's history, so
-  // it is read again.
-  readAgain(m_Own);
+  Followed.m_Reachable = false;
+  resume(Followed);
+}
+
+void TableFollower::resume(FollowedTable &Followed) {
+  // If the table's history doesn't reach back to it, the table is read again.
+  Followed.m_Position =
+      std::max(*Followed.m_Position, m_Mirror.seenVersion(Followed.m_Table));
+  startCall(Followed);
 }
 
 void TableFollower::startCall(FollowedTable &Followed) {
-  Followed.m_Idle = Followed.m_Position && !Followed.m_Watching;
+  Followed.m_Idle = Followed.m_Position && Followed.m_Reachable &&
+                    Followed.m_Mode == FollowMode::FromPeers;
+  Followed.m_CallStartedAt = m_Loop.refreshNow();
   const std::uint64_t Call = ++Followed.m_Call;
   if (Followed.m_Idle)
     return;
@@ -109,7 +130,7 @@
                    });
   else
     m_Service.watch(Followed.m_Table, Followed.m_Position->m_Version,
-                    randomWatchWait(),
+                    watchWait(Followed),
                     [this, &Followed, Call](const TableServiceReply &Reply) {
                       if (Followed.m_Call == Call)
                         watchDone(Followed, Reply);
@@ -123,7 +144,15 @@
   });
 }
 
-Duration TableFollower::randomWatchWait() {
+Duration TableFollower::watchWait(const FollowedTable &Followed) {
+  switch (Followed.m_Mode) {
+  case FollowMode::FromPeers:
+    return Duration::zero();
+  case FollowMode::WatchForOthers:
+    return m_Options.m_WaitForOthers;
+  case FollowMode::Watch:
+    break;
+  }
   const Duration Range = m_Options.m_MaxWait - m_Options.m_MinWait;
   return m_Options.m_MinWait + Range * (m_Random() % 1024) / 1024;
 }
@@ -183,22 +212,35 @@
     return readAgain(Followed);
   applyAll(Followed, Reply.m_Rows, "watch");
   Followed.m_Position = std::max(*Followed.m_Position, Reply.m_Version);
-  const Duration Pause = pauseAfter(Reply.m_Rows);
+  // A reply that was delayed, e.g. while this daemon was suspended, says
+  // nothing about the present.
+  const bool Timely = m_Loop.refreshNow() - Followed.m_CallStartedAt <
+                      2 * m_Options.m_WaitForOthers;
+  if (Followed.m_Mode == FollowMode::WatchForOthers && Timely && m_OnWatchDone)
+    m_OnWatchDone(Followed.m_Table);
+  const Duration Pause = pauseAfter(Followed, Reply.m_Rows);
   if (Pause <= Duration::zero())
     return startCall(Followed);
   startCallAfter(Followed, Pause);
 }
 
-Duration TableFollower::pauseAfter(const std::vector<MirroredRow> &Rows) const {
-  if (m_Options.m_BytesPerSecond <= 0)
+Duration TableFollower::pauseAfter(const FollowedTable &Followed,
+                                   const std::vector<MirroredRow> &Rows) const {
+  if (Rows.empty())
     return Duration::zero();
+  const Duration MinWait = Followed.m_Table == TableName::Own
+                               ? m_Options.m_OwnTablePause
+                               : Duration::zero();
+  if (m_Options.m_BytesPerSecond <= 0)
+    return MinWait;
   double Bytes = 0;
   for (const MirroredRow &Row : Rows)
     Bytes += Row.m_Value ? static_cast<double>(Row.m_Value->size()) : 0;
   const Duration Pause(
       static_cast<Duration::rep>(Bytes / m_Options.m_BytesPerSecond * 1e6));
-  return Pause < MinPause ? Duration::zero()
-                          : std::min(Pause, m_Options.m_MaxPause);
+  return Pause < MinPause
+             ? MinWait
+             : std::max(MinWait, std::min(Pause, m_Options.m_MaxPause));
 }
 
 } // namespace balsamwheel
--- a/src/router/table_follower.h
+++ b/src/router/table_follower.h
@@ -9,12 +9,24 @@
 
 namespace balsamwheel {
 
+/// How a daemon learns of the changes of a table.
+enum class FollowMode : std::uint8_t {
+  /// From the table itself.
+  Watch,
+  /// Likewise; others get them from this daemon, so that each watch is short.
+  WatchForOthers,
+  /// From daemons that watch the table.
+  FromPeers,
+};
+
 struct TableFollowerOptions {
   /// Each watch waits for a change for a random time between these, so that the
   /// watches of many daemons end at different times. A connection that has
   /// failed silently is noticed when the time has passed.
   Duration m_MinWait = std::chrono::seconds(2);
   Duration m_MaxWait = std::chrono::seconds(8);
+  /// Of a watch that others rely on.
+  Duration m_WaitForOthers = std::chrono::seconds(1);
   Duration m_MinRetryDelay = std::chrono::milliseconds(150);
   Duration m_MaxRetryDelay = std::chrono::milliseconds(1200);
   /// Bandwidth for reading changes, in bytes per second; 0 means no limit.
@@ -22,6 +34,9 @@
   double m_BytesPerSecond = 0;
   /// Maximum delay between two watches because of the bandwidth limit.
   Duration m_MaxPause = std::chrono::milliseconds(700);
+  /// Delay between two watches of the daemons' own table after a change.
+  /// Daemons also tell each other of their changes.
+  Duration m_OwnTablePause = std::chrono::milliseconds(400);
 };
 
 /// Invariants: a position is used only in the era that it was read in; the
@@ -31,10 +46,13 @@
   using OnRow = std::function<void(const MirroredRow &)>;
   /// A table has been read completely for the first time in the era.
   using OnRead = std::function<void(TableName, StoreEra)>;
+  /// A watch for others has succeeded, and its changes have been applied.
+  using OnWatched = std::function<void(TableName)>;
 
   TableFollower(EventLoop &Loop, EventLog &Log, TableService &Table,
                 TableFollowerOptions Options, std::uint64_t Seed,
-                OnRow OnChange, OnRead OnFirstRead = {});
+                OnRow OnChange, OnRead OnFirstRead = {},
+                OnWatched OnWatchDone = {});
 
   void start();
   /// Reports an era that another daemon or the reply to a commit has shown. If
@@ -46,10 +64,16 @@
   /// Removes the rows of a table that the store has lost and that nobody has
   /// written again.
   void forgetLostRows(TableName Table);
-  /// Sets whether this daemon watches the daemons' own table itself. The other
-  /// daemons get its changes from those that do, so that a change doesn't cost
-  /// a call by each daemon.
-  void setWatching(bool Watching);
+  /// Sets how this daemon learns of the changes of a table. Most get them from
+  /// a few that watch it, so that a change doesn't cost a call by each daemon.
+  void setMode(TableName Table, FollowMode Mode);
+  /// Tests whether the table is reachable, if it isn't watched: another call to
+  /// it has failed. Until it is, it counts as unreachable.
+  void probe(TableName Table);
+  /// Whether this daemon watches the table and has reached it.
+  bool follows(TableName Table) const {
+    return !followed(Table).m_Idle && followed(Table).m_Reachable;
+  }
   /// Applies a row that another daemon has sent or a commit has returned.
   /// \param Source where the row comes from, for the log.
   /// \returns false when the known row is as new.
@@ -58,6 +82,14 @@
   void markSeen(TableName Table, StoreVersion Version) {
     m_Mirror.markSeen(Table, Version);
   }
+  /// Version up to which all changes of a table are known, in the latest era;
+  /// none while it has to be read.
+  std::optional<StoreVersion> position(TableName Table) const {
+    return followed(Table).m_Position;
+  }
+  /// Reports that this daemon knows all changes of a table up to a version of
+  /// the latest era.
+  void advance(TableName Table, StoreVersion Position);
   const TableMirror &mirror() const { return m_Mirror; }
   /// Whether the table has been read completely in the latest known era.
   bool hasRead(TableName Table) const;
@@ -76,9 +108,10 @@
     std::uint64_t m_Call = 0;
     bool m_Reachable = false;
     Duration m_RetryDelay{0};
-    bool m_Watching = true;
+    FollowMode m_Mode = FollowMode::Watch;
     /// No call is in progress or scheduled.
     bool m_Idle = false;
+    TimePoint m_CallStartedAt;
   };
 
   FollowedTable &followed(TableName Table) {
@@ -93,9 +126,13 @@
   void readAgain(FollowedTable &Followed);
   void applyAll(FollowedTable &Followed, const std::vector<MirroredRow> &Rows,
                 const char *Source);
-  Duration randomWatchWait();
+  Duration watchWait(const FollowedTable &Followed);
+  /// Continues to follow a table that was idle, from the version up to which
+  /// all changes are known.
+  void resume(FollowedTable &Followed);
   /// Delay before the next watch, after one that returned \p Rows.
-  Duration pauseAfter(const std::vector<MirroredRow> &Rows) const;
+  Duration pauseAfter(const FollowedTable &Followed,
+                      const std::vector<MirroredRow> &Rows) const;
   void readDone(FollowedTable &Followed, const TableServiceReply &Reply);
   void watchDone(FollowedTable &Followed, const TableServiceReply &Reply);
   /// Records whether the table was reachable; schedules a retry if not.
@@ -109,6 +146,7 @@
   TableFollowerOptions m_Options;
   OnRow m_OnChange;
   OnRead m_OnFirstRead;
+  OnWatched m_OnWatchDone;
   TableMirror m_Mirror;
   pcg32 m_Random;
   StoreEra m_Era;
--- a/tests/unit-key-map.cpp
+++ b/tests/unit-key-map.cpp
@@ -73,12 +73,66 @@
   CHECK_FALSE(KeyMap::fromText("").has_value());
   CHECK_FALSE(KeyMap::fromText("{}").has_value());
   CHECK_FALSE(KeyMap::fromText(R"({"last_fence":1,"spans":[]})").has_value());
-  // A gap between spans.
-  CHECK_FALSE(KeyMap::fromText(R"({"last_fence":1,"spans":[
-    [0,9,1,["i","t",1],["","",0],1,""],[11,65535,0,["","",0],["","",0],0,""]]})")
-                  .has_value());
-  // An unknown state.
-  CHECK_FALSE(KeyMap::fromText(R"({"last_fence":1,"spans":[
-    [0,65535,7,["i","t",1],["","",0],1,""]]})")
-                  .has_value());
+  const auto IsValid = [](const std::string &Spans) {
+    return KeyMap::fromText(
+               R"({"last_fence":1,"owners":[["i","t",1]],"spans":)" + Spans +
+               "}")
+        .has_value();
+  };
+  CHECK(IsValid(R"([[0,65535,1,0,-1,1,""]])"));
+  CHECK_MESSAGE(!IsValid(R"([[0,9,1,0,-1,1,""],[11,65535,0,-1,-1,0,""]])"),
+                "a gap between spans");
+  CHECK_MESSAGE(!IsValid(R"([[0,65535,7,0,-1,1,""]])"), "an unknown state");
+  CHECK_MESSAGE(!IsValid(R"([[0,65535,1,1,-1,1,""]])"), "an unknown owner");
+  CHECK_MESSAGE(!IsValid(R"([[0,65535,1,-2,-1,1,""]])"), "a negative owner");
+}
+
+TEST_CASE("the changes between two maps turn one into the other") {
+  rc::check([] {
+    const auto Change = [](KeyMap &Map) {
+      const auto First = *rc::gen::inRange(0, 64);
+      const auto Last = *rc::gen::inRange(First, 64);
+      Map.assign({.m_First = static_cast<KeyIndex>(First * 1024),
+                  .m_Last = static_cast<KeyIndex>(Last * 1024 + 1023),
+                  .m_State = SpanState::Owned,
+                  .m_Owner = owner(*rc::gen::inRange(1, 5)),
+                  .m_Fence = Map.issueFence()});
+      if (*rc::gen::arbitrary<bool>())
+        Map.normalize();
+    };
+    KeyMap Base;
+    for (int Step = *rc::gen::inRange(0, 20); Step > 0; --Step)
+      Change(Base);
+    KeyMap Next = Base;
+    for (int Step = *rc::gen::inRange(0, 5); Step > 0; --Step)
+      Change(Next);
+    RC_ASSERT(Base.withChanges(Next.changesSince(Base)) == Next);
+  });
+  CHECK_FALSE(KeyMap().withChanges("{}"));
+}
+
+TEST_CASE("a change of a large map is small, and the map fits into a row") {
+  // Three spans for each of 300 owners, half of them with a handover token.
+  KeyMap Map;
+  for (int Index = 0; Index < 900; ++Index)
+    Map.assign(
+        {.m_First = static_cast<KeyIndex>(Index * 72),
+         .m_Last =
+             static_cast<KeyIndex>(Index == 899 ? 65535 : Index * 72 + 71),
+         .m_State = SpanState::Owned,
+         .m_Owner = {.m_Instance = InstanceName("sidecar-pianura-nord-a-" +
+                                                std::to_string(Index % 300)),
+                     .m_Target = {.m_Id = "i-7f3a91c2" +
+                                          std::to_string(Index % 300),
+                                  .m_StartTimeMs = 1791502755030}},
+         .m_Fence = Map.issueFence(),
+         .m_HandoverToken = Index % 2 == 0 ? "5c0e7a21d94b36f8" : ""});
+  constexpr std::size_t RowBytes = 65536;
+  CHECK(Map.toText().size() < RowBytes);
+  KeyMap Next = Map;
+  KeySpan Span = Map.find(5);
+  Span.m_State = SpanState::Releasing;
+  Span.m_NextOwner = Map.find(300).m_Owner;
+  Next.assign(Span);
+  CHECK(Next.changesSince(Map).size() < 300);
 }
--- a/tests/unit-table-follower.cpp
+++ b/tests/unit-table-follower.cpp
@@ -162,3 +162,54 @@
   });
   CHECK_FALSE(Table.m_Calls[2].m_After);
 }
+
+TEST_CASE("a table that peers watch costs no calls, and is resumed where they "
+          "were") {
+  EventLoop Loop({.m_MaxSleep = 5ms});
+  EventLog Log(Loop, {.m_Output = -1});
+  ScriptedTable Table;
+  TableFollower Follower(Loop, Log, Table, {}, 1, [](const MirroredRow &) {});
+  Follower.start();
+  Table.m_Calls[0].m_Done(replyWith(at(0, 90), "first"));
+  REQUIRE(Table.m_Calls.size() == 3);
+  CHECK(Follower.follows(TableName::Operators));
+  Follower.setMode(TableName::Operators, FollowMode::FromPeers);
+  Table.m_Calls[2].m_Done(
+      {.m_CallOutcome = TableCallOutcome::Ok, .m_Version = at(0, 95)});
+  CHECK(Table.m_Calls.size() == 3);
+  CHECK_FALSE(Follower.follows(TableName::Operators));
+  Follower.advance(TableName::Operators, at(0, 120));
+  Follower.advance(TableName::Operators, at(0, 110));
+
+  SUBCASE("when they fall silent") {
+    Follower.setMode(TableName::Operators, FollowMode::Watch);
+  }
+  SUBCASE("when another call has failed") {
+    Follower.probe(TableName::Operators);
+    CHECK_FALSE(Follower.isReachable(TableName::Operators));
+  }
+  REQUIRE(Table.m_Calls.size() == 4);
+  CHECK(Table.m_Calls[3].m_After == RowVersion(120));
+}
+
+TEST_CASE("peers are told of a watch only if its reply is recent") {
+  EventLoop Loop({.m_MaxSleep = 5ms});
+  EventLog Log(Loop, {.m_Output = -1});
+  ScriptedTable Table;
+  int Told = 0;
+  TableFollower Follower(
+      Loop, Log, Table, {.m_WaitForOthers = 20ms}, 1,
+      [](const MirroredRow &) {}, {}, [&](TableName) { ++Told; });
+  Follower.start();
+  Follower.setMode(TableName::Operators, FollowMode::WatchForOthers);
+  Table.m_Calls[0].m_Done(replyWith(at(0, 90), "first"));
+  Table.m_Calls[2].m_Done(
+      {.m_CallOutcome = TableCallOutcome::Ok, .m_Version = at(0, 95)});
+  CHECK(Told == 1);
+  const TimePoint End = bootNow() + 60ms;
+  while (bootNow() < End) {
+  }
+  Table.m_Calls[3].m_Done(
+      {.m_CallOutcome = TableCallOutcome::Ok, .m_Version = at(0, 99)});
+  CHECK(Told == 1);
+}
