Close evacuated targets two seconds before the limit

Cause: the limit runs from the change, but the gate of an owner of keys closed 4.5 s after its daemon had read it; reading takes longer the more daemons there are, and after a large configuration. Evidence: unit-router-keys fails with the former margin: a request is served 3.2 s after the change. Ruled out: requests on their way; the margin of leaving targets stays at 0.5 s, as their limit runs from an acknowledgement of the daemon itself. Change: the gate closes 2 s before the limit, which is the longest time that a row may need. An evacuation that a daemon finds at its start, which may be older, closes the gate at once. Why it works: a daemon knows each change after 2 s (1.8 s without news from those that watch, then a watch of its own).

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -278,7 +278,11 @@
       return configurationChanged(Row);
     const auto Domain = m_Operators.evacuatedDomain(Row.m_Key);
     if (Domain && *Domain == m_Settings.m_Domain) {
-      m_Agent.setEvacuated(Row.m_Value.has_value());
+      // The first read doesn't show how long ago the row was written.
+      const bool FirstRead = !m_Follower.hasRead(TableName::Operators);
+      m_Agent.setEvacuated(Row.m_Value.has_value(),
+                           FirstRead ? Duration::zero()
+                                     : m_Settings.m_EvacuationLimit);
       sendReports();
     }
     return;
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -143,14 +143,14 @@
     finish(Each, {.m_Outcome = Outcome::NotRun, .m_Reason = Why});
 }
 
-void TargetAgent::scheduleClose(Duration Limit, Reason Why) {
+void TargetAgent::scheduleClose(Duration Delay, Reason Why) {
   m_Loop.cancel(m_CloseTimer);
   // Keys need time to be handed over; requests without a key can go to other
   // instances immediately.
   const bool HoldsKeys = m_Keys && m_Keys->heldUntil() > m_Loop.now();
   if (!HoldsKeys)
     return closeGate(Why);
-  m_CloseTimer = m_Loop.after(Limit - m_Options.m_DrainMargin,
+  m_CloseTimer = m_Loop.after(std::max(Delay, Duration::zero()),
                               [this, Why] { closeGate(Why); });
 }
 
@@ -163,7 +163,8 @@
                   .add("target", m_Target ? m_Target->m_Id : "")
                   .add("why", Why)
                   .add("waiting", static_cast<std::int64_t>(m_Gate.waiting())));
-  scheduleClose(m_Settings.m_DrainLimit, Reason::Draining);
+  scheduleClose(m_Settings.m_DrainLimit - m_Options.m_DrainMargin,
+                Reason::Draining);
 }
 
 void TargetAgent::refuseNew() {
@@ -173,7 +174,7 @@
   closeGate(Reason::Draining);
 }
 
-void TargetAgent::setEvacuated(bool Evacuated) {
+void TargetAgent::setEvacuated(bool Evacuated, Duration TimeLeft) {
   if (Evacuated == m_Evacuated)
     return;
   m_Evacuated = Evacuated;
@@ -181,7 +182,7 @@
               LogLine(Evacuated ? "domain_out" : "domain_in")
                   .add("domain", m_Settings.m_Domain.value()));
   if (Evacuated) {
-    scheduleClose(m_Settings.m_EvacuationLimit, Reason::DomainOut);
+    scheduleClose(TimeLeft - m_Options.m_EvacuationMargin, Reason::DomainOut);
   } else if (!m_Leaving) {
     m_Loop.cancel(m_CloseTimer);
     openGate();
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -83,6 +83,10 @@
   Duration m_ConnectRetryDelay = std::chrono::milliseconds(400);
   /// Reserved from the time limits of leaving targets, for requests in flight.
   Duration m_DrainMargin = std::chrono::milliseconds(500);
+  /// Reserved from the time limit of targets whose failure domain is taken out
+  /// of service. The limit runs from the operators' change, of which this
+  /// daemon learns by its own watch or, with a delay, from peers.
+  Duration m_EvacuationMargin = std::chrono::seconds(2);
 };
 
 /// Invariants: nothing is sent while the gate is closed; a non-idempotent
@@ -107,7 +111,8 @@
   /// The target leaves: it gets no keys from now on and soon no requests.
   void leave(const char *Why);
   /// Sets whether the target's domain is out of service.
-  void setEvacuated(bool Evacuated);
+  /// \param TimeLeft until the target may get no more requests.
+  void setEvacuated(bool Evacuated, Duration TimeLeft);
   /// The daemon will stop: its reports ask the others to send no more requests.
   void setStopping() { m_Stopping = true; }
   /// The daemon is about to exit: requests that haven't been sent to the target
@@ -165,9 +170,8 @@
   void openGate();
   void limitColdRate();
   void closeGate(Reason Why);
-  /// Closes the gate at once or, if the target may hold keys, m_DrainMargin
-  /// before \p Limit has passed.
-  void scheduleClose(Duration Limit, Reason Why);
+  /// Closes the gate at once or, if the target may hold keys, after \p Delay.
+  void scheduleClose(Duration Delay, Reason Why);
   /// How long a request may wait for a key that is to be granted.
   Duration grantWaitLimit(const TargetJob &Entry) const;
   void offer(JobId Id);
--- a/tests/unit-router-keys.cpp
+++ b/tests/unit-router-keys.cpp
@@ -79,3 +79,48 @@
   A.m_TargetStartTimeMs = 1;
   CHECK_FALSE(A.sendHeartbeat().m_Accepted);
 }
+
+namespace {
+
+/// Serves all keys by one instance.
+Instance &serveKeys(Rig &Rig) {
+  Instance &A = Rig.add("a", "keyed");
+  Rig.configure(1);
+  REQUIRE(Rig.runUntil([&] {
+    const HeartbeatReply Reply = A.sendHeartbeat();
+    return Reply.m_Grants && !Reply.m_Grants->empty();
+  }));
+  Rig.runFor(100ms);
+  REQUIRE(Rig.call(A, "/key/1", "GET", 5).m_Status == 200);
+  return A;
+}
+
+} // namespace
+
+TEST_CASE("an evacuated owner is closed long before the limit, which runs from "
+          "the operators' change") {
+  Rig Rig;
+  Instance &A = serveKeys(Rig);
+  Rig.m_Rows.put(TableName::Operators, "evacuate/domain-a", "{}");
+  Rig.runFor(1s);
+  CHECK(Rig.call(A, "/key/1", "GET", 5).m_Status == 200);
+  // The limit is 5 s, and the change may reach a daemon 2 s late.
+  Rig.runFor(2200ms);
+  const int Arrivals = A.m_Target.m_Arrivals;
+  CHECK(Rig.call(A, "/key/1", "GET", 5).m_Status == 503);
+  CHECK(A.m_Target.m_Arrivals == Arrivals);
+}
+
+TEST_CASE(
+    "an evacuation of unknown age that a daemon reads at its start closes "
+    "the target at once") {
+  Rig Rig;
+  Instance &A = serveKeys(Rig);
+  Rig.m_Rows.put(TableName::Operators, "evacuate/domain-a", "{}");
+  A.restartRouter(Rig.m_Loop, Rig.m_Log);
+  Rig.runFor(300ms);
+  A.sendHeartbeat();
+  const int Arrivals = A.m_Target.m_Arrivals;
+  CHECK(Rig.call(A, "/key/1", "GET", 5).m_Status == 503);
+  CHECK(A.m_Target.m_Arrivals == Arrivals);
+}
