Refuse requests that have crashed three targets

Cause: nothing connected the end of a target with the requests that it was running, and each was tried again at another target. Change: the daemon beside a target that has ended unannounced (a connection is refused, or a new incarnation reports) tells all daemons which requests broke off there within 200 ms. CrashSuspects counts crashes by a digest of host, method, path and body; only a run that began after the last crash counts again, and a request that completes anywhere is no suspect any more. A suspect isn't tried at another target; after three crashes the request is refused at entrances and at the gate as not run, with a reason of its own, for ten minutes. A daemon that connects is told what is refused. Ruled out: counting each target that ends at the same time (a rack that loses power would condemn what ran there), and a shorter path by the end of a connection alone (answers are lost at targets that live). Evidence: unit-router-crashes: without the entrance's and the gate's checks nine attempts of eight requests reach targets. unit-crash-suspects: the guilty one among 40 others runs three times at most and no other is refused in 500 random runs; 100,000 distinct requests leave 1,000 suspects.

--- a/include/balsamwheel/detail/core/outcome.h
+++ b/include/balsamwheel/detail/core/outcome.h
@@ -40,6 +40,8 @@
   /// incomplete.
   MemoryLost,
   Cancelled,
+  /// Targets that ran the request have crashed.
+  CrashesTargets,
 };
 
 /// Returns the name used in answers to callers, e.g. "not_run".
--- a/src/coordination/outcome.cpp
+++ b/src/coordination/outcome.cpp
@@ -49,6 +49,8 @@
     return "already_ran";
   case Reason::MemoryLost:
     return "memory_lost";
+  case Reason::CrashesTargets:
+    return "crashes_targets";
   case Reason::Cancelled:
     return "cancelled";
   }
--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -33,6 +33,10 @@
 struct GateStateBuilder;
 struct GateStateT;
 
+struct Suspect;
+struct SuspectBuilder;
+struct SuspectT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -51,11 +55,14 @@
   MapCheckWanted = 10,
   MapChecked = 11,
   MapChanges = 12,
+  CrashedRuns = 13,
+  RefusedRequests = 14,
+  SuspectCompleted = 15,
   MIN = Hello,
-  MAX = MapChanges
+  MAX = SuspectCompleted
 };
 
-inline const Kind (&EnumValuesKind())[13] {
+inline const Kind (&EnumValuesKind())[16] {
   static const Kind values[] = {
     Kind::Hello,
     Kind::Request,
@@ -69,13 +76,16 @@
     Kind::TableFresh,
     Kind::MapCheckWanted,
     Kind::MapChecked,
-    Kind::MapChanges
+    Kind::MapChanges,
+    Kind::CrashedRuns,
+    Kind::RefusedRequests,
+    Kind::SuspectCompleted
   };
   return values;
 }
 
 inline const char * const *EnumNamesKind() {
-  static const char * const names[14] = {
+  static const char * const names[17] = {
     "Hello",
     "Request",
     "Answer",
@@ -89,13 +99,16 @@
     "MapCheckWanted",
     "MapChecked",
     "MapChanges",
+    "CrashedRuns",
+    "RefusedRequests",
+    "SuspectCompleted",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameKind(Kind e) {
-  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::MapChanges)) return "";
+  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::SuspectCompleted)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesKind()[index];
 }
@@ -489,6 +502,93 @@
 
 flatbuffers::Offset<GateState> CreateGateState(flatbuffers::FlatBufferBuilder &_fbb, const GateStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SuspectT : public flatbuffers::NativeTable {
+  typedef Suspect TableType;
+  uint64_t digest = 0;
+  uint32_t crashes = 0;
+  int64_t started_before = 0;
+  int64_t crashed_before = 0;
+};
+
+/// A request that was running when its target crashed. Ages are as of the
+/// sending of the frame.
+struct Suspect FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SuspectT NativeTableType;
+  typedef SuspectBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DIGEST = 4,
+    VT_CRASHES = 6,
+    VT_STARTED_BEFORE = 8,
+    VT_CRASHED_BEFORE = 10
+  };
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  uint32_t crashes() const {
+    return GetField<uint32_t>(VT_CRASHES, 0);
+  }
+  int64_t started_before() const {
+    return GetField<int64_t>(VT_STARTED_BEFORE, 0);
+  }
+  int64_t crashed_before() const {
+    return GetField<int64_t>(VT_CRASHED_BEFORE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_CRASHES, 4) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_BEFORE, 8) &&
+           VerifyField<int64_t>(verifier, VT_CRASHED_BEFORE, 8) &&
+           verifier.EndTable();
+  }
+  SuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SuspectT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Suspect> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SuspectBuilder {
+  typedef Suspect Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(Suspect::VT_DIGEST, digest, 0);
+  }
+  void add_crashes(uint32_t crashes) {
+    fbb_.AddElement<uint32_t>(Suspect::VT_CRASHES, crashes, 0);
+  }
+  void add_started_before(int64_t started_before) {
+    fbb_.AddElement<int64_t>(Suspect::VT_STARTED_BEFORE, started_before, 0);
+  }
+  void add_crashed_before(int64_t crashed_before) {
+    fbb_.AddElement<int64_t>(Suspect::VT_CRASHED_BEFORE, crashed_before, 0);
+  }
+  explicit SuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Suspect> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Suspect>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Suspect> CreateSuspect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t digest = 0,
+    uint32_t crashes = 0,
+    int64_t started_before = 0,
+    int64_t crashed_before = 0) {
+  SuspectBuilder builder_(_fbb);
+  builder_.add_crashed_before(crashed_before);
+  builder_.add_started_before(started_before);
+  builder_.add_digest(digest);
+  builder_.add_crashes(crashes);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<Suspect> CreateSuspect(flatbuffers::FlatBufferBuilder &_fbb, const SuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   balsamwheel::link_wire::Kind kind = balsamwheel::link_wire::Kind::Hello;
@@ -538,6 +638,8 @@
   uint64_t map_version = 0;
   uint64_t map_base_version = 0;
   std::string map_changes{};
+  uint64_t digest = 0;
+  std::vector<std::unique_ptr<balsamwheel::link_wire::SuspectT>> suspects{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -594,7 +696,9 @@
     VT_MAP_ERA = 90,
     VT_MAP_VERSION = 92,
     VT_MAP_BASE_VERSION = 94,
-    VT_MAP_CHANGES = 96
+    VT_MAP_CHANGES = 96,
+    VT_DIGEST = 98,
+    VT_SUSPECTS = 100
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -755,6 +859,16 @@
   const flatbuffers::String *map_changes() const {
     return GetPointer<const flatbuffers::String *>(VT_MAP_CHANGES);
   }
+  /// Request: identifies equal requests. SuspectCompleted: one that was a
+  /// suspect.
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  /// CrashedRuns: the runs that ended with one crash. RefusedRequests: all that
+  /// the sender refuses.
+  const flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>> *>(VT_SUSPECTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -821,6 +935,10 @@
            VerifyField<uint64_t>(verifier, VT_MAP_BASE_VERSION, 8) &&
            VerifyOffset(verifier, VT_MAP_CHANGES) &&
            verifier.VerifyString(map_changes()) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
+           verifier.VerifyVectorOfTables(suspects()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -973,6 +1091,12 @@
   void add_map_changes(flatbuffers::Offset<flatbuffers::String> map_changes) {
     fbb_.AddOffset(Frame::VT_MAP_CHANGES, map_changes);
   }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(Frame::VT_DIGEST, digest, 0);
+  }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>>> suspects) {
+    fbb_.AddOffset(Frame::VT_SUSPECTS, suspects);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1032,8 +1156,11 @@
     uint64_t map_era = 0,
     uint64_t map_version = 0,
     uint64_t map_base_version = 0,
-    flatbuffers::Offset<flatbuffers::String> map_changes = 0) {
+    flatbuffers::Offset<flatbuffers::String> map_changes = 0,
+    uint64_t digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>>> suspects = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_digest(digest);
   builder_.add_map_base_version(map_base_version);
   builder_.add_map_version(map_version);
   builder_.add_map_era(map_era);
@@ -1051,6 +1178,7 @@
   builder_.add_objective_left(objective_left);
   builder_.add_sent_at(sent_at);
   builder_.add_stream(stream);
+  builder_.add_suspects(suspects);
   builder_.add_map_changes(map_changes);
   builder_.add_rows(rows);
   builder_.add_slice_rates(slice_rates);
@@ -1132,7 +1260,9 @@
     uint64_t map_era = 0,
     uint64_t map_version = 0,
     uint64_t map_base_version = 0,
-    const char *map_changes = nullptr) {
+    const char *map_changes = nullptr,
+    uint64_t digest = 0,
+    const std::vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>> *suspects = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1146,6 +1276,7 @@
   auto slice_rates__ = slice_rates ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::SliceRate>>(*slice_rates) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::TableRow>>(*rows) : 0;
   auto map_changes__ = map_changes ? _fbb.CreateString(map_changes) : 0;
+  auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>>(*suspects) : 0;
   return balsamwheel::link_wire::CreateFrame(
       _fbb,
       kind,
@@ -1194,7 +1325,9 @@
       map_era,
       map_version,
       map_base_version,
-      map_changes__);
+      map_changes__,
+      digest,
+      suspects__);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1342,6 +1475,41 @@
       _spare_tokens);
 }
 
+inline SuspectT *Suspect::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<SuspectT>(new SuspectT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Suspect::UnPackTo(SuspectT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = digest(); _o->digest = _e; }
+  { auto _e = crashes(); _o->crashes = _e; }
+  { auto _e = started_before(); _o->started_before = _e; }
+  { auto _e = crashed_before(); _o->crashed_before = _e; }
+}
+
+inline flatbuffers::Offset<Suspect> Suspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSuspect(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Suspect> CreateSuspect(flatbuffers::FlatBufferBuilder &_fbb, const SuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspectT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _digest = _o->digest;
+  auto _crashes = _o->crashes;
+  auto _started_before = _o->started_before;
+  auto _crashed_before = _o->crashed_before;
+  return balsamwheel::link_wire::CreateSuspect(
+      _fbb,
+      _digest,
+      _crashes,
+      _started_before,
+      _crashed_before);
+}
+
 inline FrameT::FrameT(const FrameT &o)
       : kind(o.kind),
         stream(o.stream),
@@ -1386,13 +1554,16 @@
         map_era(o.map_era),
         map_version(o.map_version),
         map_base_version(o.map_base_version),
-        map_changes(o.map_changes) {
+        map_changes(o.map_changes),
+        digest(o.digest) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new balsamwheel::link_wire::HeaderT(*headers_) : nullptr); }
   slice_rates.reserve(o.slice_rates.size());
   for (const auto &slice_rates_ : o.slice_rates) { slice_rates.emplace_back((slice_rates_) ? new balsamwheel::link_wire::SliceRateT(*slice_rates_) : nullptr); }
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new balsamwheel::link_wire::TableRowT(*rows_) : nullptr); }
+  suspects.reserve(o.suspects.size());
+  for (const auto &suspects_ : o.suspects) { suspects.emplace_back((suspects_) ? new balsamwheel::link_wire::SuspectT(*suspects_) : nullptr); }
 }
 
 inline FrameT &FrameT::operator=(FrameT o) FLATBUFFERS_NOEXCEPT {
@@ -1443,6 +1614,8 @@
   std::swap(map_version, o.map_version);
   std::swap(map_base_version, o.map_base_version);
   std::swap(map_changes, o.map_changes);
+  std::swap(digest, o.digest);
+  std::swap(suspects, o.suspects);
   return *this;
 }
 
@@ -1502,6 +1675,8 @@
   { auto _e = map_version(); _o->map_version = _e; }
   { auto _e = map_base_version(); _o->map_base_version = _e; }
   { auto _e = map_changes(); if (_e) _o->map_changes = _e->str(); }
+  { auto _e = digest(); _o->digest = _e; }
+  { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<balsamwheel::link_wire::SuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1559,6 +1734,8 @@
   auto _map_version = _o->map_version;
   auto _map_base_version = _o->map_base_version;
   auto _map_changes = _o->map_changes.empty() ? 0 : _fbb.CreateString(_o->map_changes);
+  auto _digest = _o->digest;
+  auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreateSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
   return balsamwheel::link_wire::CreateFrame(
       _fbb,
       _kind,
@@ -1607,7 +1784,9 @@
       _map_era,
       _map_version,
       _map_base_version,
-      _map_changes);
+      _map_changes,
+      _digest,
+      _suspects);
 }
 
 inline const balsamwheel::link_wire::Frame *GetFrame(const void *buf) {
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -23,11 +23,11 @@
 Entrance::Entrance(EventLoop &Loop, EventLog &Log,
                    const RouterSettings &Settings, const ExchangeFormat &Format,
                    TargetAgent &Agent, PeerMesh &Mesh, TargetSelector &Selector,
-                   RouterMetrics &Metrics, EntranceOptions Options,
-                   EntranceCallbacks Callbacks)
+                   const CrashSuspects &Suspects, RouterMetrics &Metrics,
+                   EntranceOptions Options, EntranceCallbacks Callbacks)
     : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Format(Format),
-      m_Agent(Agent), m_Mesh(Mesh), m_Selector(Selector), m_Metrics(Metrics),
-      m_Options(Options), m_Callbacks(std::move(Callbacks)),
+      m_Agent(Agent), m_Mesh(Mesh), m_Selector(Selector), m_Suspects(Suspects),
+      m_Metrics(Metrics), m_Options(Options), m_Callbacks(std::move(Callbacks)),
       m_Random(std::hash<InstanceName>()(Settings.m_Instance)) {}
 
 void Entrance::accept(std::shared_ptr<HttpExchange> Exchange) {
@@ -48,6 +48,8 @@
     return refuse(Request, Reason::Draining, m_Options.m_DefaultRetryAfter);
   if (!resolveRoute(Entry))
     return fail(Request, 404, Reason::UnknownService);
+  if (const auto Refused = m_Suspects.refusedFor(Entry.m_Digest, m_Loop.now()))
+    return refuse(Request, Reason::CrashesTargets, *Refused);
   if (Entry.m_OfRepeat)
     retryBudget(Entry.m_Service).onRepeat();
   else
@@ -75,6 +77,8 @@
   Entry.m_Deadline = Entry.m_ReceivedAt + std::min(TimeLeft, Matched.m_Timeout);
   Entry.m_Objective =
       Entry.m_ReceivedAt + Matched.m_LatencyObjective - (Longest - TimeLeft);
+  Entry.m_Digest = digestOf(Entry.m_Metadata.m_Host, Request.m_Method,
+                            Request.m_Target, Request.m_Body);
   Entry.m_Request = std::move(Request);
   m_Format.prepare(Entry.m_Request, m_Settings.m_Service);
   return true;
@@ -180,6 +184,7 @@
                   .m_Nested = Entry.m_Nested,
                   .m_Repeated = Repeated,
                   .m_Key = Entry.m_Metadata.m_Key,
+                  .m_Digest = Entry.m_Digest,
                   .m_Objective = Entry.m_Objective,
                   .m_Deadline = Entry.m_Deadline};
     const KeyMap *Map = m_Callbacks.m_KeyMap(Entry.m_Service);
@@ -202,6 +207,7 @@
   Frame.priority = Matched.m_Priority;
   Frame.nested = Entry.m_Nested;
   Frame.repeated = Repeated;
+  Frame.digest = Entry.m_Digest.value();
   Frame.large_answer = Matched.m_Kind == RouteKind::Download;
   if (Entry.m_Metadata.m_Key)
     Frame.key = *Entry.m_Metadata.m_Key;
@@ -262,7 +268,10 @@
   }
   if (Result.m_Outcome != Outcome::Unknown)
     return handleNotRun(Request, Result);
-  if (Entry.m_Route->idempotent() && acquireRetry(Entry))
+  // A request that may have crashed a target before isn't tried at another.
+  if (Entry.m_Route->idempotent() &&
+      !m_Suspects.isSuspect(Entry.m_Digest, m_Loop.now()) &&
+      acquireRetry(Entry))
     return dispatch(Request);
   fail(Request, BadGateway, Result.m_Reason);
 }
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -8,6 +8,7 @@
 #include "router_metrics.h"
 #include "target_agent.h"
 
+#include "balsamwheel/detail/load/crash_suspects.h"
 #include "balsamwheel/detail/load/retry_budget.h"
 #include "balsamwheel/detail/load/target_selector.h"
 #include "balsamwheel/detail/routing/route_table.h"
@@ -63,8 +64,9 @@
 public:
   Entrance(EventLoop &Loop, EventLog &Log, const RouterSettings &Settings,
            const ExchangeFormat &Format, TargetAgent &Agent, PeerMesh &Mesh,
-           TargetSelector &Selector, RouterMetrics &Metrics,
-           EntranceOptions Options, EntranceCallbacks Callbacks);
+           TargetSelector &Selector, const CrashSuspects &Suspects,
+           RouterMetrics &Metrics, EntranceOptions Options,
+           EntranceCallbacks Callbacks);
 
   /// Takes a request from a caller; it is answered through \p Exchange.
   void accept(std::shared_ptr<HttpExchange> Exchange);
@@ -81,6 +83,7 @@
     const Route *m_Route = nullptr;
     ServiceName m_Service;
     RequestMetadata m_Metadata;
+    RequestDigest m_Digest;
     /// The request as sent to targets, without the headers that name the target
     /// and its deadline.
     HttpRequest m_Request;
@@ -150,6 +153,7 @@
   TargetAgent &m_Agent;
   PeerMesh &m_Mesh;
   TargetSelector &m_Selector;
+  const CrashSuspects &m_Suspects;
   RouterMetrics &m_Metrics;
   EntranceOptions m_Options;
   EntranceCallbacks m_Callbacks;
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -146,6 +146,10 @@
     m_Events.m_OnMapChecked(Frame);
   } else if (Frame.kind == LinkFrameKind::MapChanges) {
     m_Events.m_OnMapChanges(Name, Frame);
+  } else if (Frame.kind == LinkFrameKind::CrashedRuns ||
+             Frame.kind == LinkFrameKind::RefusedRequests ||
+             Frame.kind == LinkFrameKind::SuspectCompleted) {
+    m_Events.m_OnSuspects(Name, Frame);
   }
 }
 
@@ -194,7 +198,7 @@
     auto Known = m_Peers.find(Remote.m_Instance);
     if (Known != m_Peers.end() && !Known->second.m_Link)
       Known->second.m_NextConnect = m_Loop.now();
-    return;
+    return m_Events.m_OnPeerConnected(LinkId);
   }
   case LinkFrameKind::Request: {
     const Duration Waited =
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -61,6 +61,10 @@
       m_OnMapCheckWanted;
   std::function<void(const LinkFrame &)> m_OnMapChecked;
   std::function<void(const InstanceName &, const LinkFrame &)> m_OnMapChanges;
+  /// A peer has connected; frames can be sent by answer().
+  std::function<void(std::uint64_t LinkId)> m_OnPeerConnected;
+  /// News of requests that may crash targets.
+  std::function<void(const InstanceName &, const LinkFrame &)> m_OnSuspects;
   std::function<void(const InstanceName &)> m_OnPeerDown;
 };
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -104,19 +104,27 @@
                const ExchangeFormat &Format, const OperatorRows &Operators,
                TableService &Table, RouterMetrics &Metrics, EventLog &Log)
     : m_Loop(Loop), m_Log(Log), m_Settings(std::move(Settings)),
-      m_Operators(Operators), m_Table(Table), m_Selector({}),
-      m_Agent(Loop, Log, m_Settings, Format, agentOptions(m_Settings),
-              {.m_Map = [this] { return keyMap(m_Settings.m_Service); },
-               .m_MayGrant =
-                   [this](TimePoint Now) {
-                     return m_Coordinator && m_Coordinator->mayGrant(Now);
-                   },
-               .m_OnGranted = [this] { m_Agent.grantsChanged(); },
-               .m_OnReleased =
-                   [this] {
-                     if (m_Coordinator)
-                       m_Coordinator->update();
-                   }}),
+      m_Operators(Operators), m_Table(Table), m_Selector({}), m_Suspects({}),
+      m_Agent(
+          Loop, Log, m_Settings, Format, agentOptions(m_Settings), m_Suspects,
+          {.m_Keys = {.m_Map = [this] { return keyMap(m_Settings.m_Service); },
+                      .m_MayGrant =
+                          [this](TimePoint Now) {
+                            return m_Coordinator &&
+                                   m_Coordinator->mayGrant(Now);
+                          },
+                      .m_OnGranted = [this] { m_Agent.grantsChanged(); },
+                      .m_OnReleased =
+                          [this] {
+                            if (m_Coordinator)
+                              m_Coordinator->update();
+                          }},
+           .m_OnCrash =
+               [this](const std::vector<CrashedRun> &Runs) {
+                 onTargetCrashed(Runs);
+               },
+           .m_OnSuspectCompleted =
+               [this](RequestDigest Digest) { onSuspectCompleted(Digest); }}),
       m_Mesh(
           Loop, Log, m_Settings, {},
           {.m_OnRequest =
@@ -170,6 +178,12 @@
                [this](const InstanceName &Peer, const LinkFrame &Frame) {
                  handleMapChanges(Peer, Frame);
                },
+           .m_OnPeerConnected =
+               [this](std::uint64_t Link) { sendRefusedRequests(Link); },
+           .m_OnSuspects =
+               [this](const InstanceName &Peer, const LinkFrame &Frame) {
+                 handleSuspects(Peer, Frame);
+               },
            .m_OnPeerDown =
                [this](const InstanceName &Peer) { m_Selector.forget(Peer); }}),
       m_Follower(
@@ -183,7 +197,8 @@
               sendTableFresh();
           }),
       m_Entrance(
-          Loop, Log, m_Settings, Format, m_Agent, m_Mesh, m_Selector, Metrics,
+          Loop, Log, m_Settings, Format, m_Agent, m_Mesh, m_Selector,
+          m_Suspects, Metrics,
           {.m_Retries = {.m_Ratio = m_Settings.m_RetryRatio / 2, .m_Burst = 4}},
           {.m_Routes = [this] { return m_Routes; },
            .m_KeyMap =
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -118,6 +118,13 @@
   /// Requests the rows that have changed after the given versions.
   void requestRows(const InstanceName &Peer, const RowsSeen &After);
   std::vector<InstanceName> mapCheckers() const;
+  /// Records a crash of the target of \p Instance.
+  void recordCrash(const std::vector<CrashedRun> &Runs,
+                   const InstanceName &Instance);
+  void onTargetCrashed(const std::vector<CrashedRun> &Runs);
+  void onSuspectCompleted(RequestDigest Digest);
+  void sendRefusedRequests(std::uint64_t Link);
+  void handleSuspects(const InstanceName &Peer, const LinkFrame &Frame);
   void answerMapQuestion(const MapCheckQuestion &Question,
                          std::optional<StoreVersion> Checked);
   std::vector<TargetSelector::Candidate>
@@ -150,6 +157,7 @@
   const OperatorRows &m_Operators;
   TableService &m_Table;
   TargetSelector m_Selector;
+  CrashSuspects m_Suspects;
   TargetAgent m_Agent;
   PeerMesh m_Mesh;
   RowCatchUp m_RowCatchUp;
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -350,6 +350,7 @@
   Job.m_Idempotent = !Frame.non_idempotent;
   Job.m_Nested = Frame.nested;
   Job.m_Repeated = Frame.repeated;
+  Job.m_Digest = RequestDigest(Frame.digest);
   Job.m_LargeOverLink = Frame.large_answer;
   const KeyMap *Map = keyMap(m_Settings.m_Service);
   if (Frame.key >= 0 && Map)
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -22,6 +22,12 @@
 /// Maximum idle time of a connection that is reused for a non-idempotent
 /// request.
 constexpr Duration NonIdempotentMaxIdle = std::chrono::milliseconds(500);
+/// Runs that have broken off within this time of each other can have ended with
+/// the same crash.
+constexpr Duration CrashSpread = std::chrono::milliseconds(200);
+/// How long after a run has broken off the target's end may be noticed.
+constexpr Duration CrashNoticeTime = std::chrono::seconds(3);
+constexpr std::size_t MaxBrokenRuns = 64;
 /// Requests with less time left are refused instead of sent.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(5);
 
@@ -31,11 +37,12 @@
                          const RouterSettings &Settings,
                          const ExchangeFormat &Format,
                          TargetAgentOptions Options,
-                         TargetKeysCallbacks KeyCallbacks)
+                         const CrashSuspects &Suspects,
+                         TargetAgentCallbacks Callbacks)
     : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Format(Format),
       m_Options(Options), m_StartedAt(Loop.now()), m_Gate(Options.m_Gate),
       m_LinkBudget({.m_BytesPerSecond = Settings.m_LinkBytesPerSecond}),
-      m_KeyCallbacks(std::move(KeyCallbacks)) {}
+      m_Suspects(Suspects), m_Callbacks(std::move(Callbacks)) {}
 
 std::optional<KeyOwner> TargetAgent::owner() const {
   if (!m_Target)
@@ -76,6 +83,7 @@
                   .add("born_ms", Heartbeat.m_Target.m_StartTimeMs)
                   .add("slots", std::int64_t{Heartbeat.m_Slots})
                   .add("cold_left", Heartbeat.m_ColdLeft));
+  reportCrash();
   closeGate(Reason::TargetFailed);
   if (m_Client) {
     m_Client->reset();
@@ -93,7 +101,7 @@
     m_Loop.destroyLater(std::move(m_Keys));
   m_Keys = std::make_unique<TargetKeys>(
       m_Loop, m_Log, m_Format, m_Settings.m_Target, *owner(), m_Options.m_Keys,
-      EarlierGrantsEnd, m_KeyCallbacks);
+      EarlierGrantsEnd, m_Callbacks.m_Keys);
   if (m_ServiceSpec)
     m_Keys->setMode(m_ServiceSpec->m_GrantMode);
   m_LastSequence = 0;
@@ -327,6 +335,13 @@
   Job &Entry = m_Jobs.at(Id);
   const TimePoint Now = m_Loop.now();
   const Duration TimeLeft = Entry.m_Job.m_Deadline - Now;
+  if (const auto Refused = m_Suspects.refusedFor(Entry.m_Job.m_Digest, Now)) {
+    m_Gate.finished(Entry.m_Job.m_Route, Duration::zero(), false);
+    finish(Id, {.m_Outcome = Outcome::Wait,
+                .m_Reason = Reason::CrashesTargets,
+                .m_RetryAfter = *Refused});
+    return sendQueued();
+  }
   const bool KeyLost = Entry.m_Job.m_Key && !m_Keys->holds(*Entry.m_Job.m_Key);
   if (TimeLeft < MinTimeLeft || KeyLost) {
     m_Gate.finished(Entry.m_Job.m_Route, Duration::zero(), false);
@@ -369,6 +384,12 @@
     JobResult.m_Outcome = Outcome::Wait;
     break;
   case HttpCallOutcome::Broken:
+    m_BrokenRuns.push_back({.m_Digest = Entry.m_Job.m_Digest,
+                            .m_StartedAt = Entry.m_SentAt,
+                            .m_CrashedAt = m_Loop.now()});
+    if (m_BrokenRuns.size() > MaxBrokenRuns)
+      m_BrokenRuns.pop_front();
+    [[fallthrough]];
   case HttpCallOutcome::TimedOut:
     JobResult.m_Outcome = Outcome::Unknown;
     JobResult.m_Reason = Reason::TargetFailed;
@@ -381,6 +402,8 @@
       JobResult.m_LeavingTarget = m_Target;
     switch (Kind) {
     case TargetAnswerKind::Ran:
+      if (m_Suspects.isSuspect(Entry.m_Job.m_Digest, m_Loop.now()))
+        m_Callbacks.m_OnSuspectCompleted(Entry.m_Job.m_Digest);
       JobResult.m_Outcome = Outcome::Done;
       JobResult.m_Answer = std::move(Result.m_Answer);
       Served = JobResult.m_Answer.m_Status < 500;
@@ -460,6 +483,7 @@
               LogLine("target_unreachable")
                   .add("target", m_Target->m_Id)
                   .add("since_beat", m_Loop.now() - m_LastHeartbeat));
+  reportCrash();
   closeGate(Reason::TargetFailed);
   const TargetIncarnation RefusedTarget = *m_Target;
   m_Loop.after(m_Options.m_ConnectRetryDelay, [this, RefusedTarget] {
@@ -468,6 +492,20 @@
   });
 }
 
+void TargetAgent::reportCrash() {
+  const std::deque<CrashedRun> Broken = std::exchange(m_BrokenRuns, {});
+  // A target that ends as announced breaks off what it can't complete.
+  if (Broken.empty() || leaving() ||
+      m_Loop.now() - Broken.back().m_CrashedAt > CrashNoticeTime)
+    return;
+  const TimePoint Last = Broken.back().m_CrashedAt;
+  std::vector<CrashedRun> Runs;
+  for (const CrashedRun &Each : Broken)
+    if (Last - Each.m_CrashedAt <= CrashSpread)
+      Runs.push_back(Each);
+  m_Callbacks.m_OnCrash(Runs);
+}
+
 void TargetAgent::finish(JobId Id, TargetJobResult Result) {
   auto Node = m_Jobs.extract(Id);
   if (Node.empty() || Node.mapped().m_Cancelled)
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -9,6 +9,7 @@
 
 #include "balsamwheel/detail/core/outcome.h"
 #include "balsamwheel/detail/keyspace/key_planner.h"
+#include "balsamwheel/detail/load/crash_suspects.h"
 #include "balsamwheel/detail/load/link_budget.h"
 #include "balsamwheel/detail/load/request_gate.h"
 #include "balsamwheel/detail/load/target_selector.h"
@@ -16,6 +17,7 @@
 
 #include "net/http_client.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -50,6 +52,7 @@
   /// The answer is large and leaves over the machine's link.
   bool m_LargeOverLink = false;
   std::optional<KeyIndex> m_Key;
+  RequestDigest m_Digest;
   TimePoint m_Objective;
   TimePoint m_Deadline;
 };
@@ -89,6 +92,14 @@
   Duration m_EvacuationMargin = std::chrono::seconds(2);
 };
 
+struct TargetAgentCallbacks {
+  TargetKeysCallbacks m_Keys;
+  /// The target has crashed while it was running these requests.
+  std::function<void(const std::vector<CrashedRun> &)> m_OnCrash;
+  /// A request that is a suspect has completed.
+  std::function<void(RequestDigest)> m_OnSuspectCompleted;
+};
+
 /// Invariants: nothing is sent while the gate is closed; a non-idempotent
 /// request is sent at most once; each job ends exactly once, by its callback or
 /// by cancel().
@@ -99,7 +110,7 @@
 
   TargetAgent(EventLoop &Loop, EventLog &Log, const RouterSettings &Settings,
               const ExchangeFormat &Format, TargetAgentOptions Options,
-              TargetKeysCallbacks KeyCallbacks);
+              const CrashSuspects &Suspects, TargetAgentCallbacks Callbacks);
 
   /// Handles a heartbeat.
   /// \returns false for a late heartbeat or one of an earlier incarnation.
@@ -184,6 +195,9 @@
   void expireWaiting();
   void forgetRunning(const TargetJob &Request);
   void onConnectionRefused();
+  /// Reports the runs that have broken off together, now that the target is
+  /// known to have ended.
+  void reportCrash();
 
   EventLoop &m_Loop;
   EventLog &m_Log;
@@ -194,7 +208,10 @@
   RequestGate m_Gate;
   LinkBudget m_LinkBudget;
   std::optional<TargetIncarnation> m_Target;
-  TargetKeysCallbacks m_KeyCallbacks;
+  const CrashSuspects &m_Suspects;
+  TargetAgentCallbacks m_Callbacks;
+  /// The last runs that have broken off, by when; at most MaxBrokenRuns.
+  std::deque<CrashedRun> m_BrokenRuns;
   std::unique_ptr<TargetKeys> m_Keys;
   std::unique_ptr<HttpClient> m_Client;
   std::uint64_t m_LastSequence = 0;
