Notice lost peers in the same time in any deployment

Cause: a ping of a peer with waiting requests failed after four report intervals, and an idle peer counted as lost after the same time. The interval grows by 6 ms per daemon: 1.3 s with 14 daemons, 8 s with 295. Until then requests are sent to the lost daemon, and the planner keeps its keys. Evidence: unit-peer-mesh, with the report interval of 10 s, fails without the change. Change: a ping fails after 1.3 s whatever the interval is, and the planner pings the daemons of its service that have been silent for a second. Ruled out: shorter report intervals, whose number grows with the square of the daemons.

--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -298,19 +298,26 @@
 void PeerMesh::checkReachability(const InstanceName &Name, Peer &Remote) {
   const TimePoint Now = m_Loop.now();
   if (Remote.m_PingSentAt) {
-    if (Now - *Remote.m_PingSentAt > silenceLimit())
+    if (Now - *Remote.m_PingSentAt > m_Options.m_PingTimeout)
       disconnect(Name, Remote, "requests don't arrive");
     return;
   }
-  if (Remote.m_Pending.empty())
-    return;
-  const TimePoint Oldest = Remote.m_Pending.begin()->second.m_SentAt;
-  if (Now - std::max(Oldest, Remote.m_LastConfirmed) <= m_Options.m_PingAfter)
-    return;
+  if (!Remote.m_Pending.empty()) {
+    const TimePoint Oldest = Remote.m_Pending.begin()->second.m_SentAt;
+    if (Now - std::max(Oldest, Remote.m_LastConfirmed) > m_Options.m_PingAfter)
+      ping(Remote);
+  } else if (Remote.m_HelloSent &&
+             Remote.m_Member.m_Service == m_WatchedService &&
+             Now - Remote.m_Link->lastReceived() > 2 * m_Options.m_PingAfter) {
+    ping(Remote);
+  }
+}
+
+void PeerMesh::ping(Peer &Remote) {
   LinkFrame Ping;
   Ping.kind = LinkFrameKind::Ping;
   Remote.m_Link->send(Ping);
-  Remote.m_PingSentAt = Now;
+  Remote.m_PingSentAt = m_Loop.now();
 }
 
 bool PeerMesh::isUp(const InstanceName &Name) const {
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -40,6 +40,9 @@
   /// A request that has waited this long triggers a ping, to find out whether
   /// requests still reach the peer. Longer than most requests take.
   Duration m_PingAfter = std::chrono::milliseconds(500);
+  /// A connection whose ping isn't answered for this long is closed, however
+  /// long the interval between reports is.
+  Duration m_PingTimeout = std::chrono::milliseconds(1300);
   Duration m_MinReconnectDelay = std::chrono::milliseconds(100);
   Duration m_MaxReconnectDelay = std::chrono::seconds(2);
 };
@@ -90,6 +93,13 @@
   /// Replaces the known members; the entry of this instance is ignored.
   void setMembers(const std::vector<Member> &Members);
 
+  /// Sets the service whose daemons are pinged when they have been silent for a
+  /// while, so that their loss is noticed without requests to them; none pings
+  /// nobody.
+  void watchService(const std::optional<ServiceName> &Service) {
+    m_WatchedService = Service;
+  }
+
   bool isUp(const InstanceName &Peer) const;
   /// Since when a peer has been unreachable; none while it is up or when it is
   /// unknown.
@@ -167,6 +177,7 @@
   void checkReachability(const InstanceName &Name, Peer &Remote);
   void confirmReachable(Peer &Remote);
   Duration silenceLimit() const;
+  void ping(Peer &Remote);
   /// Current time of this daemon's clock, from which the receiver computes how
   /// long a frame was delayed on the way.
   std::int64_t sendTimestamp() const;
@@ -178,6 +189,7 @@
   PeerMeshEvents m_Events;
   Acceptor m_Acceptor;
   std::map<InstanceName, Peer> m_Peers;
+  std::optional<ServiceName> m_WatchedService;
   std::map<std::uint64_t, InboundPeer> m_Inbound;
   struct LargeAnswer {
     std::uint64_t m_LinkId;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -525,6 +525,9 @@
   m_Follower.setMode(TableName::Own,
                      isWatcher() ? FollowMode::Watch : FollowMode::FromPeers);
   m_Follower.setMode(TableName::Operators, operatorsMode());
+  m_Mesh.watchService(m_Coordinator && isKeyPlanner()
+                          ? std::optional(m_Settings.m_Service)
+                          : std::nullopt);
 }
 
 std::vector<TargetSelector::Candidate>
