--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -197,7 +197,8 @@
     m_NextCheck = TimePoint();
     return update();
   }
-  m_NextCheck = m_Loop.now() + m_Options.m_SharedCheckInterval;
+  m_NextCheck = std::min(m_Loop.now() + m_Options.m_SharedCheckInterval,
+                         AskedAt + m_Options.m_CheckInterval);
   extendAuthority(AskedAt);
 }
 
--- a/src/router/key_coordinator.h
+++ b/src/router/key_coordinator.h
@@ -61,7 +61,8 @@
   bool m_SystemStart = true;
   KeyPlannerOptions m_Planner;
   MapCheckSharingOptions m_Sharing;
-  /// Interval between the answer to a shared check and the next question.
+  /// Maximum interval between the answer to a shared check and the next
+  /// question. Daemons that were answered together then ask together again.
   Duration m_SharedCheckInterval = std::chrono::milliseconds(1200);
   /// Delay before a check for peers is repeated after a conflict.
   Duration m_ConflictRetryDelay = std::chrono::milliseconds(50);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -142,7 +142,8 @@
     std::optional<double> m_NamedLimit;
     /// The peer can reach the platform's table.
     bool m_ReachesTable = false;
-    SliceLoads m_Rates{};
+    /// Request rates of the slices whose rate isn't negligible.
+    std::vector<std::pair<std::uint16_t, float>> m_Rates;
   };
   /// A peer's request at the local gate.
   struct PeerJob {
--- a/src/router/router_keys.cpp
+++ b/src/router/router_keys.cpp
@@ -77,8 +77,8 @@
   SliceLoads Sum = m_Agent.sliceRates();
   for (const auto &[Peer, Known] : m_PeerTargets)
     if (m_Mesh.isUp(Peer))
-      for (std::size_t Slice = 0; Slice < KeySliceCount; ++Slice)
-        Sum[Slice] += Known.m_Rates[Slice];
+      for (const auto &[Slice, Rate] : Known.m_Rates)
+        Sum[Slice] += Rate;
   return Sum;
 }
 
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -165,11 +165,13 @@
   Known.m_NamedLimit =
       Report.named_limit < 0 ? std::nullopt : std::optional(Report.named_limit);
   Known.m_ReachesTable = Report.sees_table;
-  if (Report.has_rates)
-    Known.m_Rates.fill(0);
-  for (const auto &Each : Report.slice_rates)
-    if (Each->slice < KeySliceCount)
-      Known.m_Rates[Each->slice] = Each->rate;
+  if (Report.has_rates) {
+    Known.m_Rates.clear();
+    for (const auto &Each : Report.slice_rates)
+      if (Each->slice < KeySliceCount)
+        Known.m_Rates.emplace_back(Each->slice, Each->rate);
+    Known.m_Rates.shrink_to_fit();
+  }
   requestMissingRows(Peer, rowsSeenOf(Report));
 }
 
