Commit the keys of restarted targets once for all owners

Cause: each of 147 owners commits that its new target takes over the keys of the one before. Only one commit can succeed against a version, and each of the others repeated its own as soon as it had seen the new map: a number that grows with the square of the owners, against 200 transactions a second of one part of the store. Evidence: the logs of eleven daemons show 4 to 10 conflicts a second from 33 s to the end and about one success in two seconds. Change: the planner, which hears of all targets, commits this for all of them at once. Ruled out: leaving it to the planner alone, which plans only 2 s after its start.

--- a/include/balsamwheel/detail/keyspace/key_planner.h
+++ b/include/balsamwheel/detail/keyspace/key_planner.h
@@ -100,9 +100,10 @@
   std::map<RevocationId, TimePoint> m_RevokedSince;
 };
 
-/// Assigns the keys of earlier incarnations on an instance to the present one:
-/// a restart of the target proves that the earlier incarnation has ended.
-KeyMap adoptEarlierIncarnations(const KeyMap &Map, const KeyOwner &Present);
+/// Assigns the keys of earlier incarnations on instances to the present ones:
+/// the restart of a target proves that its earlier incarnation has ended.
+KeyMap adoptEarlierIncarnations(const KeyMap &Map,
+                                const std::vector<KeyOwner> &Present);
 
 /// Records in the map that \p Owner has released the keys in [First, Last] with
 /// handover token \p Token: releasing spans pass to their next owners, revoked
--- a/src/keyspace/key_planner.cpp
+++ b/src/keyspace/key_planner.cpp
@@ -396,17 +396,25 @@
   return Builder.map();
 }
 
-KeyMap adoptEarlierIncarnations(const KeyMap &Map, const KeyOwner &Present) {
+KeyMap adoptEarlierIncarnations(const KeyMap &Map,
+                                const std::vector<KeyOwner> &Present) {
+  std::map<InstanceName, TargetIncarnation> Latest;
+  for (const KeyOwner &Each : Present) {
+    const auto [Found, Added] =
+        Latest.try_emplace(Each.m_Instance, Each.m_Target);
+    if (!Added && Found->second.m_StartTimeMs < Each.m_Target.m_StartTimeMs)
+      Found->second = Each.m_Target;
+  }
   KeyMap Result = Map;
   for (KeySpan Span : Map.spans()) {
-    if (Span.m_Owner.m_Instance != Present.m_Instance ||
-        Span.m_Owner.m_Target == Present.m_Target ||
-        Span.m_Owner.m_Target.m_StartTimeMs > Present.m_Target.m_StartTimeMs ||
+    const auto Found = Latest.find(Span.m_Owner.m_Instance);
+    if (Found == Latest.end() || Span.m_Owner.m_Target == Found->second ||
+        Span.m_Owner.m_Target.m_StartTimeMs > Found->second.m_StartTimeMs ||
         Span.m_State == SpanState::Free ||
         Span.m_State == SpanState::Unconfirmed)
       continue;
     Span.m_State = SpanState::Owned;
-    Span.m_Owner = Present;
+    Span.m_Owner.m_Target = Found->second;
     Span.m_NextOwner = {};
     Span.m_HandoverToken.clear();
     Span.m_Fence = Result.issueFence();
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -42,7 +42,7 @@
       m_Service(std::move(Service)), m_Options(Options),
       m_Callbacks(std::move(Callbacks)), m_Planner(Options.m_Planner),
       m_StartedAt(Loop.now()), m_Asker(Options.m_Sharing),
-      m_Collector(Options.m_Sharing) {
+      m_Collector(Options.m_Sharing), m_Backoff({}, Options.m_Seed) {
   tick();
 }
 
@@ -128,7 +128,7 @@
     if (Now >= m_ConfirmAt)
       Next = confirmHeld(Next, *Self, m_Agent.keys()->held());
     if (!m_Agent.leaving())
-      Next = adoptEarlierIncarnations(Next, *Self);
+      Next = adoptEarlierIncarnations(Next, {*Self});
     if (m_Agent.condition() == TargetCondition::Ended)
       Next = freeOwnedBy(Next, *Self);
     Next = reissueFences(Next, *Self, m_Agent.keys()->refusedGrants());
@@ -136,11 +136,17 @@
       Next = completeRelease(Next, *Self, Each.m_First, Each.m_Last,
                              Each.m_HandoverToken);
   }
-  if (Now - m_StartedAt >= m_Options.m_StartupDelay &&
-      m_Callbacks.m_IsPlanner())
-    Next = m_Planner.plan(Next, m_Callbacks.m_Candidates(),
-                          m_Callbacks.m_Loads(), Now);
-  return Next;
+  if (Now - m_StartedAt < m_Options.m_StartupDelay ||
+      !m_Callbacks.m_IsPlanner())
+    return Next;
+  const std::vector<KeyCandidate> Candidates = m_Callbacks.m_Candidates();
+  // After a restart of many targets, one commit serves them all.
+  std::vector<KeyOwner> Present;
+  for (const KeyCandidate &Each : Candidates)
+    if (Each.m_Condition == TargetCondition::Eligible)
+      Present.push_back(Each.m_Owner);
+  return m_Planner.plan(adoptEarlierIncarnations(Next, Present), Candidates,
+                        m_Callbacks.m_Loads(), Now);
 }
 
 void KeyCoordinator::update() {
@@ -151,9 +157,11 @@
       commit(*m_ReadEra, RowVersion(), First->toText());
     return;
   }
-  const KeyMap Next = desired();
-  if (Next != *m_Map)
-    return commit(m_MapEra, m_Version, Next.toText());
+  if (m_Loop.now() >= m_Backoff.nextAttempt() || m_Callbacks.m_IsPlanner()) {
+    const KeyMap Next = desired();
+    if (Next != *m_Map)
+      return commit(m_MapEra, m_Version, Next.toText());
+  }
   if (const auto Due = m_Collector.due(); Due && m_Loop.now() >= *Due)
     return commit(m_MapEra, m_Version, std::nullopt);
   if (m_Agent.owner() && m_Loop.now() >= m_NextCheck && !m_Question)
@@ -244,6 +252,10 @@
                          Reply.m_Version.m_Era == Era;
   m_NextCheck = StartedAt + (Succeeded ? m_Options.m_CheckInterval
                                        : m_Options.m_CheckRetryDelay);
+  if (HadWrite && Succeeded)
+    m_Backoff.succeeded();
+  else if (HadWrite && Reply.m_CallOutcome == TableCallOutcome::Conflict)
+    m_Backoff.conflicted(m_Loop.now());
   if (HadWrite || !Succeeded)
     m_Log.write(
         LogClass::StateChange,
--- a/src/router/key_coordinator.h
+++ b/src/router/key_coordinator.h
@@ -15,6 +15,7 @@
 // holds of the earlier era have ended.
 #pragma once
 
+#include "commit_backoff.h"
 #include "event_log.h"
 #include "map_check_sharing.h"
 #include "router_settings.h"
@@ -60,6 +61,8 @@
   /// holds keys.
   bool m_SystemStart = true;
   KeyPlannerOptions m_Planner;
+  /// Of random delays; differs between daemons.
+  std::uint64_t m_Seed = 0;
   MapCheckSharingOptions m_Sharing;
   /// Maximum interval between the answer to a shared check and the next
   /// question. Daemons that were answered together then ask together again.
@@ -181,6 +184,7 @@
   };
   MapCheckAsker m_Asker;
   MapCheckCollector m_Collector;
+  CommitBackoff m_Backoff;
   /// The question to a peer in progress.
   std::optional<Question> m_Question;
   std::uint64_t m_LastQuestion = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -89,6 +89,7 @@
       MaxConfirmDelay *
       (std::hash<InstanceName>()(Settings.m_Instance) % 1024) / 1024;
   Options.m_SystemStart = Settings.m_SystemStart;
+  Options.m_Seed = std::hash<InstanceName>()(Settings.m_Instance);
   return Options;
 }
 
--- a/tests/unit-key-planner.cpp
+++ b/tests/unit-key-planner.cpp
@@ -142,13 +142,14 @@
 TEST_CASE("a restarted target takes over its keys with new fences") {
   const KeyPlanner Planner({});
   const KeyMap Map = settle(Planner, KeyMap(), eligible(3), NoLoad);
-  const KeyMap Next = adoptEarlierIncarnations(Map, owner(1, 5));
+  const KeyMap Next =
+      adoptEarlierIncarnations(Map, {owner(1, 5), owner(1, 4), owner(2, 1)});
   CHECK(keysOf(Next, owner(1)) == 0);
   CHECK(keysOf(Next, owner(1, 5)) == keysOf(Map, owner(1)));
   for (const KeySpan &Span : Next.spans())
     if (Span.m_Owner == owner(1, 5))
       CHECK(Span.m_Fence > Map.find(Span.m_First).m_Fence);
-  CHECK(adoptEarlierIncarnations(Next, owner(1, 3)) == Next);
+  CHECK(adoptEarlierIncarnations(Next, {owner(1, 3)}) == Next);
 }
 
 TEST_CASE("a hot range of keys is split, and few other keys move") {
--- a/tests/unit-key-restore.cpp
+++ b/tests/unit-key-restore.cpp
@@ -97,7 +97,7 @@
   CHECK(freeOwnedBy(Map, A) == Map);
   KeyOwner Restarted = A;
   Restarted.m_Target.m_StartTimeMs = 2;
-  CHECK(adoptEarlierIncarnations(Map, Restarted) == Map);
+  CHECK(adoptEarlierIncarnations(Map, {Restarted}) == Map);
   KeyPlanner Planner({.m_RevocationWait = Wait});
   Planner.observe(Map, Start);
   const KeyMap Next = Planner.plan(
