Plan key moves in proportion to the number of targets

Causes: a plan started six moves at most and only when no span was pending, so the time until loads are even grows with the targets (41 plans with 300 of them); a slice of 64 keys counted for 1.5 targets at most, so a hot range in one slice was divided among two targets whatever it needed; no part was smaller than 16 keys. Change: one move for each four targets, while at most one span for each eight is pending; a slice counts for up to a sixteenth of the capacity; parts of four keys. Services of up to 24 targets keep their limits. Ruled out: measuring slices of 8 keys, whose reports would take more of the links than all others; no limit for a slice, as a single key that nobody can serve would leave many targets idle. Evidence: both new tests of unit-key-planner fail without the change (41 plans where 8 are allowed, 2 targets where 6 are asked for).

--- a/src/keyspace/key_planner.cpp
+++ b/src/keyspace/key_planner.cpp
@@ -15,17 +15,25 @@
 /// been measured yet.
 constexpr double BaseLoadPerKey = 1.0 / KeyCount;
 /// Granularity of moves, in keys.
-constexpr std::uint32_t StepKeys = 16;
-/// Maximum number of planned moves that one plan starts.
-constexpr int MaxMovesPerPlan = 6;
+constexpr std::uint32_t StepKeys = 4;
+/// Maximum number of planned moves that one plan starts: this many, or one for
+/// each TargetsPerMove targets if that is more.
+constexpr std::size_t MinMovesPerPlan = 6;
+constexpr std::size_t TargetsPerMove = 4;
+/// Moves are planned while at most one span for each of this many targets is
+/// free, being released, revoked or unconfirmed.
+constexpr std::size_t TargetsPerPendingSpan = 8;
 /// No span is split off from an owner with this many spans: the grants of all
 /// its spans have to fit into the answer to a heartbeat.
 constexpr std::size_t MaxSpansPerOwner = 60;
 
 /// Maximum load of a slice for planning, as a multiple of the fair share (the
-/// load per unit of capacity): the load of a single key beyond it can't be
-/// served, whichever target owns the slice.
-constexpr double MaxSliceFairShares = 1.5;
+/// load per unit of capacity). The load of a single key beyond one target's
+/// capacity can't be served, whichever target owns the slice; that of a hot
+/// range can be divided. Which of them a slice contains isn't known, so the
+/// limit is a small part of the whole capacity.
+constexpr double MinSliceLimit = 1.5;
+constexpr double SliceLimitPerCapacity = 1.0 / 16;
 /// Iterations in which the fair share and the cap of the slices, which depend
 /// on each other, converge.
 constexpr int CapRounds = 12;
@@ -37,13 +45,15 @@
 /// Caps the load of each slice, for a service of the given capacity.
 SliceLoads capSliceLoads(const SliceLoads &Loads, double Capacity) {
   SliceLoads Result = Loads;
-  if (Capacity <= MaxSliceFairShares)
+  const double MaxFairShares =
+      std::max(MinSliceLimit, SliceLimitPerCapacity * Capacity);
+  if (Capacity <= MaxFairShares)
     return Result;
   for (int Round = 0; Round < CapRounds; ++Round) {
     double Sum = 0;
     for (const float Load : Result)
       Sum += Load;
-    const auto Cap = static_cast<float>(MaxSliceFairShares * Sum / Capacity);
+    const auto Cap = static_cast<float>(MaxFairShares * Sum / Capacity);
     for (float &Load : Result)
       Load = std::min(Load, Cap);
   }
@@ -175,7 +185,9 @@
     if (m_Eligible.size() < 2)
       return;
     const double Fair = fairShare();
-    for (int Move = 0; Move < MaxMovesPerPlan;) {
+    const std::size_t MaxMoves =
+        std::max(MinMovesPerPlan, m_Eligible.size() / TargetsPerMove);
+    for (std::size_t Move = 0; Move < MaxMoves;) {
       TargetLoad &MostLoaded = *std::max_element(
           m_Eligible.begin(), m_Eligible.end(),
           [](const TargetLoad &Left, const TargetLoad &Right) {
@@ -209,11 +221,14 @@
     }
   }
 
-  /// Whether any keys are free, being released, revoked or unconfirmed.
-  bool hasPendingChanges() const {
-    return std::any_of(
+  /// Whether so few spans are free, being released, revoked or unconfirmed that
+  /// further moves may be planned.
+  bool mayRebalance() const {
+    const auto Pending = std::count_if(
         m_Map.spans().begin(), m_Map.spans().end(),
         [](const KeySpan &Span) { return Span.m_State != SpanState::Owned; });
+    return static_cast<std::size_t>(Pending) <=
+           m_Eligible.size() / TargetsPerPendingSpan;
   }
 
 private:
@@ -390,7 +405,7 @@
         Part.m_State = SpanState::Releasing;
         Part.m_NextOwner = Receiver;
       });
-  if (!Builder.hasPendingChanges())
+  if (Builder.mayRebalance())
     Builder.rebalance(m_Options.m_Tolerance);
   Builder.map().normalize();
   return Builder.map();
--- a/tests/unit-key-planner.cpp
+++ b/tests/unit-key-planner.cpp
@@ -247,3 +247,52 @@
   Map = settle(Planner, Map, Candidates, Loads);
   CHECK(loadOf(Map, owner(2), Loads) >= 0.6 * 100 / 6);
 }
+
+TEST_CASE(
+    "the number of plans until the load is balanced doesn't grow with the "
+    "number of targets") {
+  for (const int Targets : {30, 100, 300}) {
+    CAPTURE(Targets);
+    const KeyPlanner Planner({});
+    std::vector<KeyCandidate> Candidates = eligible(Targets);
+    // Every third target has a third of the capacity, which shows only after
+    // the keys have been assigned.
+    KeyMap Map = Planner.plan(KeyMap(), Candidates, NoLoad, Start);
+    for (std::size_t Index = 0; Index < Candidates.size(); Index += 3)
+      Candidates[Index].m_Capacity = 1.0 / 3;
+    SliceLoads Loads;
+    Loads.fill(1);
+    int Plans = 0;
+    for (; Plans < 100; ++Plans) {
+      KeyMap Next = Planner.plan(Map, Candidates, Loads, Start);
+      const std::vector<KeySpan> Spans = Next.spans();
+      for (const KeySpan &Span : Spans)
+        if (Span.m_State == SpanState::Releasing)
+          Next = completeRelease(Next, Span.m_Owner, Span.m_First, Span.m_Last,
+                                 "");
+      if (Next == Map)
+        break;
+      Map = Next;
+    }
+    CHECK(Plans <= 8);
+  }
+}
+
+TEST_CASE("a hot range within a slice is divided among many targets of a large "
+          "service") {
+  constexpr int Targets = 150;
+  const KeyPlanner Planner({});
+  const std::vector<KeyCandidate> Candidates = eligible(Targets);
+  const KeyMap Map = Planner.plan(KeyMap(), Candidates, NoLoad, Start);
+  SliceLoads Loads;
+  Loads.fill(1);
+  // 0.4 of the whole load, as much as 60 targets bear.
+  Loads[500] = 700;
+  const KeyMap Settled = settle(Planner, Map, Candidates, Loads);
+  std::vector<KeyOwner> Owners;
+  for (std::uint32_t Key = 500 * KeysPerSlice; Key < 501 * KeysPerSlice; ++Key)
+    Owners.push_back(Settled.find(static_cast<KeyIndex>(Key)).m_Owner);
+  std::sort(Owners.begin(), Owners.end());
+  Owners.erase(std::unique(Owners.begin(), Owners.end()), Owners.end());
+  CHECK(Owners.size() >= 6);
+}
