--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -115,6 +115,8 @@
         self.oracle = Oracle()
         self.store = Store(seed)
         self.broken_answer_share = 0.0
+        # Whether keys are granted by calls.
+        self.direct_grants = seed % 2 == 1
         self.rolling_back = False
         self.version = 1
         self.daemons = {
@@ -153,7 +155,12 @@
         ]
         services = [
             {"Name": "plain", "MaxConnections": 60},
-            {"Name": "keyed", "MaxConnections": 60, "Sharded": True},
+            {
+                "Name": "keyed",
+                "MaxConnections": 60,
+                "Sharded": True,
+                "Grants": "direct" if self.direct_grants else "heartbeat",
+            },
         ]
         hosts = [{"Host": "h", "PathRules": rules}]
         return {"Version": self.version, "Services": services, "VirtualHosts": hosts}
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -14,6 +14,10 @@
 SLOTS = 4
 # The DrainS of the settings.
 DRAIN_S = 2.5
+# Share of the calls for keys that get no answer, and the longest time after which
+# such a grant is applied.
+LOST_CALL_SHARE = 0.05
+LATE_GRANT_S = 3.0
 # A request may be this long on its way when the daemon learns of the leaving.
 IN_FLIGHT_S = 1.0
 
@@ -36,6 +40,8 @@
         self.held = {}  # (first, last) -> (fence, end)
         self.running = {}  # request id -> key or None
         self.released = []
+        self.seen_fences = []  # (first, last, fence) of all grants
+        self.releasing = []  # (first, last) of releases that wait for work to end
         self.draining = False
         self.leaving = False
         self.leaving_since = None  # when an answer has first said so
@@ -67,6 +73,9 @@
         for (first, last), (_, end) in self.held.items():
             in_use = any(first <= key <= last for key in busy)
             result[first, last] = now + 1 if in_use else end
+        for first, last in self.releasing:
+            if any(first <= key <= last for key in busy):
+                result[first, last] = now + 1
         return result
 
     # Returns the fence of a key, or None if the key isn't held now.
@@ -81,6 +90,10 @@
         request, incarnation = headers.get("x-request-id"), self.incarnation
         if incarnation is None:
             return None
+        if path == "/v1/grant":
+            return await self.handle_grant(json.loads(body))
+        if path == "/v1/release":
+            return await self.handle_release(json.loads(body))
         fields = {"X-Request-Id": request, "X-Server-Load": f"{len(self.running)},0,4"}
         if self.leaving:
             fields["Server-Leaving"] = "1"
@@ -125,6 +138,60 @@
         fields["X-Server-Signature"] = f"{incarnation}/{length}"
         return 200, fields, answer_body(incarnation, request, length)
 
+    async def handle_grant(self, call):
+        """Grants keys from the arrival of the call on; it may be applied late."""
+        incarnation, arrived = self.incarnation, time.monotonic()
+        if self.fleet.random.random() < LOST_CALL_SHARE:
+            delay = self.fleet.random.uniform(0, LATE_GRANT_S)
+            asyncio.get_running_loop().call_later(
+                delay, self.apply_grant, incarnation, call, arrived
+            )
+            return None
+        return self.apply_grant(incarnation, call, arrived), {}, b""
+
+    def apply_grant(self, incarnation, call, arrived):
+        if self.incarnation != incarnation:
+            return 503
+        first, last, fence = call["From"], call["Target"], call["fence"]
+        if any(f <= last and first <= l and seen > fence for f, l, seen in self.seen_fences):
+            return 409
+        self.seen_fences.append((first, last, fence))
+        until = arrived + call["HoldS"]
+        if until <= time.monotonic():
+            return 200
+        self.remove_held(first, last)
+        self.held[first, last] = (fence, until)
+        self.fleet.oracle.record_grant(incarnation, [(first, last, fence)])
+        self.fleet.oracle.record_holds(incarnation, self.lease_ends())
+        return 200
+
+    # Ends the holds of a range, and keeps the parts outside of it.
+    def remove_held(self, first, last):
+        for (f, l), hold in list(self.held.items()):
+            if f <= last and first <= l:
+                del self.held[f, l]
+                for part in subtract_ranges(f, l, [(first, last)]):
+                    self.held[part] = hold
+
+    async def handle_release(self, call):
+        """Answers when the work on the released keys has ended."""
+        incarnation = self.incarnation
+        keys = call["From"], call["Target"]
+        self.remove_held(*keys)
+        self.releasing.append(keys)
+        try:
+            while any(k is not None and keys[0] <= k <= keys[1] for k in self.running.values()):
+                await asyncio.sleep(0.01)
+                if self.incarnation != incarnation:
+                    return None
+        finally:
+            if self.incarnation == incarnation:
+                self.releasing.remove(keys)
+                self.fleet.oracle.record_holds(incarnation, self.lease_ends())
+        if self.fleet.random.random() < LOST_CALL_SHARE:
+            return None
+        return 200, {"X-Lease-Handover": f"h-{incarnation}-{keys[0]}"}, b""
+
     async def send_heartbeats(self):
         while True:
             send_soon = await self.send_heartbeat()
@@ -145,7 +212,8 @@
             "Sequence": self.sequence,
             "born": self.started_at_ms,
         }
-        if self.keyed:
+        direct = self.keyed and self.fleet.direct_grants
+        if self.keyed and not direct:
             body["Holds"] = [[f, l, fence] for (f, l), (fence, _) in self.held.items()]
             body["Released"] = list(self.released)
         reported = len(self.released)
@@ -168,7 +236,9 @@
             self.fleet.oracle.fail(f"answer to a heartbeat has {len(text)} bytes")
         del self.released[:reported]
         reply = json.loads(text)
-        if "Holds" in reply:
+        if direct and "Holds" in reply:
+            self.fleet.oracle.fail(f"{incarnation} was granted keys by a heartbeat")
+        elif "Holds" in reply:
             self.apply_grants(reply["Holds"], sent + reply["HoldS"])
         return bool(self.released) or self.drop_expired()
 
