--- a/include/balsamwheel/detail/keyspace/key_planner.h
+++ b/include/balsamwheel/detail/keyspace/key_planner.h
@@ -73,9 +73,9 @@
   /// or return to their owner if it is reachable again before; unconfirmed keys
   /// become free when the revocation wait is over; leaving owners
   /// release their keys to next owners; free keys go to the target with the
-  /// least load relative to its capacity; if few other changes are pending (none
-  /// with less than eight targets) and the loads differ too much from the fair
-  /// share, the most loaded targets release their hottest keys.
+  /// least load relative to its capacity; if few other changes are pending
+  /// (none with less than eight targets) and the loads differ too much from the
+  /// fair share, the most loaded targets release their hottest keys.
   ///
   /// Complexity: linear in the spans, plus slices times candidates.
   KeyMap plan(const KeyMap &Map, const std::vector<KeyCandidate> &Candidates,
