Take a connection closed without a byte for no answer

What callers saw: a request whose target closed the connection in order, without a byte of an answer, was held until its deadline (504) instead of being tried elsewhere or failed at once. Cause: the HTTP parser takes the end of input before the first byte for the end of an empty message, which reads as a complete answer with status 200. A request's answer has to bear its id, so this one was skipped as one to another request, and the call waited on a closed connection; the answer to a call for keys needs no id and was taken as "applied". Ruled out: the ledger, which treats a lost answer as the model test demands. Change: without a complete head the end of the input is no answer.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -227,6 +227,10 @@
 }
 
 ParseState HttpAnswerParser::finish() {
+  // The parser takes the end of the input before its first byte for the end of
+  // an empty message.
+  if (!m_Impl->m_Parser.is_header_done())
+    return ParseState::Malformed;
   boost::system::error_code Error;
   m_Impl->m_Parser.put_eof(Error);
   return !Error && m_Impl->m_Parser.is_done() ? ParseState::Complete
--- a/tests/unit-http-loop.cpp
+++ b/tests/unit-http-loop.cpp
@@ -77,6 +77,13 @@
   CHECK(Result.m_CallOutcome == HttpCallOutcome::Broken);
 }
 
+TEST_CASE("a connection that is closed without any byte ends the call at once, "
+          "and is no answer") {
+  const HttpCallResult Result = callOnce(
+      [](const std::string &, int) { return RawReply{.m_Close = true}; }, 5s);
+  CHECK(Result.m_CallOutcome == HttpCallOutcome::Broken);
+}
+
 TEST_CASE("a call to a silent server times out") {
   const HttpCallResult Result = callOnce(
       [](const std::string &, int) { return RawReply{.m_Silent = true}; },
--- a/tests/unit-http-message.cpp
+++ b/tests/unit-http-message.cpp
@@ -157,3 +157,8 @@
     CHECK(Bytes.value_or(0) <= 65536 + 4096 + 8192);
   }
 }
+
+TEST_CASE("the end of the input before the first byte is no answer") {
+  HttpAnswerParser Parser({}, false);
+  CHECK(Parser.finish() == ParseState::Malformed);
+}
