Close a target at the earliest of its limits

A target that leaves and whose failure domain is evacuated has two limits, and one timer closed its gate: whichever event came last replaced the other's time. A target that left (limit 2 s) and was evacuated 0.3 s later got keyed requests for another second after its limit; the reverse order breaks the limit of the evacuation.

The new test fails on the former code: a keyed request is answered 200 and reaches the target 2.1 s after the acknowledged leaving.

The agent now keeps both limits and closes at the earlier one. It also looks at the time before each send, as the timer of a daemon that was suspended runs after the requests that have arrived meanwhile.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -35,6 +35,8 @@
 /// In a failure domain with at most this many daemons, each watches the
 /// operators' table for itself: that costs fewer calls than short watches.
 constexpr std::ptrdiff_t MaxSeparateWatchers = 12;
+/// How long a change of the operators' table may be unknown to this daemon.
+constexpr Duration MaxReadTime = std::chrono::milliseconds(1500);
 constexpr Duration FollowCheckInterval = std::chrono::milliseconds(250);
 /// Callers' connections may take the number of file descriptors divided by
 /// this; peers, the target and the table need the rest.
@@ -296,9 +298,11 @@
     if (Domain && *Domain == m_Settings.m_Domain) {
       // The first read doesn't show how long ago the row was written.
       const bool FirstRead = !m_Follower.hasRead(TableName::Operators);
-      m_Agent.setEvacuated(Row.m_Value.has_value(),
-                           FirstRead ? Duration::zero()
-                                     : m_Settings.m_EvacuationLimit);
+      m_Agent.setEvacuated(
+          Row.m_Value.has_value(),
+          m_Loop.now() + (FirstRead
+                              ? Duration::zero()
+                              : m_Settings.m_EvacuationLimit - MaxReadTime));
       sendReports();
     }
     return;
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -109,7 +109,8 @@
   m_NamedLimit.reset();
   m_Gate.setNamedLimit(std::nullopt, m_Loop.now());
   m_Leaving = false;
-  m_Loop.cancel(m_CloseTimer);
+  m_LeaveLimit.reset();
+  scheduleClose();
   HttpClientOptions Client;
   Client.m_MaxConnections = Heartbeat.m_Slots + SpareConnections;
   Client.m_TcpUserTimeout = TargetTcpUserTimeout;
@@ -151,15 +152,38 @@
     finish(Each, {.m_Outcome = Outcome::NotRun, .m_Reason = Why});
 }
 
-void TargetAgent::scheduleClose(Duration Delay, Reason Why) {
+void TargetAgent::scheduleClose() {
   m_Loop.cancel(m_CloseTimer);
+  m_CloseAt.reset();
+  if (!m_LeaveLimit && !m_EvacuationLimit)
+    return;
   // Keys need time to be handed over; requests without a key can go to other
   // instances immediately.
-  const bool HoldsKeys = m_Keys && m_Keys->heldUntil() > m_Loop.now();
+  const TimePoint Now = m_Loop.now();
+  const bool HoldsKeys = m_Keys && m_Keys->heldUntil() > Now;
+  m_CloseAt = std::min(m_LeaveLimit.value_or(TimePoint::max()),
+                       m_EvacuationLimit.value_or(TimePoint::max())) -
+              m_Options.m_CloseMargin;
   if (!HoldsKeys)
-    return closeGate(Why);
-  m_CloseTimer = m_Loop.after(std::max(Delay, Duration::zero()),
-                              [this, Why] { closeGate(Why); });
+    m_CloseAt = std::min(*m_CloseAt, Now);
+  closeIfDue();
+  if (m_CloseAt)
+    m_CloseTimer = m_Loop.after(*m_CloseAt - Now, [this] { closeIfDue(); });
+}
+
+void TargetAgent::closeIfDue() {
+  if (!m_CloseAt || m_Loop.now() < *m_CloseAt)
+    return;
+  const Reason Why = m_Leaving ? Reason::Draining : Reason::DomainOut;
+  m_Log.write(LogClass::StateChange,
+              LogLine("gate_closed")
+                  .add("target", m_Target ? m_Target->m_Id : "")
+                  .add("why", m_Leaving ? "leaving" : "domain_out")
+                  .add("late", m_Loop.now() - *m_CloseAt)
+                  .add("waiting", static_cast<std::int64_t>(m_Gate.waiting())));
+  m_Loop.cancel(m_CloseTimer);
+  m_CloseAt.reset();
+  closeGate(Why);
 }
 
 void TargetAgent::leave(const char *Why) {
@@ -171,8 +195,8 @@
                   .add("target", m_Target ? m_Target->m_Id : "")
                   .add("why", Why)
                   .add("waiting", static_cast<std::int64_t>(m_Gate.waiting())));
-  scheduleClose(m_Settings.m_DrainLimit - m_Options.m_DrainMargin,
-                Reason::Draining);
+  m_LeaveLimit = m_Loop.now() + m_Settings.m_DrainLimit;
+  scheduleClose();
 }
 
 void TargetAgent::refuseNew() {
@@ -182,19 +206,19 @@
   closeGate(Reason::Draining);
 }
 
-void TargetAgent::setEvacuated(bool Evacuated, Duration TimeLeft) {
+void TargetAgent::setEvacuated(bool Evacuated, TimePoint Limit) {
   if (Evacuated == m_Evacuated)
     return;
   m_Evacuated = Evacuated;
   m_Log.write(LogClass::StateChange,
               LogLine(Evacuated ? "domain_out" : "domain_in")
-                  .add("domain", m_Settings.m_Domain.value()));
-  if (Evacuated) {
-    scheduleClose(TimeLeft - m_Options.m_EvacuationMargin, Reason::DomainOut);
-  } else if (!m_Leaving) {
-    m_Loop.cancel(m_CloseTimer);
-    openGate();
-  }
+                  .add("domain", m_Settings.m_Domain.value())
+                  .add("limit_in", Evacuated ? std::max(Limit - m_Loop.now(),
+                                                        Duration::zero())
+                                             : Duration::zero()));
+  m_EvacuationLimit = Evacuated ? std::optional(Limit) : std::nullopt;
+  scheduleClose();
+  openGate();
 }
 
 TargetCondition TargetAgent::condition() const {
@@ -303,6 +327,7 @@
 }
 
 void TargetAgent::offer(JobId Id) {
+  closeIfDue();
   const Job &Entry = m_Jobs.at(Id);
   const GateDecision Decision =
       m_Gate.offer({.m_Handle = Id,
@@ -539,6 +564,7 @@
 }
 
 void TargetAgent::sendQueued() {
+  closeIfDue();
   while (auto Next = m_Gate.next(m_Loop.now()))
     send(*Next);
   m_Loop.cancel(m_SendTimer);
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -84,12 +84,9 @@
   /// Time for which the gate stays closed after the target refused a
   /// connection.
   Duration m_ConnectRetryDelay = std::chrono::milliseconds(400);
-  /// Reserved from the time limits of leaving targets, for requests in flight.
-  Duration m_DrainMargin = std::chrono::milliseconds(500);
-  /// Reserved from the time limit of targets whose failure domain is taken out
-  /// of service. The limit runs from the operators' change, of which this
-  /// daemon learns by its own watch or, with a delay, from peers.
-  Duration m_EvacuationMargin = std::chrono::seconds(2);
+  /// Reserved from the time limits of targets that leave or whose failure
+  /// domain is taken out of service, for requests in flight.
+  Duration m_CloseMargin = std::chrono::milliseconds(500);
 };
 
 struct TargetAgentCallbacks {
@@ -100,9 +97,9 @@
   std::function<void(RequestDigest)> m_OnSuspectCompleted;
 };
 
-/// Invariants: nothing is sent while the gate is closed; a non-idempotent
-/// request is sent at most once; each job ends exactly once, by its callback or
-/// by cancel().
+/// Invariants: nothing is sent while the gate is closed, nor after a time at
+/// which it was to be closed; a non-idempotent request is sent at most once;
+/// each job ends exactly once, by its callback or by cancel().
 class TargetAgent {
 public:
   using JobId = RequestHandle;
@@ -122,8 +119,9 @@
   /// The target leaves: it gets no keys from now on and soon no requests.
   void leave(const char *Why);
   /// Sets whether the target's domain is out of service.
-  /// \param TimeLeft until the target may get no more requests.
-  void setEvacuated(bool Evacuated, Duration TimeLeft);
+  /// \param Limit time from which on the target may get no more requests; one
+  ///        that has passed closes the gate at once.
+  void setEvacuated(bool Evacuated, TimePoint Limit);
   /// The daemon will stop: its reports ask the others to send no more requests.
   void setStopping() { m_Stopping = true; }
   /// The daemon is about to exit: requests that haven't been sent to the target
@@ -181,8 +179,12 @@
   void openGate();
   void limitColdRate();
   void closeGate(Reason Why);
-  /// Closes the gate at once or, if the target may hold keys, after \p Delay.
-  void scheduleClose(Duration Delay, Reason Why);
+  /// Closes the gate when the target has to leave it: at once or, if it may
+  /// hold keys, at the earliest of the times set.
+  void scheduleClose();
+  /// Closes the gate if the time for it has passed, and its timer hasn't run
+  /// yet.
+  void closeIfDue();
   /// How long a request may wait for a key that is to be granted.
   Duration grantWaitLimit(const TargetJob &Entry) const;
   void offer(JobId Id);
@@ -227,7 +229,12 @@
   bool m_Evacuated = false;
   bool m_Stopping = false;
   bool m_RefuseNew = false;
-  /// Closes the gate a limited time after the target began to leave.
+  /// From when on the target may get no requests, because it leaves or because
+  /// its domain is out of service.
+  std::optional<TimePoint> m_LeaveLimit;
+  std::optional<TimePoint> m_EvacuationLimit;
+  /// When the gate is to be closed; none if it isn't, or has been.
+  std::optional<TimePoint> m_CloseAt;
   EventLoop::TimerId m_CloseTimer;
   EventLoop::TimerId m_SendTimer;
   EventLoop::TimerId m_ExpireTimer;
--- a/tests/unit-router-keys.cpp
+++ b/tests/unit-router-keys.cpp
@@ -111,6 +111,21 @@
   CHECK(A.m_Target.m_Arrivals == Arrivals);
 }
 
+TEST_CASE("a target that left got requests until the later limit of the "
+          "evacuation of its domain") {
+  Rig Rig;
+  Instance &A = serveKeys(Rig);
+  const TimePoint Left = bootNow();
+  A.sendHeartbeat(true);
+  Rig.runFor(300ms);
+  Rig.m_Rows.put(TableName::Operators, "evacuate/domain-a", "{}");
+  Rig.runFor(1800ms);
+  REQUIRE(bootNow() - Left > A.m_Settings.m_DrainLimit);
+  const int Arrivals = A.m_Target.m_Arrivals;
+  CHECK(Rig.call(A, "/key/1", "GET", 5).m_Status == 503);
+  CHECK(A.m_Target.m_Arrivals == Arrivals);
+}
+
 TEST_CASE(
     "an evacuation of unknown age that a daemon reads at its start closes "
     "the target at once") {
