Count a peer's word of the table from its watch

A daemon whose failure domain has others that watch the operators' table trusted their word for 1.8 s from its arrival, however long it had been on the way: after a suspension, or behind large answers on a full link, a new configuration could be unknown for that much longer than its limit.

The time is also bounded by the deployment's limit for configurations: 1.8 s, the check every 250 ms and the reading don't fit 2 s, which only deployments with more than 12 daemons in a domain would have met.

The new test fails on the former code in both cases: with a word of 3 s ago no watch is started.

--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -17,10 +17,12 @@
 constexpr Duration SliceRatesInterval = std::chrono::milliseconds(700);
 /// Slices with fewer requests per second aren't reported.
 constexpr float MinReportedRate = 0.1F;
-/// How long after a peer's message its watch of the operators' table counts as
-/// current. A daemon that gets no further one then has time to read a change
-/// itself before it has to be in force.
+/// How long after a peer's watch of the operators' table the table counts as
+/// known.
 constexpr Duration MaxFreshAge = std::chrono::milliseconds(1800);
+/// A daemon that hears of no further watch has at least this time to read a
+/// change itself before it has to be in force.
+constexpr Duration OwnReadTime = std::chrono::milliseconds(700);
 /// In a report of a target that names no limit.
 constexpr double NoNamedLimit = -1;
 
@@ -288,7 +290,13 @@
     if (PeerSeen.m_Operators.m_Era == m_Follower.era() &&
         Seen >= PeerSeen.m_Operators) {
       m_Follower.advance(TableName::Operators, Current->m_Position);
-      m_OperatorsFreshUntil = m_Loop.now() + MaxFreshAge;
+      // Not from the arrival of the frame: it may have been on the way for
+      // long.
+      if (const auto ReadAt = m_Follower.earliest(Current->m_At))
+        m_OperatorsFreshUntil =
+            std::max(m_OperatorsFreshUntil,
+                     *ReadAt + std::min(MaxFreshAge, m_Settings.m_ConfigLimit -
+                                                         OwnReadTime));
     }
   }
   requestMissingRows(Peer, PeerSeen);
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -49,6 +49,8 @@
   Duration m_HeartbeatInterval = std::chrono::seconds(1);
   /// Maximum time for which a leaving target may get new requests.
   Duration m_DrainLimit = std::chrono::seconds(2);
+  /// Maximum time until a new configuration is in force at all daemons.
+  Duration m_ConfigLimit = std::chrono::seconds(2);
   /// Maximum time for which a target of an evacuated domain may get new
   /// requests.
   Duration m_EvacuationLimit = std::chrono::seconds(5);
--- a/tests/unit-router-peers.cpp
+++ b/tests/unit-router-peers.cpp
@@ -140,3 +140,86 @@
   REQUIRE(Rig.runUntil([&] { return Answers.size() == 2; }));
   CHECK(Remote.m_Target.m_Arrivals == 1);
 }
+
+namespace {
+
+/// Peers of a failure domain that only send what the test tells them to.
+class SilentPeers {
+public:
+  explicit SilentPeers(Rig &Rig, const std::string &Domain, int Count)
+      : m_Rig(Rig), m_Address(freeEndpoint()),
+        m_Acceptor(Rig.m_Loop, [this](ACE_HANDLE Handle) {
+          m_Links.push_back(std::make_unique<PeerLink>(
+              m_Rig.m_Loop,
+              PeerLinkEvents{.m_OnFrame = [](std::unique_ptr<LinkFrame>,
+                                             const std::string &) {}}));
+          REQUIRE(m_Links.back()->adopt(Handle));
+        }) {
+    REQUIRE(m_Acceptor.listen(m_Address));
+    for (int Each = 0; Each < Count; ++Each)
+      Rig.m_Rows.put(TableName::Own, "member/a" + std::to_string(100 + Each),
+                     R"({"address":")" + m_Address.toText() +
+                         R"(","domain":")" + Domain +
+                         R"(","service":"plain"})");
+  }
+
+  void send(const LinkFrame &Frame) {
+    for (const auto &Link : m_Links)
+      Link->send(Frame);
+  }
+
+  Rig &m_Rig;
+  Endpoint m_Address;
+  std::vector<std::unique_ptr<PeerLink>> m_Links;
+  Acceptor m_Acceptor;
+};
+
+} // namespace
+
+TEST_CASE("a peer's word of the operators' table counted from its arrival, "
+          "however long it had been on the way") {
+  Rig Rig;
+  Instance &B = Rig.add("b", "plain");
+  B.m_Settings.m_ConfigLimit = 2500ms;
+  Duration LateAge = 3s;
+  SUBCASE("too long ago for any configuration") {}
+  SUBCASE("too long ago for the limit of the configuration") {
+    B.m_Settings.m_ConfigLimit = 1400ms;
+    LateAge = 1s;
+  }
+  B.restartRouter(Rig.m_Loop, Rig.m_Log);
+  SilentPeers Peers(Rig, B.m_Settings.m_Domain.value(), 13);
+  Rig.configure(1);
+  REQUIRE(Rig.runUntil([&] { return Peers.m_Links.size() == 13; }));
+  Duration Age = 0ms;
+  std::function<void()> Tell = [&] {
+    LinkFrame Report;
+    Report.kind = LinkFrameKind::Report;
+    Report.gate = std::make_unique<link_wire::GateStateT>();
+    Report.sees_table = true;
+    Peers.send(Report);
+    LinkFrame Fresh;
+    Fresh.kind = LinkFrameKind::TableFresh;
+    Fresh.operator_rows_seen = Rig.m_Rows.m_Version;
+    Fresh.operator_rows_position = Rig.m_Rows.m_Version;
+    Fresh.operator_rows_time = FakeRows::now().value() - Age.count();
+    Peers.send(Fresh);
+    Rig.m_Loop.after(200ms, Tell);
+  };
+  Tell();
+  const auto Watches = [&] {
+    return std::any_of(Rig.m_Rows.m_Watches.begin(), Rig.m_Rows.m_Watches.end(),
+                       [](const FakeRows::Watch &Each) {
+                         return Each.m_Table == TableName::Operators;
+                       });
+  };
+  Rig.runFor(1s);
+  // Ends the daemon's own watch.
+  Rig.m_Rows.put(TableName::Operators, "other", "{}");
+  REQUIRE(Rig.runUntil([&] { return !Watches(); }));
+  Rig.runFor(2500ms);
+  CHECK_FALSE(Watches());
+  Age = LateAge;
+  Rig.runFor(2500ms);
+  CHECK(Watches());
+}
