Close a target that leaves since before the daemon's start

The limit of a leaving target runs from the acknowledgement of its leaving. A daemon that was restarted after that counted it anew from the first heartbeat that it got: the target got keyed requests for up to 1.5 s after the limit.

A target whose first heartbeat says that it leaves may have been acknowledged at any time, so its gate is closed at once. The new test fails without that: requests arrive after the limit.

--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -56,7 +56,8 @@
     return false;
   if (m_Target == Heartbeat.m_Target && Heartbeat.m_Sequence <= m_LastSequence)
     return false;
-  if (m_Target != Heartbeat.m_Target)
+  const bool First = m_Target != Heartbeat.m_Target;
+  if (First)
     startTarget(Heartbeat);
   m_LastSequence = Heartbeat.m_Sequence;
   m_LastHeartbeat = m_Loop.now();
@@ -70,7 +71,10 @@
           ? m_Loop.now() + Heartbeat.m_ColdLeft + m_Settings.m_HeartbeatInterval
           : TimePoint();
   limitColdRate();
-  if (Heartbeat.m_Draining && !m_Leaving)
+  // A previous daemon may have acknowledged at any time that the target leaves.
+  if (Heartbeat.m_Draining && First)
+    leaveUntil(m_Loop.now(), "draining since before the first heartbeat");
+  else if (Heartbeat.m_Draining)
     leave("draining");
   m_Keys->report(Heartbeat.m_Keys);
   return true;
@@ -187,6 +191,10 @@
 }
 
 void TargetAgent::leave(const char *Why) {
+  leaveUntil(m_Loop.now() + m_Settings.m_DrainLimit, Why);
+}
+
+void TargetAgent::leaveUntil(TimePoint Limit, const char *Why) {
   if (m_Leaving)
     return;
   m_Leaving = true;
@@ -195,7 +203,7 @@
                   .add("target", m_Target ? m_Target->m_Id : "")
                   .add("why", Why)
                   .add("waiting", static_cast<std::int64_t>(m_Gate.waiting())));
-  m_LeaveLimit = m_Loop.now() + m_Settings.m_DrainLimit;
+  m_LeaveLimit = Limit;
   scheduleClose();
 }
 
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -163,6 +163,9 @@
   }
 
 private:
+  /// \param Limit time from which on the target may get no more requests.
+  void leaveUntil(TimePoint Limit, const char *Why);
+
   struct Job {
     TargetJob m_Job;
     OnResult m_Done;
--- a/tests/unit-router-keys.cpp
+++ b/tests/unit-router-keys.cpp
@@ -114,10 +114,11 @@
 /// Sends keyed requests and heartbeats until \p End.
 /// \returns when the last of the requests was sent that reached the target;
 ///          none if none did.
-std::optional<TimePoint> lastArrival(Rig &Rig, Instance &At, TimePoint End) {
+std::optional<TimePoint> lastArrival(Rig &Rig, Instance &At, TimePoint End,
+                                     bool Draining = false) {
   std::optional<TimePoint> Last;
   while (bootNow() < End) {
-    At.sendHeartbeat();
+    At.sendHeartbeat(Draining);
     const int Arrivals = At.m_Target.m_Arrivals;
     const TimePoint Sent = bootNow();
     Rig.call(At, "/key/1", "GET", 5);
@@ -173,6 +174,20 @@
   CHECK(A.m_Target.m_Arrivals == Arrivals);
 }
 
+TEST_CASE(
+    "a leaving target got requests after its limit, as the daemon that had "
+    "acknowledged it was restarted") {
+  Rig Rig;
+  Instance &A = serveKeys(Rig);
+  A.sendHeartbeat(true);
+  const TimePoint Left = bootNow();
+  A.m_Settings.m_SystemStart = false;
+  A.restartRouter(Rig.m_Loop, Rig.m_Log);
+  REQUIRE(Rig.runUntil([&] { return A.m_Router->ready(); }));
+  Rig.runFor(A.m_Settings.m_DrainLimit - (bootNow() - Left));
+  CHECK_FALSE(lastArrival(Rig, A, bootNow() + 2s, true));
+}
+
 TEST_CASE(
     "an evacuation of unknown age that a daemon reads at its start closes "
     "the target at once") {
