Check evacuations and configurations in the fault soak

Targets now fail an episode when they get a request later than the limit after the evacuation of their domain, from a daemon that has not been disturbed for 3 s (1 s is left for requests on their way, as for leaving targets). Evacuations also last longer than the limit, and are set again. Each episode ends with one whose news is impaired at a daemon: frozen, killed, silent connections, a dropped history, a configuration at the same time. Daemons also have to apply a new configuration within its limit.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,7 +8,7 @@
 import time
 
 import web
-from oracle import Oracle
+from oracle import IN_FLIGHT_S, Oracle
 from proxy import Proxy
 from store import Store
 from target import HEARTBEAT_S, Target
@@ -24,6 +24,8 @@
 )
 # The GraceS of the settings; a daemon may take five times as long to end.
 GRACE_S = 6
+# The ConfigApplyS of the settings.
+CONFIG_APPLY_S = 2.5
 
 
 class Daemon:
@@ -59,7 +61,13 @@
             "InternalPortRange": [self.peer_port, self.peer_port + 15],
             "Limits": {"MaxFds": 1000},
             "HeartbeatS": HEARTBEAT_S,
-            "Bounds": ["GraceS=6", "DrainS=2.5", "MaxHoldS=10", "EvacuationS=5"],
+            "Bounds": [
+                "GraceS=6",
+                "DrainS=2.5",
+                "MaxHoldS=10",
+                "EvacuationS=5",
+                f"ConfigApplyS={CONFIG_APPLY_S}",
+            ],
             "Platform": {"Address": f"127.0.0.1:{self.store_proxy.port}"},
         }
         with open(self.path, "w", encoding="utf-8") as file:
@@ -119,6 +127,7 @@
         self.direct_grants = seed % 2 == 1
         self.rolling_back = False
         self.version = 1
+        self.version_set_at = 0.0
         self.daemons = {
             name: Daemon(self, index, name, service, keyed)
             for index, (name, service, keyed) in enumerate(INSTANCES)
@@ -221,7 +230,7 @@
             await asyncio.sleep(self.random.expovariate(rate))
 
     async def check_route_versions(self):
-        """Checks that a daemon never returns to an older configuration.
+        """Checks that each daemon applies a configuration in time and keeps it.
 
         Each version adds a route: a daemon process that has served the route of a
         version has to serve it from then on.
@@ -233,6 +242,7 @@
                     continue
                 known = daemon.highest_seen_version
                 requested = known if known > 1 and self.random.random() < 0.5 else version
+                set_at, sent = self.version_set_at, time.monotonic()
                 status = await self.request(daemon, f"v{requested}", timeout=1.0)
                 if daemon.process is not process:
                     continue
@@ -244,6 +254,16 @@
                     self.oracle.fail(
                         f"{daemon.name} returned to a version older than {known}"
                     )
+                elif (
+                    status == 404
+                    and sent - set_at > CONFIG_APPLY_S + IN_FLIGHT_S
+                    and self.oracle.in_touch(daemon.name)
+                    and self.oracle.disturbances.none_since("store", set_at)
+                ):
+                    self.oracle.fail(
+                        f"{daemon.name} does not apply version {requested} after "
+                        f"{sent - set_at:.3f} s"
+                    )
             await asyncio.sleep(0.1)
 
     # Faults.
@@ -251,22 +271,59 @@
     async def change_config(self, rng):
         self.version += 1
         await self.store.put("op", "config", self.config())
+        self.version_set_at = time.monotonic()
+
+    async def set_evacuated(self, zone, evacuated):
+        if not evacuated:
+            self.oracle.record_evacuation(zone, False)
+        await self.store.put("op", f"evacuate/{zone}", {} if evacuated else None)
+        if evacuated:
+            self.oracle.record_evacuation(zone, True)
 
     async def evacuate(self, rng):
+        """Evacuates a failure domain, at times twice in quick succession."""
         zone = rng.choice(ZONES)
-        await self.store.put("op", f"evacuate/{zone}", {})
-        await asyncio.sleep(rng.uniform(0.5, 3))
-        await self.store.put("op", f"evacuate/{zone}", None)
-
-    async def pause(self, daemon, rng):
-        daemon.send(signal.SIGSTOP)
-        await asyncio.sleep(rng.choice((0.2, 1.0, 4.0, 8.0)))
-        daemon.send(signal.SIGCONT)
+        if rng.random() < 0.3:
+            await self.set_evacuated(zone, True)
+            await asyncio.sleep(rng.uniform(0, 4))
+            await self.set_evacuated(zone, False)
+            await asyncio.sleep(rng.uniform(0, 0.5))
+        await self.set_evacuated(zone, True)
+        await asyncio.sleep(rng.choice((rng.uniform(0.5, 3), 7.5)))
+        await self.set_evacuated(zone, False)
+
+    async def check_evacuation(self):
+        """Evacuates a failure domain while the news of it is impaired at a daemon."""
+        rng = random.Random(f"{self.seed}/evacuation")
+        daemon = rng.choice(list(self.daemons.values()))
+        impair = rng.choice(
+            (
+                lambda: self.pause(daemon, rng, 2.5),
+                lambda: self.restart(daemon, signal.SIGKILL, rng),
+                lambda: self.degrade_proxy(daemon, daemon.store_proxy, "both", rng),
+                lambda: self.degrade_proxy(daemon, daemon.peer_proxy, "out", rng),
+                lambda: self.compact_store(rng),
+                lambda: self.change_config(rng),
+            )
+        )
+        impaired = asyncio.create_task(impair())
+        await asyncio.sleep(rng.uniform(0, 0.4))
+        await self.set_evacuated(self.zone(daemon.name), True)
+        await asyncio.sleep(8.5)
+        await self.set_evacuated(self.zone(daemon.name), False)
+        await impaired
+
+    async def pause(self, daemon, rng, seconds=None):
+        with self.oracle.disturbances.of(daemon.name):
+            daemon.send(signal.SIGSTOP)
+            await asyncio.sleep(seconds or rng.choice((0.2, 1.0, 4.0, 8.0)))
+            daemon.send(signal.SIGCONT)
 
     async def restart(self, daemon, number, rng):
-        await daemon.stop(number)
-        await asyncio.sleep(rng.choice((0.0, 0.3, 2.0)))
-        await daemon.start()
+        with self.oracle.disturbances.of(daemon.name):
+            await daemon.stop(number)
+            await asyncio.sleep(rng.choice((0.0, 0.3, 2.0)))
+            await daemon.start()
 
     async def restart_target(self, daemon, rng):
         await daemon.target.crash()
@@ -291,29 +348,32 @@
 
     # The store refuses all requests ("refuse") or never answers ("silent").
     async def interrupt_store(self, mode, rng):
-        self.store.outage = mode
-        await asyncio.sleep(rng.choice((0.5, 3.0, 7.0)))
-        self.store.outage = None
+        with self.oracle.disturbances.of("store"):
+            self.store.outage = mode
+            await asyncio.sleep(rng.choice((0.5, 3.0, 7.0)))
+            self.store.outage = None
 
     # The store is slow and loses a share of the answers to writes.
     async def degrade_store(self, rng):
-        self.store.lost_answer_share, self.store.delay = 0.3, 0.1
-        await asyncio.sleep(rng.uniform(1, 5))
-        self.store.lost_answer_share, self.store.delay = 0.0, 0.0
+        with self.oracle.disturbances.of("store"):
+            self.store.lost_answer_share, self.store.delay = 0.3, 0.1
+            await asyncio.sleep(rng.uniform(1, 5))
+            self.store.lost_answer_share, self.store.delay = 0.0, 0.0
 
     # Resets, refuses, delays or silences the connections of a proxy.
-    async def degrade_proxy(self, proxy, mode, rng):
-        if mode == "reset":
-            return proxy.reset()
-        if mode == "cut":
-            proxy.refusing = True
-            proxy.reset()
-        elif mode == "delay":
-            proxy.delay = rng.choice((0.05, 0.4))
-        else:
-            proxy.silent_directions = {mode} if mode != "both" else {"in", "out"}
-        await asyncio.sleep(rng.choice((0.5, 2.0, 6.0)))
-        proxy.restore()
+    async def degrade_proxy(self, daemon, proxy, mode, rng):
+        with self.oracle.disturbances.of(daemon.name):
+            if mode == "reset":
+                return proxy.reset()
+            if mode == "cut":
+                proxy.refusing = True
+                proxy.reset()
+            elif mode == "delay":
+                proxy.delay = rng.choice((0.05, 0.4))
+            else:
+                proxy.silent_directions = {mode} if mode != "both" else {"in", "out"}
+            await asyncio.sleep(rng.choice((0.5, 2.0, 6.0)))
+            proxy.restore()
 
     # Targets fail a share of the answers: none at all, or an error.
     async def break_answers(self, rng):
@@ -346,8 +406,8 @@
             (f"limit target {daemon.name}", self.limit_target, (daemon,)),
             (f"store {outage}", self.interrupt_store, (outage,)),
             ("store poor", self.degrade_store, ()),
-            (f"{proxy_name} of {daemon.name}: {mode}", self.degrade_proxy, (proxy, mode)),
-            (f"{proxy_name} of {daemon.name}: {mode}", self.degrade_proxy, (proxy, mode)),
+            (f"{proxy_name} of {daemon.name}: {mode}", self.degrade_proxy, (daemon, proxy, mode)),
+            (f"{proxy_name} of {daemon.name}: {mode}", self.degrade_proxy, (daemon, proxy, mode)),
             ("config", self.change_config, ()),
             ("evacuate", self.evacuate, ()),
             ("poor answers", self.break_answers, ()),
@@ -369,13 +429,14 @@
         self.rolling_back = True
         copy = self.store.copy()
         await asyncio.sleep(rng.uniform(0.1, 5))
-        self.store.version += rng.randrange(40)  # Writes of others, lost as well.
-        self.store.away = rng.choice(("refuse", "silent"))
-        await asyncio.sleep(rng.uniform(0.1, 1))
-        await self.store.roll_back(copy)
-        self.store.away = None
-        await asyncio.sleep(rng.uniform(0, 2))
-        await self.store.rewrite()
+        with self.oracle.disturbances.of("store"):
+            self.store.version += rng.randrange(40)  # Writes of others, lost as well.
+            self.store.away = rng.choice(("refuse", "silent"))
+            await asyncio.sleep(rng.uniform(0.1, 1))
+            await self.store.roll_back(copy)
+            self.store.away = None
+            await asyncio.sleep(rng.uniform(0, 2))
+            await self.store.rewrite()
         self.rolling_back = False
 
     # Recovery.
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -1,11 +1,41 @@
 """Test oracle: checks what callers and targets observe against the guarantees."""
 
+import contextlib
 import time
 
 KEY_COUNT = 65536
 REFUSAL_STATUSES = (408, 421, 429, 503)
 
 
+# The ContactS, EvacuationS and MaxStretchS of the platform.
+CONTACT_S = 3
+EVACUATION_S = 5
+MAX_STRETCH_S = 5
+# A request may be this long on its way when a limit is reached.
+IN_FLIGHT_S = 1.0
+
+
+class Disturbances:
+    """Which daemons, or the store, are or have lately been disturbed."""
+
+    def __init__(self):
+        self.active = {}  # name -> number of disturbances
+        self.ended = {}  # name -> end of the last one
+
+    @contextlib.contextmanager
+    def of(self, name):
+        self.active[name] = self.active.get(name, 0) + 1
+        try:
+            yield
+        finally:
+            self.active[name] -= 1
+            self.ended[name] = time.monotonic()
+
+    # Whether there has been no disturbance since a time.
+    def none_since(self, name, since):
+        return not self.active.get(name) and self.ended.get(name, 0) < since
+
+
 # Collects violations, and counts of the answers by kind.
 class Oracle:
     def __init__(self):
@@ -17,6 +47,8 @@
         self.fence_holder = [None] * KEY_COUNT
         self.holders = {}  # incarnation -> {key range: end of its lease}
         self.counts = {}
+        self.disturbances = Disturbances()
+        self.evacuated = {}  # failure domain -> when the operator was answered
 
     def fail(self, text):
         if len(self.violations) < 20:
@@ -48,6 +80,33 @@
         if len(arrivals) > 1.5 * 4 * limit + 5:
             self.fail(f"{target} got {len(arrivals)} requests in 4 s, limit {limit} per s")
 
+    def in_touch(self, daemon):
+        """Whether neither the daemon nor the store has lately been disturbed."""
+        since = time.monotonic() - CONTACT_S
+        return self.disturbances.none_since(
+            daemon, since
+        ) and self.disturbances.none_since("store", since)
+
+    def record_evacuation(self, domain, evacuated):
+        if evacuated:
+            self.evacuated.setdefault(domain, time.monotonic())
+        else:
+            self.evacuated.pop(domain, None)
+
+    def check_domain(self, domain, daemon, incarnation):
+        """Checks that a target gets requests only while its domain is in service."""
+        since = self.evacuated.get(domain)
+        if since is None or not self.in_touch(daemon):
+            return
+        bound = EVACUATION_S + IN_FLIGHT_S
+        if not self.disturbances.none_since("store", since):
+            bound += MAX_STRETCH_S
+        if time.monotonic() - since > bound:
+            self.fail(
+                f"{incarnation} got a request {time.monotonic() - since:.3f} s after "
+                f"the evacuation of {domain}"
+            )
+
     # Checks an answer against the recorded executions.
     def check_answer(self, request, unsafe, status, headers, body):
         self.count(f"{status}")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,6 +46,8 @@
         await asyncio.sleep(pause)
     await asyncio.gather(*faults)
     await fleet.wait_until_served(SERVED_LIMIT_S)
+    await fleet.check_evacuation()
+    await fleet.wait_until_served(SERVED_LIMIT_S)
     for task in traffic:
         task.cancel()
     await fleet.end()
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -6,7 +6,7 @@
 import time
 
 import web
-from oracle import answer_body
+from oracle import IN_FLIGHT_S, answer_body
 
 HEARTBEAT_S = 0.3
 # Number of slots reported to the daemon. Requests are refused while three times
@@ -18,8 +18,6 @@
 # such a grant is applied.
 LOST_CALL_SHARE = 0.05
 LATE_GRANT_S = 3.0
-# A request may be this long on its way when the daemon learns of the leaving.
-IN_FLIGHT_S = 1.0
 
 
 class Target:
@@ -113,6 +111,9 @@
             if self.fence_of(key) is None:
                 self.fleet.oracle.count("came to a target that doesn't hold the key")
                 return 421, not_executed, b""
+        self.fleet.oracle.check_domain(
+            self.fleet.zone(self.name), self.name, incarnation
+        )
         self.arrivals.append(time.monotonic())
         if self.limit is not None:
             self.fleet.oracle.record_arrival(
