Make the first own watch after a silence of the peers short

A daemon that hears of the operators' table from its peers, and loses them at the same time as its open connection to the store goes silent, started a watch of up to 8 s on that connection: with the 1.8 s until it notices the silence, a change could be unknown for longer than the limit of an evacuation.

The first watch waits 100 ms, so that a dead connection is noticed after 0.9 s and the watch is repeated on a new one. The new test fails without this: both waits are above 500 ms.

--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -146,6 +146,7 @@
   // If the table's history doesn't reach back to it, the table is read again.
   Followed.m_Position =
       std::max(*Followed.m_Position, m_Mirror.seenVersion(Followed.m_Table));
+  Followed.m_Resumed = true;
   startCall(Followed);
 }
 
@@ -179,6 +180,8 @@
 }
 
 Duration TableFollower::watchWait(const FollowedTable &Followed) {
+  if (Followed.m_Resumed)
+    return m_Options.m_FirstWait;
   switch (Followed.m_Mode) {
   case FollowMode::FromPeers:
     return Duration::zero();
@@ -252,6 +255,7 @@
   if (Reply.m_CallOutcome == TableCallOutcome::HistoryLost ||
       Reply.m_Version.m_Era != Followed.m_Position->m_Era)
     return readAgain(Followed);
+  Followed.m_Resumed = false;
   applyAll(Followed, Reply.m_Rows, "watch");
   Followed.m_Position = std::max(*Followed.m_Position, Reply.m_Version);
   if (Reply.m_Rows.size() < MaxCompleteRows &&
--- a/src/router/table_follower.h
+++ b/src/router/table_follower.h
@@ -31,6 +31,9 @@
   Duration m_WatchSpacing = std::chrono::milliseconds(360);
   /// Of a watch that others rely on.
   Duration m_WaitForOthers = std::chrono::seconds(1);
+  /// Of the first watch after others have read the table: an open connection
+  /// may have failed silently meanwhile, and a change may be overdue.
+  Duration m_FirstWait = std::chrono::milliseconds(100);
   Duration m_MinRetryDelay = std::chrono::milliseconds(150);
   Duration m_MaxRetryDelay = std::chrono::milliseconds(1200);
   /// Bandwidth for reading changes, in bytes per second; 0 means no limit.
@@ -139,6 +142,8 @@
     FollowMode m_Mode = FollowMode::Watch;
     /// No call is in progress or scheduled.
     bool m_Idle = false;
+    /// No watch has succeeded since the table was idle.
+    bool m_Resumed = false;
     TimePoint m_CallStartedAt;
   };
 
--- a/tests/unit-table-follower.cpp
+++ b/tests/unit-table-follower.cpp
@@ -81,14 +81,15 @@
     /// None for a complete read.
     std::optional<RowVersion> m_After;
     OnReply m_Done;
+    Duration m_Wait{0};
   };
 
   void read(TableName Table, OnReply Done) override {
     m_Calls.push_back({Table, std::nullopt, std::move(Done)});
   }
-  void watch(TableName Table, RowVersion After, Duration /*Wait*/,
+  void watch(TableName Table, RowVersion After, Duration Wait,
              OnReply Done) override {
-    m_Calls.push_back({Table, After, std::move(Done)});
+    m_Calls.push_back({Table, After, std::move(Done), Wait});
   }
   void commit(OwnRowCommit /*Commit*/, OnReply /*Done*/) override {}
 
@@ -213,3 +214,31 @@
       {.m_CallOutcome = TableCallOutcome::Ok, .m_Version = at(0, 99)});
   CHECK(Told == 1);
 }
+
+TEST_CASE("a daemon that had lost its peers waited seconds for a watch on a "
+          "connection that had failed silently") {
+  EventLoop Loop({.m_MaxSleep = 5ms});
+  EventLog Log(Loop, {.m_Output = -1});
+  ScriptedTable Table;
+  TableFollower Follower(Loop, Log, Table, {.m_MinRetryDelay = 1ms}, 1,
+                         [](const MirroredRow &) {});
+  Follower.setWatchers(74);
+  Follower.start();
+  Table.m_Calls[0].m_Done(replyWith(at(0, 90), "first"));
+  Follower.setMode(TableName::Operators, FollowMode::FromPeers);
+  Table.m_Calls[2].m_Done(
+      {.m_CallOutcome = TableCallOutcome::Ok, .m_Version = at(0, 95)});
+  Follower.setMode(TableName::Operators, FollowMode::Watch);
+  REQUIRE(Table.m_Calls.size() == 4);
+  CHECK(Table.m_Calls[3].m_Wait <= 500ms);
+  Table.m_Calls[3].m_Done({.m_CallOutcome = TableCallOutcome::Unanswered});
+  Loop.run([&] {
+    if (Table.m_Calls.size() == 5)
+      Loop.stop();
+  });
+  CHECK(Table.m_Calls[4].m_Wait <= 500ms);
+  Table.m_Calls[4].m_Done(
+      {.m_CallOutcome = TableCallOutcome::Ok, .m_Version = at(0, 95)});
+  REQUIRE(Table.m_Calls.size() == 6);
+  CHECK(Table.m_Calls[5].m_Wait >= 2s);
+}
