Expel a replaced session without new witnesses' promises

Stand-alone daemon. Cause, from a trace of the tracker: when its dead witnesses were expelled, two others were assigned in their places, and a new witness counts for a lease as one with a grant outstanding; so the expulsion began to wait anew 2 s after the end of the faults.

The session itself had been replaced: a newer one of the group uses its address, so no grant can reach it. That is what the design already assumes for witnesses. A lease and margin after the replacement was first seen, the taker now needs no promises; the wait for the session's own lease stays.

--- a/include/balsamwheel/detail/coordination/expulsion.h
+++ b/include/balsamwheel/detail/coordination/expulsion.h
@@ -42,9 +42,10 @@
   /// Whether the lease has expired for certain, not counting extensions by
   /// witnesses.
   bool isLeaseWaitOver(const GroupMember &Subject, TimePoint Now) const;
-  /// Records that a newer session uses a witness's address: the witness can no
-  /// longer answer or grant, but its earlier grants may still be in force.
-  void markReplaced(SessionId Witness, TimePoint Now);
+  /// Records that a newer session uses a session's address: it can no longer
+  /// answer, grant or be granted an extension, but earlier grants, those that it
+  /// has given and those that it has got, may still be in force.
+  void markReplaced(SessionId Session, TimePoint Now);
   bool mayExpel(const GroupMember &Subject, TimePoint Now) const;
   void forget(SessionId Session);
 
@@ -65,14 +66,14 @@
   /// Number of witnesses that certainly have no grant outstanding and will make
   /// none; vacant places are included.
   std::size_t countNonGranting(const GroupMember &Subject, TimePoint Now) const;
-  bool isReplacedAndExpired(SessionId Witness, TimePoint Now) const;
+  bool isReplacedAndExpired(SessionId Session, TimePoint Now) const;
   bool isPastPromiseLimit(const GroupMember &Subject, TimePoint Now) const;
   bool hasPromised(const GroupMember &Subject, SessionId Witness) const;
 
   Options m_Options;
   std::unordered_map<SessionId, Record> m_Records;
   std::unordered_map<SessionId, WitnessSet> m_WitnessSets;
-  /// When the replacement of a witness was first seen.
+  /// When the replacement of a session was first seen.
   std::unordered_map<SessionId, TimePoint> m_Replaced;
 };
 
--- a/src/coordination/expulsion.cpp
+++ b/src/coordination/expulsion.cpp
@@ -23,8 +23,8 @@
                      .m_UnchangedSince = Now};
 }
 
-void ExpulsionTracker::markReplaced(SessionId Witness, TimePoint Now) {
-  m_Replaced.try_emplace(Witness, Now);
+void ExpulsionTracker::markReplaced(SessionId Session, TimePoint Now) {
+  m_Replaced.try_emplace(Session, Now);
 }
 
 void ExpulsionTracker::forget(SessionId Session) {
@@ -33,9 +33,9 @@
   m_Replaced.erase(Session);
 }
 
-bool ExpulsionTracker::isReplacedAndExpired(SessionId Witness,
+bool ExpulsionTracker::isReplacedAndExpired(SessionId Session,
                                             TimePoint Now) const {
-  const auto Found = m_Replaced.find(Witness);
+  const auto Found = m_Replaced.find(Session);
   return Found != m_Replaced.end() &&
          Now - Found->second >= m_Options.m_LeaseWait;
 }
@@ -60,7 +60,9 @@
                                 TimePoint Now) const {
   if (!isLeaseWaitOver(Subject, Now))
     return false;
-  if (!m_Options.m_UseWitnesses || isPastPromiseLimit(Subject, Now))
+  // A replaced session has got no extension since it was replaced.
+  if (!m_Options.m_UseWitnesses || isPastPromiseLimit(Subject, Now) ||
+      isReplacedAndExpired(Subject.m_Member.m_Session, Now))
     return true;
   return countNonGranting(Subject, Now) > WitnessCount - WitnessQuorum;
 }
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -159,3 +159,19 @@
   Tracker.observe(SessionId(9), 7, Start);
   CHECK(Tracker.mayExpel(makeSubject(7), Start + LeaseWait));
 }
+
+TEST_CASE(
+    "a replaced session kept its shards until the witnesses assigned after "
+    "its end had promised") {
+  ExpulsionTracker Tracker = makeTracker(true);
+  const GroupMember Subject = makeSubject(5);
+  Tracker.observe(Subject, Start);
+  const TimePoint Replaced = Start + milliseconds(700);
+  Tracker.markReplaced(Subject.m_Member.m_Session, Replaced);
+  CHECK_FALSE(
+      Tracker.mayExpel(Subject, Replaced + LeaseWait - milliseconds(1)));
+  CHECK(Tracker.mayExpel(Subject, Replaced + LeaseWait));
+  GroupMember Renewed = makeSubject(6);
+  Tracker.observe(Renewed, Replaced + LeaseWait);
+  CHECK_FALSE(Tracker.mayExpel(Renewed, Replaced + LeaseWait));
+}
