Reject times of before a restart of the store's clock

Found by review of RowAges. A peer that has read the table before the store's clock went back could report its old, higher time later: it would have dated every later row as new, so that the limit ran from the reading again, and pushed the present times out of the history.

A time that the store's clock can't have reached by now, by the bound that this daemon has, is ignored. The test of a restarted clock fails without this.

--- a/src/router/row_ages.h
+++ b/src/router/row_ages.h
@@ -57,7 +57,12 @@
 
   /// Records that the store had no rows of the table later than \p Position
   /// when its clock showed \p At. Complexity: logarithmic in the history.
-  void noteCurrent(StoreVersion Position, StoreTime At) {
+  void noteCurrent(StoreVersion Position, StoreTime At, TimePoint Now) {
+    // A time that the store's clock can't have reached yet is of before its
+    // restart.
+    const std::optional<Duration> Offset = offset(Now);
+    if (!Offset || TimePoint(Duration(At.value()) + *Offset) > Now)
+      return;
     const auto [Slot, Added] =
         m_Current.try_emplace(At.value() / m_Options.m_Resolution.count(),
                               Current{.m_Position = Position, .m_At = At});
--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -123,7 +123,7 @@
 
 void TableFollower::notePeerCurrent(const Current &Read) {
   if (Read.m_Position.m_Era == m_Era)
-    m_Ages.noteCurrent(Read.m_Position, Read.m_At);
+    m_Ages.noteCurrent(Read.m_Position, Read.m_At, m_Loop.now());
 }
 
 void TableFollower::noteCurrent(const FollowedTable &Followed,
@@ -131,7 +131,7 @@
   if (!Reply.m_Time || Followed.m_Table != TableName::Operators)
     return;
   m_Current = {.m_Position = Reply.m_Version, .m_At = *Reply.m_Time};
-  m_Ages.noteCurrent(Reply.m_Version, *Reply.m_Time);
+  m_Ages.noteCurrent(Reply.m_Version, *Reply.m_Time, m_Loop.now());
 }
 
 void TableFollower::probe(TableName Table) {
--- a/tests/unit-row-ages.cpp
+++ b/tests/unit-row-ages.cpp
@@ -27,11 +27,11 @@
   RowAges Ages;
   CHECK_FALSE(Ages.writtenAfter(version(8), Start));
   Ages.observeClock(shownAt(Start), Start);
-  Ages.noteCurrent(version(5), shownAt(Start));
-  Ages.noteCurrent(version(5), shownAt(Start + 1s));
-  Ages.noteCurrent(version(7), shownAt(Start + 2s));
+  Ages.noteCurrent(version(5), shownAt(Start), Start);
+  Ages.noteCurrent(version(5), shownAt(Start + 1s), Start + 1s);
+  Ages.noteCurrent(version(7), shownAt(Start + 2s), Start + 2s);
   // A peer has read a state with the row before this daemon reads the row.
-  Ages.noteCurrent(version(8), shownAt(Start + 3s));
+  Ages.noteCurrent(version(8), shownAt(Start + 3s), Start + 3s);
   const TimePoint Late = Start + 9s;
   const auto Written = Ages.writtenAfter(version(8), Late);
   REQUIRE(Written);
@@ -58,7 +58,7 @@
 TEST_CASE("row ages: positions of another era don't date a row") {
   RowAges Ages;
   Ages.observeClock(shownAt(Start), Start);
-  Ages.noteCurrent(version(90, 1), shownAt(Start));
+  Ages.noteCurrent(version(90, 1), shownAt(Start), Start);
   CHECK_FALSE(Ages.writtenAfter(version(80, 2), Start + 1s));
   CHECK_FALSE(Ages.writtenAfter(version(95, 2), Start + 1s));
   CHECK(Ages.writtenAfter(version(95, 1), Start + 1s));
@@ -69,9 +69,12 @@
     "former times") {
   RowAges Ages;
   Ages.observeClock(shownAt(Start), Start);
-  Ages.noteCurrent(version(5), shownAt(Start));
+  Ages.noteCurrent(version(5), shownAt(Start), Start);
   Ages.observeClock(StoreTime(1000000), Start + 2s);
   CHECK_FALSE(Ages.writtenAfter(version(6), Start + 2s));
+  // A peer has read the table before the restart.
+  Ages.noteCurrent(version(5), shownAt(Start + 1s), Start + 2s);
+  CHECK_FALSE(Ages.writtenAfter(version(6), Start + 2s));
   CHECK(*Ages.earliest(StoreTime(1000000), Start + 3s) <= Start + 2s);
   CHECK(*Ages.earliest(StoreTime(1000000), Start + 3s) > Start + 1990ms);
 }
@@ -79,7 +82,7 @@
 TEST_CASE("row ages: a reply that others have overtaken changes nothing") {
   RowAges Ages;
   Ages.observeClock(shownAt(Start + 6s), Start + 6s);
-  Ages.noteCurrent(version(5), shownAt(Start + 6s));
+  Ages.noteCurrent(version(5), shownAt(Start + 6s), Start + 6s);
   Ages.observeClock(shownAt(Start + 3s), Start + 3s);
   CHECK(Ages.writtenAfter(version(6), Start + 7s));
   CHECK(*Ages.earliest(shownAt(Start + 6s), Start + 7s) > Start + 5990ms);
@@ -90,7 +93,7 @@
   Ages.observeClock(shownAt(Start), Start);
   for (int Step = 0; Step < 4000; ++Step)
     Ages.noteCurrent(version(5 + static_cast<std::uint64_t>(Step)),
-                     shownAt(Start + Step * 10ms));
+                     shownAt(Start + Step * 10ms), Start + Step * 10ms);
   const TimePoint End = Start + 40s;
   CHECK_FALSE(Ages.writtenAfter(version(100), End));
   CHECK(*Ages.writtenAfter(version(4005), End) > End - 500ms);
@@ -119,14 +122,14 @@
         break;
       }
       case 1:
-        Ages.noteCurrent(version(Newest), Store(Now));
+        Ages.noteCurrent(version(Newest), Store(Now), Daemon(Now));
         break;
       case 2: { // News that has been on its way for up to 4 s.
         const double At = Now - *rc::gen::inRange(0, 4000) / 1000.0;
         std::uint64_t Then = 0;
         for (const double Each : WrittenAt)
           Then += Each <= At ? 1 : 0;
-        Ages.noteCurrent(version(Then), Store(At));
+        Ages.noteCurrent(version(Then), Store(At), Daemon(Now));
         break;
       }
       default:
