Count each incarnation of a target as crashed once

A request that crashed nothing was refused as a crash suspect for 10 minutes.

The target of one instance was down for 3 s. Its log: target_crashed three times in 1.1 s for the same incarnation. After each refused connection the gate opens again, requests break off on connections that are still open, and the next refused connection counted these as another crash. Requests with the same path, caller and body are one suspect, so three counts were enough.

An incarnation ends once, so only its first end is reported. The new test, a target that refuses connections and breaks off a request four times, fails without this ("not served").

--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -108,6 +108,7 @@
       EarlierGrantsEnd, m_Callbacks.m_Keys);
   if (m_ServiceSpec)
     m_Keys->setMode(m_ServiceSpec->m_GrantMode);
+  m_CrashReported = false;
   m_LastSequence = 0;
   m_Slots = Heartbeat.m_Slots;
   m_NamedLimit.reset();
@@ -431,8 +432,9 @@
 
 void TargetAgent::reportCrash() {
   const std::deque<CrashedRun> Broken = std::exchange(m_BrokenRuns, {});
-  // A target that ends as announced breaks off what it can't complete.
-  if (Broken.empty() || leaving() ||
+  // A target that ends as announced breaks off what it can't complete, and each
+  // incarnation ends once.
+  if (Broken.empty() || leaving() || m_CrashReported ||
       m_Loop.now() - Broken.back().m_CrashedAt > CrashNoticeTime)
     return;
   const TimePoint Last = Broken.back().m_CrashedAt;
@@ -440,6 +442,7 @@
   for (const CrashedRun &Each : Broken)
     if (Last - Each.m_CrashedAt <= CrashSpread)
       Runs.push_back(Each);
+  m_CrashReported = true;
   m_Callbacks.m_OnCrash(Runs);
 }
 
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -217,6 +217,8 @@
   TargetAgentCallbacks m_Callbacks;
   /// The last runs that have broken off, by when; at most MaxBrokenRuns.
   std::deque<CrashedRun> m_BrokenRuns;
+  /// The end of the present incarnation has been reported as a crash.
+  bool m_CrashReported = false;
   std::unique_ptr<TargetKeys> m_Keys;
   std::unique_ptr<HttpClient> m_Client;
   std::uint64_t m_LastSequence = 0;
--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -61,6 +61,8 @@
     return Request.substr(First, Request.find("\r\n", First) - First);
   }
 
+  /// While set, new connections are refused.
+  void setRefusing(bool Refusing) { m_Server.setRefusing(Refusing); }
   Endpoint endpoint() const { return *Endpoint::fromText(m_Server.address()); }
 
   std::atomic<int> m_Arrivals = 0;
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -35,16 +35,7 @@
   using Script = std::function<RawReply(const std::string &, int)>;
 
   explicit RawServer(Script Callback) : m_Script(std::move(Callback)) {
-    m_ListenSocket = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_ListenSocket, reinterpret_cast<sockaddr *>(&Address),
-         sizeof(Address));
-    listen(m_ListenSocket, 16);
-    socklen_t Size = sizeof(Address);
-    getsockname(m_ListenSocket, reinterpret_cast<sockaddr *>(&Address), &Size);
-    m_Port = ntohs(Address.sin_port);
+    startListening();
     m_Thread = std::thread([this] { run(); });
   }
 
@@ -56,6 +47,9 @@
     close(m_ListenSocket);
   }
 
+  /// While set, new connections are refused; takes effect within 20 ms.
+  void setRefusing(bool Refusing) { m_Refusing = Refusing; }
+
   /// "HOST:PORT" on which it listens.
   std::string address() const { return "127.0.0.1:" + std::to_string(m_Port); }
 
@@ -72,8 +66,31 @@
     std::string m_Input;
   };
 
+  /// Listens on the port that it has had before, if any.
+  void startListening() {
+    m_ListenSocket = socket(AF_INET, SOCK_STREAM, 0);
+    const int Reuse = 1;
+    setsockopt(m_ListenSocket, SOL_SOCKET, SO_REUSEADDR, &Reuse, sizeof(Reuse));
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(m_Port);
+    bind(m_ListenSocket, reinterpret_cast<sockaddr *>(&Address),
+         sizeof(Address));
+    listen(m_ListenSocket, 16);
+    socklen_t Size = sizeof(Address);
+    getsockname(m_ListenSocket, reinterpret_cast<sockaddr *>(&Address), &Size);
+    m_Port = ntohs(Address.sin_port);
+  }
+
   void run() {
     while (!m_Stop) {
+      if (m_Refusing && m_ListenSocket >= 0) {
+        close(m_ListenSocket);
+        m_ListenSocket = -1;
+      } else if (!m_Refusing && m_ListenSocket < 0) {
+        startListening();
+      }
       std::vector<pollfd> PollFds{{m_ListenSocket, POLLIN, 0}};
       for (const Client &Connection : m_Clients)
         PollFds.push_back({Connection.m_Socket, POLLIN, 0});
@@ -130,6 +147,7 @@
   std::uint16_t m_Port = 0;
   int m_NextNumber = 0;
   std::atomic<bool> m_Stop{false};
+  std::atomic<bool> m_Refusing{false};
   mutable std::mutex m_Mutex;
   std::vector<std::string> m_Requests;
   std::vector<Client> m_Clients;
--- a/tests/unit-router-crashes.cpp
+++ b/tests/unit-router-crashes.cpp
@@ -88,3 +88,31 @@
   Pair.m_Rig.call(Pair.m_A, "/read/crash");
   CHECK(Pair.m_Crashes > Before);
 }
+
+TEST_CASE(
+    "a target that was down for seconds counted as crashed several times, "
+    "and a request that it had broken off each time was refused") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "plain");
+  std::atomic<bool> Breaks = true;
+  A.m_Target.m_Behaviour =
+      [&](const std::string &Request) -> std::optional<RawReply> {
+    if (!Breaks || !Request.starts_with("GET /read/same "))
+      return std::nullopt;
+    return RawReply{.m_Bytes = "HTTP/1.1 200 OK\r\n", .m_Close = true};
+  };
+  Rig.startServing();
+  for (int Round = 0; Round < 4; ++Round) {
+    Rig.call(A, "/read/same");
+    A.m_Target.setRefusing(true);
+    Rig.runFor(50ms);
+    // The connections that are open close after a request each.
+    for (int Each = 0; Each < 3; ++Each)
+      Rig.call(A, "/read/same");
+    A.m_Target.setRefusing(false);
+    Rig.runFor(600ms);
+    A.sendHeartbeat();
+  }
+  Breaks = false;
+  Rig.waitUntilServed(A, "/read/same");
+}
