Count grants in the soak from before a stall of its process

Found by the fault soak, once: keys held by two targets at the same time. Trace: the process that plays store and targets stood still for 4.5 s (all five daemons had no answer from the store at once, grant calls timed out one after the other). When it went on, it took the calls that had arrived meanwhile as arrived just then, applied some up to 3 s later, and held their keys for longer than from their arrival. The daemons wait for the latest arrival and the hold, and granted the keys elsewhere 6.1 s later. The users' rules don't count grants that are taken late.

The soak now notices stalls of its event loop over 0.5 s, counts calls that it reads right after one from its start, takes it for a disturbance of the store, and prints it. All else is checked as before.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -26,6 +26,10 @@
 GRACE_S = 6
 # The ConfigApplyS of the settings.
 CONFIG_APPLY_S = 2.5
+# The event loop of this process counts as stalled when a task that runs at this
+# interval is late by more than the second time.
+STALL_CHECK_S = 0.05
+STALL_S = 0.5
 
 
 class Daemon:
@@ -126,6 +130,8 @@
         # Whether keys are granted by calls.
         self.direct_grants = seed % 2 == 1
         self.rolling_back = False
+        self.last_loop_check = time.monotonic()
+        self.stall = (0.0, 0.0)  # start and end of the last stall
         self.version = 1
         self.version_set_at = 0.0
         self.daemons = {
@@ -187,6 +193,24 @@
             await daemon.stop(signal.SIGTERM)
             await daemon.target.crash()
 
+    async def watch_stalls(self):
+        """Records stalls of this process, in which store and targets stand still."""
+        while True:
+            await asyncio.sleep(STALL_CHECK_S)
+            now = time.monotonic()
+            if now - self.last_loop_check > STALL_S:
+                self.stall = (self.last_loop_check, now)
+                with self.oracle.disturbances.of("store"):
+                    print(f"  stalled for {now - self.last_loop_check:.1f} s", flush=True)
+            self.last_loop_check = now
+
+    def arrival_time(self):
+        """Returns when a call that is read now may first have arrived."""
+        now = time.monotonic()
+        if now - self.last_loop_check > STALL_S:
+            return self.last_loop_check
+        return self.stall[0] if now - self.stall[1] < STALL_S else now
+
     # Load.
 
     # Sends a request and checks its answer.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
     await fleet.start()
     await fleet.wait_until_served(SERVED_LIMIT_S)
     traffic = [
+        asyncio.create_task(fleet.watch_stalls()),
         asyncio.create_task(fleet.generate_load(rate=120)),
         asyncio.create_task(fleet.check_route_versions()),
     ]
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -141,7 +141,7 @@
 
     async def handle_grant(self, call):
         """Grants keys from the arrival of the call on; it may be applied late."""
-        incarnation, arrived = self.incarnation, time.monotonic()
+        incarnation, arrived = self.incarnation, self.fleet.arrival_time()
         if self.fleet.random.random() < LOST_CALL_SHARE:
             delay = self.fleet.random.uniform(0, LATE_GRANT_S)
             asyncio.get_running_loop().call_later(
