--- a/include/balsamwheel/detail/coordination/expulsion.h
+++ b/include/balsamwheel/detail/coordination/expulsion.h
@@ -43,8 +43,8 @@
   /// witnesses.
   bool isLeaseWaitOver(const GroupMember &Subject, TimePoint Now) const;
   /// Records that a newer session uses a session's address: it can no longer
-  /// answer, grant or be granted an extension, but earlier grants, those that it
-  /// has given and those that it has got, may still be in force.
+  /// answer, grant or be granted an extension, but earlier grants, those that
+  /// it has given and those that it has got, may still be in force.
   void markReplaced(SessionId Session, TimePoint Now);
   bool mayExpel(const GroupMember &Subject, TimePoint Now) const;
   void forget(SessionId Session);
