--- a/include/balsamwheel/detail/core/outcome.h
+++ b/include/balsamwheel/detail/core/outcome.h
@@ -42,6 +42,12 @@
   Cancelled,
   /// Targets that ran the request have crashed.
   CrashesTargets,
+  /// No organisation holds the API key.
+  UnknownApiKey,
+  /// The organisation has used up its quota.
+  OverQuota,
+  /// The quota of the organisation can't be checked at the moment.
+  QuotaUnavailable,
 };
 
 /// Returns the name used in answers to callers, e.g. "not_run".
--- a/include/balsamwheel/detail/routing/route_table.h
+++ b/include/balsamwheel/detail/routing/route_table.h
@@ -4,6 +4,7 @@
 
 #include "balsamwheel/detail/core/ids.h"
 #include "balsamwheel/detail/core/time.h"
+#include "balsamwheel/detail/routing/organisation_directory.h"
 
 #include <cstdint>
 #include <map>
@@ -45,6 +46,8 @@
   std::uint32_t m_MaxAttempts = 1;
   /// 0 is the most urgent.
   std::uint32_t m_Priority = 0;
+  /// Its requests need no API key, if others do.
+  bool m_Public = false;
   /// Never empty.
   std::vector<RouteShare> m_Shares;
 
@@ -87,7 +90,8 @@
 public:
   RouteTable() = default;
   RouteTable(ConfigVersion Version, std::vector<ServiceSpec> Services,
-             CallerLimits Limits, std::vector<Route> Routes);
+             CallerLimits Limits, std::vector<Route> Routes,
+             OrganisationDirectory Organisations = {});
 
   /// Finds the route of \p Host with the longest prefix of \p Path; null when
   /// none matches. A query or fragment in \p Path is ignored.
@@ -100,11 +104,14 @@
 
   ConfigVersion version() const { return m_Version; }
   const CallerLimits &limits() const { return m_Limits; }
+  /// Empty when requests need no API key.
+  const OrganisationDirectory &organisations() const { return m_Organisations; }
   const std::vector<Route> &routes() const { return m_Routes; }
 
 private:
   ConfigVersion m_Version;
   CallerLimits m_Limits;
+  OrganisationDirectory m_Organisations;
   std::map<ServiceName, ServiceSpec> m_Services;
   std::vector<Route> m_Routes;
   /// Maps the concatenation of host and prefix to the index of the route.
--- a/src/coordination/outcome.cpp
+++ b/src/coordination/outcome.cpp
@@ -51,6 +51,12 @@
     return "memory_lost";
   case Reason::CrashesTargets:
     return "crashes_targets";
+  case Reason::UnknownApiKey:
+    return "unknown_api_key";
+  case Reason::OverQuota:
+    return "over_quota";
+  case Reason::QuotaUnavailable:
+    return "quota_unavailable";
   case Reason::Cancelled:
     return "cancelled";
   }
--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -641,6 +641,7 @@
   uint64_t digest = 0;
   std::vector<std::unique_ptr<balsamwheel::link_wire::SuspectT>> suspects{};
   int64_t operator_rows_time = 0;
+  std::string organisation{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -700,7 +701,8 @@
     VT_MAP_CHANGES = 96,
     VT_DIGEST = 98,
     VT_SUSPECTS = 100,
-    VT_OPERATOR_ROWS_TIME = 102
+    VT_OPERATOR_ROWS_TIME = 102,
+    VT_ORGANISATION = 104
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -877,6 +879,10 @@
   int64_t operator_rows_time() const {
     return GetField<int64_t>(VT_OPERATOR_ROWS_TIME, 0);
   }
+  /// Request: whose API key the caller has given; empty without one.
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -948,6 +954,8 @@
            verifier.VerifyVector(suspects()) &&
            verifier.VerifyVectorOfTables(suspects()) &&
            VerifyField<int64_t>(verifier, VT_OPERATOR_ROWS_TIME, 8) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1109,6 +1117,9 @@
   void add_operator_rows_time(int64_t operator_rows_time) {
     fbb_.AddElement<int64_t>(Frame::VT_OPERATOR_ROWS_TIME, operator_rows_time, 0);
   }
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(Frame::VT_ORGANISATION, organisation);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1171,7 +1182,8 @@
     flatbuffers::Offset<flatbuffers::String> map_changes = 0,
     uint64_t digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>>> suspects = 0,
-    int64_t operator_rows_time = 0) {
+    int64_t operator_rows_time = 0,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_operator_rows_time(operator_rows_time);
   builder_.add_digest(digest);
@@ -1192,6 +1204,7 @@
   builder_.add_objective_left(objective_left);
   builder_.add_sent_at(sent_at);
   builder_.add_stream(stream);
+  builder_.add_organisation(organisation);
   builder_.add_suspects(suspects);
   builder_.add_map_changes(map_changes);
   builder_.add_rows(rows);
@@ -1277,7 +1290,8 @@
     const char *map_changes = nullptr,
     uint64_t digest = 0,
     const std::vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>> *suspects = nullptr,
-    int64_t operator_rows_time = 0) {
+    int64_t operator_rows_time = 0,
+    const char *organisation = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1292,6 +1306,7 @@
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::TableRow>>(*rows) : 0;
   auto map_changes__ = map_changes ? _fbb.CreateString(map_changes) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>>(*suspects) : 0;
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   return balsamwheel::link_wire::CreateFrame(
       _fbb,
       kind,
@@ -1343,7 +1358,8 @@
       map_changes__,
       digest,
       suspects__,
-      operator_rows_time);
+      operator_rows_time,
+      organisation__);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1572,7 +1588,8 @@
         map_base_version(o.map_base_version),
         map_changes(o.map_changes),
         digest(o.digest),
-        operator_rows_time(o.operator_rows_time) {
+        operator_rows_time(o.operator_rows_time),
+        organisation(o.organisation) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new balsamwheel::link_wire::HeaderT(*headers_) : nullptr); }
   slice_rates.reserve(o.slice_rates.size());
@@ -1634,6 +1651,7 @@
   std::swap(digest, o.digest);
   std::swap(suspects, o.suspects);
   std::swap(operator_rows_time, o.operator_rows_time);
+  std::swap(organisation, o.organisation);
   return *this;
 }
 
@@ -1696,6 +1714,7 @@
   { auto _e = digest(); _o->digest = _e; }
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<balsamwheel::link_wire::SuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = operator_rows_time(); _o->operator_rows_time = _e; }
+  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1756,6 +1775,7 @@
   auto _digest = _o->digest;
   auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreateSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _operator_rows_time = _o->operator_rows_time;
+  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
   return balsamwheel::link_wire::CreateFrame(
       _fbb,
       _kind,
@@ -1807,7 +1827,8 @@
       _map_changes,
       _digest,
       _suspects,
-      _operator_rows_time);
+      _operator_rows_time,
+      _organisation);
 }
 
 inline const balsamwheel::link_wire::Frame *GetFrame(const void *buf) {
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -15,6 +15,8 @@
 /// Statuses for callers whose request failed without proof that it hasn't run.
 constexpr unsigned BadGateway = 502;
 constexpr unsigned GatewayTimeout = 504;
+constexpr unsigned Unauthorized = 401;
+constexpr unsigned NotFound = 404;
 
 std::int64_t micros(Duration Value) { return Value.count(); }
 
@@ -46,8 +48,11 @@
                   m_Options.m_DefaultRetryAfter);
   if (m_RefuseNew)
     return refuse(Request, Reason::Draining, m_Options.m_DefaultRetryAfter);
-  if (!resolveRoute(Entry))
-    return fail(Request, 404, Reason::UnknownService);
+  if (!matchRoute(Entry))
+    return fail(Request, NotFound, Reason::UnknownService);
+  if (!authenticate(Entry))
+    return refuseUnauthenticated(Request);
+  applyRoute(Entry);
   if (const auto Refused = m_Suspects.refusedFor(Entry.m_Digest, m_Loop.now()))
     return refuse(Request, Reason::CrashesTargets, *Refused);
   if (Entry.m_OfRepeat)
@@ -61,12 +66,37 @@
   dispatch(Request);
 }
 
-bool Entrance::resolveRoute(ActiveRequest &Entry) {
-  HttpRequest &Request = Entry.m_Exchange->request();
-  Entry.m_Route =
-      Entry.m_Table->match(Entry.m_Metadata.m_Host, Request.m_Target);
-  if (!Entry.m_Route)
+bool Entrance::matchRoute(ActiveRequest &Entry) {
+  Entry.m_Route = Entry.m_Table->match(Entry.m_Metadata.m_Host,
+                                       Entry.m_Exchange->request().m_Target);
+  return Entry.m_Route != nullptr;
+}
+
+bool Entrance::authenticate(ActiveRequest &Entry) {
+  Entry.m_Priority = Entry.m_Route->m_Priority;
+  const OrganisationDirectory &Organisations = Entry.m_Table->organisations();
+  if (Organisations.empty() || Entry.m_Route->m_Public || Entry.m_Nested)
+    return true;
+  const OrganisationDirectory::Entry *Found =
+      Organisations.findByKey(Entry.m_Metadata.m_ApiKey);
+  if (!Found)
     return false;
+  Entry.m_Organisation = Found->m_Name;
+  Entry.m_Priority = Found->m_Priority.value_or(Entry.m_Priority);
+  return true;
+}
+
+void Entrance::refuseUnauthenticated(Id Request) {
+  const RequestMetadata &Metadata = m_Active.at(Request).m_Metadata;
+  // A target doesn't have a key for its nested requests. After a restart of
+  // this daemon their parents aren't known.
+  if (Metadata.m_ParentId && Metadata.m_ApiKey.empty())
+    return refuse(Request, Reason::Cancelled, m_Options.m_DefaultRetryAfter);
+  fail(Request, Unauthorized, Reason::UnknownApiKey);
+}
+
+void Entrance::applyRoute(ActiveRequest &Entry) {
+  HttpRequest &Request = Entry.m_Exchange->request();
   const Route &Matched = *Entry.m_Route;
   Entry.m_Service = chooseShare(
       Matched, std::hash<std::string>()(Entry.m_Metadata.m_Id) ^ m_Random());
@@ -80,8 +110,7 @@
   Entry.m_Digest = digestOf(Entry.m_Metadata.m_Host, Request.m_Method,
                             Request.m_Target, Request.m_Body);
   Entry.m_Request = std::move(Request);
-  m_Format.prepare(Entry.m_Request, m_Settings.m_Service);
-  return true;
+  m_Format.prepare(Entry.m_Request, m_Settings.m_Service, Entry.m_Organisation);
 }
 
 bool Entrance::isKeyed(const ActiveRequest &Entry) {
@@ -179,7 +208,9 @@
     TargetJob Job{.m_Request = Entry.m_Request,
                   .m_Id = Entry.m_Metadata.m_Id,
                   .m_Route = Matched.m_Name,
-                  .m_Priority = Matched.m_Priority,
+                  .m_Priority = Entry.m_Priority,
+                  .m_Organisation =
+                      Entry.m_Organisation.value_or(OrganisationName()),
                   .m_Idempotent = Matched.idempotent(),
                   .m_Nested = Entry.m_Nested,
                   .m_Repeated = Repeated,
@@ -204,7 +235,9 @@
   Frame.request_id = Entry.m_Metadata.m_Id;
   Frame.route = Matched.m_Name;
   Frame.non_idempotent = !Matched.idempotent();
-  Frame.priority = Matched.m_Priority;
+  Frame.priority = Entry.m_Priority;
+  if (Entry.m_Organisation)
+    Frame.organisation = Entry.m_Organisation->value();
   Frame.nested = Entry.m_Nested;
   Frame.repeated = Repeated;
   Frame.digest = Entry.m_Digest.value();
@@ -358,8 +391,11 @@
     RetryAfter = m_Options.m_DefaultRetryAfter;
   const double Spread = 1 + m_Options.m_RetryAfterSpread *
                                 (static_cast<double>(m_Random()) / UINT32_MAX);
-  HttpAnswer Answer = m_Format.notRunAnswer(Duration(static_cast<Duration::rep>(
-      static_cast<double>(micros(RetryAfter)) * Spread)));
+  HttpAnswer Answer = m_Format.notRunAnswer(
+      Why == Reason::OverQuota ? RefusalKind::OverQuota
+                               : RefusalKind::Unavailable,
+      Duration(static_cast<Duration::rep>(
+          static_cast<double>(micros(RetryAfter)) * Spread)));
   answer(Request, std::move(Answer), "refused", Why);
 }
 
@@ -384,6 +420,8 @@
                static_cast<std::int64_t>(
                    Entry.m_Table ? Entry.m_Table->version().value() : 0))
           .add("service", Entry.m_Service.value())
+          .add("organisation",
+               Entry.m_Organisation ? Entry.m_Organisation->value() : "")
           .add("nested", std::int64_t{Entry.m_Nested})
           .add("key",
                std::int64_t{Entry.m_Metadata.m_Key ? *Entry.m_Metadata.m_Key
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -82,6 +82,10 @@
     std::shared_ptr<const RouteTable> m_Table;
     const Route *m_Route = nullptr;
     ServiceName m_Service;
+    /// Whose key the caller has given; none without a key.
+    std::optional<OrganisationName> m_Organisation;
+    /// 0 is the most urgent.
+    std::uint32_t m_Priority = 0;
     RequestMetadata m_Metadata;
     RequestDigest m_Digest;
     /// The request as sent to targets, without the headers that name the target
@@ -109,9 +113,14 @@
     std::set<InstanceName> m_Excluded;
   };
 
-  /// Sets the route, the latency objective and the deadline.
-  /// \returns false when no route matches.
-  bool resolveRoute(ActiveRequest &Entry);
+  /// Finds the route by host and path.
+  /// \returns false when none matches.
+  static bool matchRoute(ActiveRequest &Entry);
+  /// Finds the organisation by the API key, and sets the priority.
+  /// \returns false when the key is needed and unknown.
+  static bool authenticate(ActiveRequest &Entry);
+  /// Sets the service, the latency objective and the deadline.
+  void applyRoute(ActiveRequest &Entry);
   /// Chooses an instance and forwards the request to it; refuses the request or
   /// schedules another owner lookup when there is none.
   void dispatch(Id Request);
@@ -140,6 +149,8 @@
   void cancelAttempt(const ActiveRequest &Entry);
   /// Answers that the request hasn't run.
   void refuse(Id Request, Reason Why, Duration RetryAfter);
+  /// Answers a request whose key no organisation holds.
+  void refuseUnauthenticated(Id Request);
   /// Answers with an error that leaves open whether the request has run.
   void fail(Id Request, unsigned Status, Reason Why);
   /// Ends the request: logs and counts it, and answers unless the status is 0.
--- a/src/router/exchange_format.h
+++ b/src/router/exchange_format.h
@@ -5,6 +5,7 @@
 #include "balsamwheel/detail/core/ids.h"
 #include "balsamwheel/detail/core/time.h"
 #include "balsamwheel/detail/keyspace/call_hold_ledger.h"
+#include "balsamwheel/detail/routing/organisation_directory.h"
 
 #include "net/http_message.h"
 
@@ -23,6 +24,8 @@
   std::optional<Duration> m_DeadlineLeft;
   std::optional<KeyIndex> m_Key;
   std::string m_Host;
+  /// Empty when the caller gave none. Never logged or forwarded.
+  std::string m_ApiKey;
 };
 
 /// Metadata that the router adds to a request for a target.
@@ -63,14 +66,24 @@
   std::string m_HandoverToken;
 };
 
+/// Why this router refuses a request that hasn't run.
+enum class RefusalKind : std::uint8_t {
+  /// It can't be served at the moment.
+  Unavailable,
+  /// Its organisation has used up its quota.
+  OverQuota,
+};
+
 /// Decodes and encodes the metadata; implemented by an adapter.
 class ExchangeFormat {
 public:
   virtual ~ExchangeFormat() = default;
   virtual RequestMetadata read(const HttpRequest &Request) const = 0;
-  /// Prepares a caller's request for forwarding to a target of any instance.
-  virtual void prepare(HttpRequest &Request,
-                       const ServiceName &CallerService) const = 0;
+  /// Prepares a caller's request for forwarding to a target of any instance:
+  /// removes the API key and names the caller's service and organisation.
+  virtual void
+  prepare(HttpRequest &Request, const ServiceName &CallerService,
+          const std::optional<OrganisationName> &Organisation) const = 0;
   /// Sets the headers that are meant for one target.
   virtual void addTargetMetadata(HttpRequest &Request,
                                  const TargetMetadata &Metadata) const = 0;
@@ -80,7 +93,8 @@
   /// Name of the header that carries the request id in requests and answers.
   virtual const std::string &idHeader() const = 0;
   /// Answer of this router that says the request hasn't run.
-  virtual HttpAnswer notRunAnswer(Duration RetryAfter) const = 0;
+  virtual HttpAnswer notRunAnswer(RefusalKind Kind,
+                                  Duration RetryAfter) const = 0;
   /// Encodes a call that grants keys to a target or releases them.
   /// \param Hold validity of a grant.
   virtual HttpRequest holdRequest(const HoldCall &Call,
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -378,6 +378,7 @@
   Job.m_Id = Frame.request_id;
   Job.m_Route = Frame.route;
   Job.m_Priority = Frame.priority;
+  Job.m_Organisation = OrganisationName(Frame.organisation);
   Job.m_Idempotent = !Frame.non_idempotent;
   Job.m_Nested = Frame.nested;
   Job.m_Repeated = Frame.repeated;
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -44,6 +44,8 @@
   std::string m_Id;
   std::string m_Route;
   std::uint32_t m_Priority = 0;
+  /// Empty when the caller has given no API key.
+  OrganisationName m_Organisation;
   bool m_Idempotent = false;
   /// Sent by a target while it runs another request.
   bool m_Nested = false;
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -6,8 +6,10 @@
 namespace balsamwheel {
 
 RouteTable::RouteTable(ConfigVersion Version, std::vector<ServiceSpec> Services,
-                       CallerLimits Limits, std::vector<Route> Routes)
-    : m_Version(Version), m_Limits(Limits), m_Routes(std::move(Routes)) {
+                       CallerLimits Limits, std::vector<Route> Routes,
+                       OrganisationDirectory Organisations)
+    : m_Version(Version), m_Limits(Limits),
+      m_Organisations(std::move(Organisations)), m_Routes(std::move(Routes)) {
   for (ServiceSpec &Service : Services) {
     ServiceName Name = Service.m_Name;
     m_Services.emplace(std::move(Name), std::move(Service));
@@ -43,6 +45,8 @@
     return "the configuration has no version";
   if (m_Index.size() != m_Routes.size())
     return "two routes share a host and a prefix";
+  if (m_Organisations.problem())
+    return m_Organisations.problem();
   for (const Route &Each : m_Routes) {
     const std::string Context = "route " + Each.m_Name + ": ";
     if (Each.m_Host.empty())
--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -170,6 +170,8 @@
     Headers.add("X-Deadline-Ms", "3000");
     if (Key >= 0)
       Headers.add("X-Shard-Key", std::to_string(Key));
+    if (!m_ApiKey.empty())
+      Headers.add("Api-Key", m_ApiKey);
     auto Result = std::make_shared<std::optional<HttpCallResult>>();
     m_LastCall = Entrance.m_Callers->call(
         std::move(Call),
@@ -209,6 +211,8 @@
   FakeRows m_Rows;
   std::vector<std::unique_ptr<Instance>> m_Instances;
   int m_LastRequestId = 0;
+  /// Sent with each request unless empty.
+  std::string m_ApiKey;
   HttpClient::CallId m_LastCall;
 };
 
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -140,13 +140,17 @@
   CHECK(Read.m_ParentId == "parent");
   CHECK(Read.m_DeadlineLeft == 1500ms);
   CHECK_FALSE(Read.m_Key.has_value()); // Above the highest key.
-  Format.prepare(Request, ServiceName("mine"));
+  Format.prepare(Request, ServiceName("mine"), std::nullopt);
   Format.addTargetMetadata(Request,
                            {.m_DeadlineLeft = 900ms, .m_TargetId = "t"});
   CHECK(Request.m_Headers.get("X-Caller-Service") == "mine");
   CHECK(Request.m_Headers.get("X-Target-Instance") == "t");
   CHECK(Request.m_Headers.get("X-Deadline-Ms") == "900");
-  CHECK(Format.notRunAnswer(250ms).m_Headers.get("Retry-After") == "0.250");
+  const HttpAnswer Refusal =
+      Format.notRunAnswer(RefusalKind::Unavailable, 250ms);
+  CHECK(Refusal.m_Status == 503);
+  CHECK(Refusal.m_Headers.get("Retry-After") == "0.250");
+  CHECK(Format.notRunAnswer(RefusalKind::OverQuota, 250ms).m_Status == 429);
 }
 
 TEST_CASE("calls for keys are encoded, and their answers decoded") {
