Try idle targets again whose service time was learned while cold

Cause: its mean service time comes from the few requests that it ran while cold, so it is the most expensive in each sample of three, gets no request, and keeps the estimate.

Change: the reported estimate of an idle target falls by half each 0.5 s after the first second, to a quarter at least. Only the report changes; admission at the gate doesn't. The test fails without it.

--- a/include/balsamwheel/detail/load/target_selector.h
+++ b/include/balsamwheel/detail/load/target_selector.h
@@ -52,6 +52,14 @@
   Duration m_LinkWait{0};
 };
 
+/// Service time to report for a target that has been idle for \p Idle.
+///
+/// A target that was slow while it was cold is expensive to choose, gets no
+/// requests and would keep its estimate for good. The estimate of an idle
+/// target therefore falls, to a quarter at least, until the target is tried
+/// again.
+Duration idleServiceTime(Duration Mean, Duration Idle);
+
 /// Performs no I/O and reads no clock; not thread-safe.
 class TargetSelector {
 public:
--- a/src/load/target_selector.cpp
+++ b/src/load/target_selector.cpp
@@ -9,6 +9,27 @@
 
 namespace balsamwheel {
 
+namespace {
+
+/// The estimate of an idle target stays valid for this long.
+constexpr Duration ServiceTimeLifetime = std::chrono::seconds(1);
+/// Half-life of the estimate after that.
+constexpr Duration ServiceTimeHalfLife = std::chrono::milliseconds(500);
+constexpr double MaxHalfLives = 2;
+
+} // namespace
+
+Duration idleServiceTime(Duration Mean, Duration Idle) {
+  if (Idle <= ServiceTimeLifetime)
+    return Mean;
+  const double HalfLives =
+      static_cast<double>((Idle - ServiceTimeLifetime).count()) /
+      static_cast<double>(ServiceTimeHalfLife.count());
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(Mean.count()) *
+      std::exp2(-std::min(HalfLives, MaxHalfLives))));
+}
+
 void TargetSelector::report(const InstanceName &Target,
                             const GateReport &Report) {
   Entry &Known = m_Entries[Target];
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -112,6 +112,7 @@
   m_LastSequence = 0;
   m_Slots = Heartbeat.m_Slots;
   m_NamedLimit.reset();
+  m_LastEnded.reset();
   m_Gate.setNamedLimit(std::nullopt, m_Loop.now());
   m_Leaving = false;
   m_LeaveLimit.reset();
@@ -154,11 +155,16 @@
                               : TargetCondition::Eligible;
 }
 
+Duration TargetAgent::idleTime() const {
+  const bool Idle = m_LastEnded && m_Gate.running() == 0;
+  return Idle ? m_Loop.now() - *m_LastEnded : Duration::zero();
+}
+
 GateReport TargetAgent::gateReport() const {
   return {.m_Running = m_Gate.running(),
           .m_Waiting = static_cast<std::uint32_t>(m_Gate.waiting()),
           .m_Slots = leaving() || m_Stopping ? 0 : m_Gate.slots(),
-          .m_Service = m_Gate.meanService(),
+          .m_Service = idleServiceTime(m_Gate.meanService(), idleTime()),
           .m_RateLimit = m_Gate.rateLimit(m_Loop.now()),
           .m_SpareTokens = m_Gate.spareTokens(m_Loop.now()),
           .m_LinkWait = m_LinkBudget.wait(m_Loop.now())};
@@ -376,6 +382,7 @@
                     .add("outcome", toString(JobResult.m_Outcome))
                     .add("running", std::int64_t{m_Gate.running()})
                     .add("took", ServiceTime));
+  m_LastEnded = m_Loop.now();
   m_Gate.finished(Entry.m_Job.m_Route, ServiceTime, Served);
   if (Result.m_CallOutcome == HttpCallOutcome::NotSent)
     onConnectionRefused();
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -180,6 +180,9 @@
   };
 
   void startTarget(const TargetHeartbeat &Heartbeat);
+  /// For how long no request has been running at the target; zero before its
+  /// first one.
+  Duration idleTime() const;
   /// Opens the gate unless the state of the target or daemon forbids it.
   void openGate();
   void limitColdRate();
@@ -226,6 +229,8 @@
   std::uint64_t m_LastSequence = 0;
   std::uint32_t m_Slots = 0;
   TimePoint m_LastHeartbeat;
+  /// When a request at the present target last ended.
+  std::optional<TimePoint> m_LastEnded;
   /// End of the cold start as reported by the target, plus one heartbeat
   /// interval.
   TimePoint m_ColdUntil;
--- a/tests/unit-target-selector.cpp
+++ b/tests/unit-target-selector.cpp
@@ -113,3 +113,17 @@
     CHECK(Count <= 3.2 * 100);
   CHECK(Chosen[InstanceName("t0")] > Chosen[InstanceName("t20")]);
 }
+
+TEST_CASE("a target that was slow while cold is tried again when it has been "
+          "idle") {
+  TargetSelector Selector({});
+  const auto Choose = [&](Duration Idle) {
+    Selector.report(A, report(3, 100ms));
+    Selector.report(B, report(0, idleServiceTime(350ms, Idle)));
+    return Selector.choose(Both, false, 0, Start);
+  };
+  CHECK(Choose(0s) == A);
+  CHECK(Choose(1s) == A);
+  CHECK(Choose(2s) == B);
+  CHECK(idleServiceTime(400ms, 1h) == 100ms);
+}
