Give targets that have just started their first requests

Cause: until its first answer a target reports an assumed service time of 200 ms.

Change: a gate without an answer reports no service time, and the selector takes the mean of the service's other targets. The test fails without it.

--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -144,6 +144,8 @@
   std::size_t waiting() const { return m_Waiting.size(); }
   /// Moving average of the service time over all routes.
   Duration meanService() const;
+  /// Whether meanService() has been measured.
+  bool knowsService() const { return m_MeanService > 0; }
   Duration expectedService(const std::string &Route) const;
   /// Requests per second that the target gets at most; 0 without a limit.
   double rateLimit(TimePoint Now) const;
--- a/include/balsamwheel/detail/load/target_selector.h
+++ b/include/balsamwheel/detail/load/target_selector.h
@@ -35,13 +35,16 @@
   Duration m_FailureHalfLife = std::chrono::seconds(3);
 };
 
+/// Service time assumed while no target of a service has a measured one.
+inline constexpr Duration AssumedServiceTime = std::chrono::milliseconds(200);
+
 /// State of a gate as it reports it to other instances.
 struct GateReport {
   std::uint32_t m_Running = 0;
   std::uint32_t m_Waiting = 0;
   /// 0 means that the gate is closed.
   std::uint32_t m_Slots = 0;
-  /// Mean service time.
+  /// Mean service time; 0 while it isn't known.
   Duration m_Service{0};
   /// Requests per second that the target gets at most; 0 means no limit.
   double m_RateLimit = 0;
@@ -90,8 +93,11 @@
                                      TimePoint Now) const;
   /// Expected time until one more request would be complete, increased by the
   /// target's failure rate; std::nullopt when its gate is closed or unknown.
-  std::optional<Duration> expectedCompletion(const InstanceName &Target,
-                                             TimePoint Now) const;
+  ///
+  /// \param TypicalService assumed while the target's service time isn't known.
+  std::optional<Duration>
+  expectedCompletion(const InstanceName &Target, TimePoint Now,
+                     Duration TypicalService = AssumedServiceTime) const;
 
 private:
   struct Entry {
@@ -103,6 +109,9 @@
     TimePoint m_FailureRateAt;
   };
 
+  /// Mean of the known service times: a target that has just started is taken
+  /// for a usual one, so that it gets its first requests.
+  Duration typicalService(std::span<const Candidate> Candidates) const;
   double cost(const Candidate &Option, bool LargeAnswer,
               Duration Completion) const;
   double failureRate(const Entry &Target, TimePoint Now) const;
--- a/src/load/target_selector.cpp
+++ b/src/load/target_selector.cpp
@@ -65,15 +65,16 @@
 }
 
 std::optional<Duration>
-TargetSelector::expectedCompletion(const InstanceName &Target,
-                                   TimePoint Now) const {
+TargetSelector::expectedCompletion(const InstanceName &Target, TimePoint Now,
+                                   Duration TypicalService) const {
   auto Found = m_Entries.find(Target);
   if (Found == m_Entries.end() || Found->second.m_Report.m_Slots == 0)
     return std::nullopt;
   const Entry &Known = Found->second;
   const GateReport &Report = Known.m_Report;
-  const double Service =
-      std::max(1.0, static_cast<double>(Report.m_Service.count()));
+  const Duration Mean =
+      Report.m_Service > Duration::zero() ? Report.m_Service : TypicalService;
+  const double Service = std::max(1.0, static_cast<double>(Mean.count()));
   const double Load =
       Report.m_Running + Report.m_Waiting + Known.m_SentSinceReport;
   double Total = Service * (1 + Load / Report.m_Slots);
@@ -84,6 +85,21 @@
   return Duration(static_cast<Duration::rep>(Total));
 }
 
+Duration
+TargetSelector::typicalService(std::span<const Candidate> Candidates) const {
+  Duration Sum{0};
+  Duration::rep Known = 0;
+  for (const Candidate &Each : Candidates) {
+    const auto Found = m_Entries.find(Each.m_Target);
+    if (Found == m_Entries.end() ||
+        Found->second.m_Report.m_Service <= Duration::zero())
+      continue;
+    Sum += Found->second.m_Report.m_Service;
+    ++Known;
+  }
+  return Known > 0 ? Sum / Known : AssumedServiceTime;
+}
+
 double TargetSelector::cost(const Candidate &Option, bool LargeAnswer,
                             Duration Completion) const {
   auto Cost = static_cast<double>(Completion.count());
@@ -105,8 +121,9 @@
   };
   std::vector<OpenCandidate> Choices;
   Choices.reserve(Candidates.size());
+  const Duration Typical = typicalService(Candidates);
   for (const Candidate &Each : Candidates)
-    if (const auto Completion = expectedCompletion(Each.m_Target, Now))
+    if (const auto Completion = expectedCompletion(Each.m_Target, Now, Typical))
       Choices.push_back({&Each, cost(Each, LargeAnswer, *Completion)});
   if (Choices.empty())
     return std::nullopt;
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -164,7 +164,9 @@
   return {.m_Running = m_Gate.running(),
           .m_Waiting = static_cast<std::uint32_t>(m_Gate.waiting()),
           .m_Slots = leaving() || m_Stopping ? 0 : m_Gate.slots(),
-          .m_Service = idleServiceTime(m_Gate.meanService(), idleTime()),
+          .m_Service = m_Gate.knowsService()
+                           ? idleServiceTime(m_Gate.meanService(), idleTime())
+                           : Duration::zero(),
           .m_RateLimit = m_Gate.rateLimit(m_Loop.now()),
           .m_SpareTokens = m_Gate.spareTokens(m_Loop.now()),
           .m_LinkWait = m_LinkBudget.wait(m_Loop.now())};
--- a/tests/unit-target-selector.cpp
+++ b/tests/unit-target-selector.cpp
@@ -127,3 +127,14 @@
   CHECK(Choose(2s) == B);
   CHECK(idleServiceTime(400ms, 1h) == 100ms);
 }
+
+TEST_CASE("a target that has just started gets requests beside fast ones that "
+          "aren't idle") {
+  TargetSelector Selector({});
+  Selector.report(A, report(3, 60ms));
+  Selector.report(B, report(0, 0ms));
+  CHECK(Selector.choose(Both, false, 0, Start) == B);
+  for (int Count = 0; Count < 9; ++Count)
+    Selector.sent(B);
+  CHECK(Selector.choose(Both, false, 0, Start) == A);
+}
