--- a/include/balsamwheel/detail/quota/frames.h
+++ b/include/balsamwheel/detail/quota/frames.h
@@ -64,6 +64,8 @@
   std::uint32_t m_Bits = 0;
 };
 
+inline constexpr QuotaGroups AllQuotaGroups{(1U << QuotaGroupCount) - 1};
+
 /// From a lender to a keeper: lends the units, or only asks for a stamp.
 struct QuotaLend {
   QuotaProcess m_Lender;
--- a/include/balsamwheel/detail/quota/lender.h
+++ b/include/balsamwheel/detail/quota/lender.h
@@ -92,6 +92,11 @@
     return m_Places[Group.value()].m_Keeper;
   }
 
+  /// Whether a daemon could be chosen as keeper.
+  bool isAvailable(const InstanceName &Name, TimePoint Now) const {
+    return isUp(Name) && !isLost(Name, Now);
+  }
+
 private:
   /// Another daemon as keeper.
   struct Contact {
--- a/include/balsamwheel/detail/quota/member.h
+++ b/include/balsamwheel/detail/quota/member.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace balsamwheel {
@@ -30,8 +31,8 @@
     std::vector<QuotaLender::Outgoing> m_Lends;
     std::vector<QuotaAsker::Outgoing> m_Asks;
     std::vector<QuotaDecision> m_Decisions;
-    /// This daemon's own answers to this daemon's questions.
-    std::vector<QuotaReply> m_OwnReplies;
+    /// This daemon's own questions to itself, with their answers.
+    std::vector<std::pair<QuotaAsk, QuotaReply>> m_Own;
   };
 
   QuotaMember(const InstanceName &Self, QuotaProcess Process,
@@ -71,6 +72,7 @@
   QuotaAsker &asker() { return m_Asker; }
   QuotaKeeper &keeper() { return m_Keeper; }
   const QuotaLender &lender() const { return m_Lender; }
+  const QuotaShares &shares() const { return m_Shares; }
 
 private:
   /// Makes the keeper count what the lender holds.
--- a/include/balsamwheel/detail/quota/shares.h
+++ b/include/balsamwheel/detail/quota/shares.h
@@ -104,7 +104,9 @@
 
   /// The row to be written now by the daemon that writes it; none when the
   /// present one is right. Complexity: linear in the members.
-  /// \param Members instances that are present, this one included.
+  /// \param Members instances that are present, this one included; before the
+  ///        first row all that may be, so that more than half of them include
+  ///        one that has known a row which the store has lost.
   /// \param Era of the store.
   std::optional<SharesRow> next(const std::set<InstanceName> &Members,
                                 StoreEra Era, TimePoint Now);
--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -37,6 +37,10 @@
 struct SuspectBuilder;
 struct SuspectT;
 
+struct QuotaBody;
+struct QuotaBodyBuilder;
+struct QuotaBodyT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -58,11 +62,15 @@
   CrashedRuns = 13,
   RefusedRequests = 14,
   SuspectCompleted = 15,
+  QuotaLend = 16,
+  QuotaStamp = 17,
+  QuotaAsk = 18,
+  QuotaReply = 19,
   MIN = Hello,
-  MAX = SuspectCompleted
+  MAX = QuotaReply
 };
 
-inline const Kind (&EnumValuesKind())[16] {
+inline const Kind (&EnumValuesKind())[20] {
   static const Kind values[] = {
     Kind::Hello,
     Kind::Request,
@@ -79,13 +87,17 @@
     Kind::MapChanges,
     Kind::CrashedRuns,
     Kind::RefusedRequests,
-    Kind::SuspectCompleted
+    Kind::SuspectCompleted,
+    Kind::QuotaLend,
+    Kind::QuotaStamp,
+    Kind::QuotaAsk,
+    Kind::QuotaReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesKind() {
-  static const char * const names[17] = {
+  static const char * const names[21] = {
     "Hello",
     "Request",
     "Answer",
@@ -102,13 +114,17 @@
     "CrashedRuns",
     "RefusedRequests",
     "SuspectCompleted",
+    "QuotaLend",
+    "QuotaStamp",
+    "QuotaAsk",
+    "QuotaReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameKind(Kind e) {
-  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::SuspectCompleted)) return "";
+  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::QuotaReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesKind()[index];
 }
@@ -589,6 +605,244 @@
 
 flatbuffers::Offset<Suspect> CreateSuspect(flatbuffers::FlatBufferBuilder &_fbb, const SuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct QuotaBodyT : public flatbuffers::NativeTable {
+  typedef QuotaBody TableType;
+  uint64_t from_process = 0;
+  uint64_t to_process = 0;
+  uint64_t sequence = 0;
+  int64_t stamp = 0;
+  uint32_t groups = 0;
+  uint32_t units = 0;
+  bool ended = false;
+  std::string organisation{};
+  uint32_t count = 0;
+  uint32_t returned = 0;
+  uint32_t granted = 0;
+  int64_t wait = 0;
+  int64_t spacing = 0;
+  bool unavailable = false;
+};
+
+/// Body of QuotaLend, QuotaStamp, QuotaAsk and QuotaReply. Not a part of the
+/// frame, so that these small and frequent frames stay small: in a frame, each
+/// of its many other fields would cost two bytes.
+struct QuotaBody FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaBodyT NativeTableType;
+  typedef QuotaBodyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM_PROCESS = 4,
+    VT_TO_PROCESS = 6,
+    VT_SEQUENCE = 8,
+    VT_STAMP = 10,
+    VT_GROUPS = 12,
+    VT_UNITS = 14,
+    VT_ENDED = 16,
+    VT_ORGANISATION = 18,
+    VT_COUNT = 20,
+    VT_RETURNED = 22,
+    VT_GRANTED = 24,
+    VT_WAIT = 26,
+    VT_SPACING = 28,
+    VT_UNAVAILABLE = 30
+  };
+  /// Random ids of the sender's process, and of the one that it means.
+  uint64_t from_process() const {
+    return GetField<uint64_t>(VT_FROM_PROCESS, 0);
+  }
+  uint64_t to_process() const {
+    return GetField<uint64_t>(VT_TO_PROCESS, 0);
+  }
+  /// QuotaStamp: highest one of a QuotaLend that was applied. QuotaReply: of
+  /// the QuotaAsk.
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  /// The keeper's clock: its own, or the latest that the sender has got.
+  int64_t stamp() const {
+    return GetField<int64_t>(VT_STAMP, 0);
+  }
+  uint32_t groups() const {
+    return GetField<uint32_t>(VT_GROUPS, 0);
+  }
+  uint32_t units() const {
+    return GetField<uint32_t>(VT_UNITS, 0);
+  }
+  bool ended() const {
+    return GetField<uint8_t>(VT_ENDED, 0) != 0;
+  }
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  uint32_t count() const {
+    return GetField<uint32_t>(VT_COUNT, 0);
+  }
+  uint32_t returned() const {
+    return GetField<uint32_t>(VT_RETURNED, 0);
+  }
+  uint32_t granted() const {
+    return GetField<uint32_t>(VT_GRANTED, 0);
+  }
+  int64_t wait() const {
+    return GetField<int64_t>(VT_WAIT, 0);
+  }
+  int64_t spacing() const {
+    return GetField<int64_t>(VT_SPACING, 0);
+  }
+  bool unavailable() const {
+    return GetField<uint8_t>(VT_UNAVAILABLE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FROM_PROCESS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO_PROCESS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<int64_t>(verifier, VT_STAMP, 8) &&
+           VerifyField<uint32_t>(verifier, VT_GROUPS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_UNITS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_ENDED, 1) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<uint32_t>(verifier, VT_COUNT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RETURNED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GRANTED, 4) &&
+           VerifyField<int64_t>(verifier, VT_WAIT, 8) &&
+           VerifyField<int64_t>(verifier, VT_SPACING, 8) &&
+           VerifyField<uint8_t>(verifier, VT_UNAVAILABLE, 1) &&
+           verifier.EndTable();
+  }
+  QuotaBodyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaBodyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaBody> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaBodyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaBodyBuilder {
+  typedef QuotaBody Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from_process(uint64_t from_process) {
+    fbb_.AddElement<uint64_t>(QuotaBody::VT_FROM_PROCESS, from_process, 0);
+  }
+  void add_to_process(uint64_t to_process) {
+    fbb_.AddElement<uint64_t>(QuotaBody::VT_TO_PROCESS, to_process, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(QuotaBody::VT_SEQUENCE, sequence, 0);
+  }
+  void add_stamp(int64_t stamp) {
+    fbb_.AddElement<int64_t>(QuotaBody::VT_STAMP, stamp, 0);
+  }
+  void add_groups(uint32_t groups) {
+    fbb_.AddElement<uint32_t>(QuotaBody::VT_GROUPS, groups, 0);
+  }
+  void add_units(uint32_t units) {
+    fbb_.AddElement<uint32_t>(QuotaBody::VT_UNITS, units, 0);
+  }
+  void add_ended(bool ended) {
+    fbb_.AddElement<uint8_t>(QuotaBody::VT_ENDED, static_cast<uint8_t>(ended), 0);
+  }
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(QuotaBody::VT_ORGANISATION, organisation);
+  }
+  void add_count(uint32_t count) {
+    fbb_.AddElement<uint32_t>(QuotaBody::VT_COUNT, count, 0);
+  }
+  void add_returned(uint32_t returned) {
+    fbb_.AddElement<uint32_t>(QuotaBody::VT_RETURNED, returned, 0);
+  }
+  void add_granted(uint32_t granted) {
+    fbb_.AddElement<uint32_t>(QuotaBody::VT_GRANTED, granted, 0);
+  }
+  void add_wait(int64_t wait) {
+    fbb_.AddElement<int64_t>(QuotaBody::VT_WAIT, wait, 0);
+  }
+  void add_spacing(int64_t spacing) {
+    fbb_.AddElement<int64_t>(QuotaBody::VT_SPACING, spacing, 0);
+  }
+  void add_unavailable(bool unavailable) {
+    fbb_.AddElement<uint8_t>(QuotaBody::VT_UNAVAILABLE, static_cast<uint8_t>(unavailable), 0);
+  }
+  explicit QuotaBodyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaBody> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaBody>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaBody> CreateQuotaBody(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from_process = 0,
+    uint64_t to_process = 0,
+    uint64_t sequence = 0,
+    int64_t stamp = 0,
+    uint32_t groups = 0,
+    uint32_t units = 0,
+    bool ended = false,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    uint32_t count = 0,
+    uint32_t returned = 0,
+    uint32_t granted = 0,
+    int64_t wait = 0,
+    int64_t spacing = 0,
+    bool unavailable = false) {
+  QuotaBodyBuilder builder_(_fbb);
+  builder_.add_spacing(spacing);
+  builder_.add_wait(wait);
+  builder_.add_stamp(stamp);
+  builder_.add_sequence(sequence);
+  builder_.add_to_process(to_process);
+  builder_.add_from_process(from_process);
+  builder_.add_granted(granted);
+  builder_.add_returned(returned);
+  builder_.add_count(count);
+  builder_.add_organisation(organisation);
+  builder_.add_units(units);
+  builder_.add_groups(groups);
+  builder_.add_unavailable(unavailable);
+  builder_.add_ended(ended);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaBody> CreateQuotaBodyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from_process = 0,
+    uint64_t to_process = 0,
+    uint64_t sequence = 0,
+    int64_t stamp = 0,
+    uint32_t groups = 0,
+    uint32_t units = 0,
+    bool ended = false,
+    const char *organisation = nullptr,
+    uint32_t count = 0,
+    uint32_t returned = 0,
+    uint32_t granted = 0,
+    int64_t wait = 0,
+    int64_t spacing = 0,
+    bool unavailable = false) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  return balsamwheel::link_wire::CreateQuotaBody(
+      _fbb,
+      from_process,
+      to_process,
+      sequence,
+      stamp,
+      groups,
+      units,
+      ended,
+      organisation__,
+      count,
+      returned,
+      granted,
+      wait,
+      spacing,
+      unavailable);
+}
+
+flatbuffers::Offset<QuotaBody> CreateQuotaBody(flatbuffers::FlatBufferBuilder &_fbb, const QuotaBodyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   balsamwheel::link_wire::Kind kind = balsamwheel::link_wire::Kind::Hello;
@@ -642,6 +896,7 @@
   std::vector<std::unique_ptr<balsamwheel::link_wire::SuspectT>> suspects{};
   int64_t operator_rows_time = 0;
   std::string organisation{};
+  uint64_t quota_revision = 0;
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -702,7 +957,8 @@
     VT_DIGEST = 98,
     VT_SUSPECTS = 100,
     VT_OPERATOR_ROWS_TIME = 102,
-    VT_ORGANISATION = 104
+    VT_ORGANISATION = 104,
+    VT_QUOTA_REVISION = 106
   };
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -883,6 +1139,11 @@
   const flatbuffers::String *organisation() const {
     return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
   }
+  /// Report: revision of the shares of the quotas that the sender applies; 0
+  /// without quotas, or when it is in doubt.
+  uint64_t quota_revision() const {
+    return GetField<uint64_t>(VT_QUOTA_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -956,6 +1217,7 @@
            VerifyField<int64_t>(verifier, VT_OPERATOR_ROWS_TIME, 8) &&
            VerifyOffset(verifier, VT_ORGANISATION) &&
            verifier.VerifyString(organisation()) &&
+           VerifyField<uint64_t>(verifier, VT_QUOTA_REVISION, 8) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1120,6 +1382,9 @@
   void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
     fbb_.AddOffset(Frame::VT_ORGANISATION, organisation);
   }
+  void add_quota_revision(uint64_t quota_revision) {
+    fbb_.AddElement<uint64_t>(Frame::VT_QUOTA_REVISION, quota_revision, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1183,8 +1448,10 @@
     uint64_t digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>>> suspects = 0,
     int64_t operator_rows_time = 0,
-    flatbuffers::Offset<flatbuffers::String> organisation = 0) {
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    uint64_t quota_revision = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_quota_revision(quota_revision);
   builder_.add_operator_rows_time(operator_rows_time);
   builder_.add_digest(digest);
   builder_.add_map_base_version(map_base_version);
@@ -1291,7 +1558,8 @@
     uint64_t digest = 0,
     const std::vector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>> *suspects = nullptr,
     int64_t operator_rows_time = 0,
-    const char *organisation = nullptr) {
+    const char *organisation = nullptr,
+    uint64_t quota_revision = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1359,7 +1627,8 @@
       digest,
       suspects__,
       operator_rows_time,
-      organisation__);
+      organisation__,
+      quota_revision);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1542,6 +1811,71 @@
       _crashed_before);
 }
 
+inline QuotaBodyT *QuotaBody::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<QuotaBodyT>(new QuotaBodyT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaBody::UnPackTo(QuotaBodyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = from_process(); _o->from_process = _e; }
+  { auto _e = to_process(); _o->to_process = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = stamp(); _o->stamp = _e; }
+  { auto _e = groups(); _o->groups = _e; }
+  { auto _e = units(); _o->units = _e; }
+  { auto _e = ended(); _o->ended = _e; }
+  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
+  { auto _e = count(); _o->count = _e; }
+  { auto _e = returned(); _o->returned = _e; }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = wait(); _o->wait = _e; }
+  { auto _e = spacing(); _o->spacing = _e; }
+  { auto _e = unavailable(); _o->unavailable = _e; }
+}
+
+inline flatbuffers::Offset<QuotaBody> QuotaBody::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaBodyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaBody(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaBody> CreateQuotaBody(flatbuffers::FlatBufferBuilder &_fbb, const QuotaBodyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaBodyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _from_process = _o->from_process;
+  auto _to_process = _o->to_process;
+  auto _sequence = _o->sequence;
+  auto _stamp = _o->stamp;
+  auto _groups = _o->groups;
+  auto _units = _o->units;
+  auto _ended = _o->ended;
+  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
+  auto _count = _o->count;
+  auto _returned = _o->returned;
+  auto _granted = _o->granted;
+  auto _wait = _o->wait;
+  auto _spacing = _o->spacing;
+  auto _unavailable = _o->unavailable;
+  return balsamwheel::link_wire::CreateQuotaBody(
+      _fbb,
+      _from_process,
+      _to_process,
+      _sequence,
+      _stamp,
+      _groups,
+      _units,
+      _ended,
+      _organisation,
+      _count,
+      _returned,
+      _granted,
+      _wait,
+      _spacing,
+      _unavailable);
+}
+
 inline FrameT::FrameT(const FrameT &o)
       : kind(o.kind),
         stream(o.stream),
@@ -1589,7 +1923,8 @@
         map_changes(o.map_changes),
         digest(o.digest),
         operator_rows_time(o.operator_rows_time),
-        organisation(o.organisation) {
+        organisation(o.organisation),
+        quota_revision(o.quota_revision) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new balsamwheel::link_wire::HeaderT(*headers_) : nullptr); }
   slice_rates.reserve(o.slice_rates.size());
@@ -1652,6 +1987,7 @@
   std::swap(suspects, o.suspects);
   std::swap(operator_rows_time, o.operator_rows_time);
   std::swap(organisation, o.organisation);
+  std::swap(quota_revision, o.quota_revision);
   return *this;
 }
 
@@ -1715,6 +2051,7 @@
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<balsamwheel::link_wire::SuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = operator_rows_time(); _o->operator_rows_time = _e; }
   { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
+  { auto _e = quota_revision(); _o->quota_revision = _e; }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1776,6 +2113,7 @@
   auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<balsamwheel::link_wire::Suspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreateSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _operator_rows_time = _o->operator_rows_time;
   auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
+  auto _quota_revision = _o->quota_revision;
   return balsamwheel::link_wire::CreateFrame(
       _fbb,
       _kind,
@@ -1828,7 +2166,8 @@
       _digest,
       _suspects,
       _operator_rows_time,
-      _organisation);
+      _organisation,
+      _quota_revision);
 }
 
 inline const balsamwheel::link_wire::Frame *GetFrame(const void *buf) {
--- a/src/quota/lender.cpp
+++ b/src/quota/lender.cpp
@@ -71,8 +71,8 @@
 
 void QuotaLender::choose(QuotaGroup Group, TimePoint Now) {
   Place &Where = m_Places[Group.value()];
-  const bool Kept = !Where.m_Keeper.value().empty() && isUp(Where.m_Keeper) &&
-                    !isLost(Where.m_Keeper, Now);
+  const bool Kept =
+      !Where.m_Keeper.value().empty() && isAvailable(Where.m_Keeper, Now);
   if (!Kept || !mayUse(Now)) {
     // A lost peer's Since lies in the future until it may be chosen again.
     Where.m_Keeper = best(Group, Now, Now);
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -25,11 +25,11 @@
 Entrance::Entrance(EventLoop &Loop, EventLog &Log,
                    const RouterSettings &Settings, const ExchangeFormat &Format,
                    TargetAgent &Agent, PeerMesh &Mesh, TargetSelector &Selector,
-                   const CrashSuspects &Suspects, RouterMetrics &Metrics,
-                   EntranceOptions Options, EntranceCallbacks Callbacks)
+                   const CrashSuspects &Suspects, QuotaService &Quota,
+                   RouterMetrics &Metrics, EntranceOptions Options, EntranceCallbacks Callbacks)
     : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Format(Format),
       m_Agent(Agent), m_Mesh(Mesh), m_Selector(Selector), m_Suspects(Suspects),
-      m_Metrics(Metrics), m_Options(Options), m_Callbacks(std::move(Callbacks)),
+      m_Quota(Quota), m_Metrics(Metrics), m_Options(Options), m_Callbacks(std::move(Callbacks)),
       m_Random(std::hash<InstanceName>()(Settings.m_Instance)) {}
 
 void Entrance::accept(std::shared_ptr<HttpExchange> Exchange) {
@@ -55,14 +55,58 @@
   applyRoute(Entry);
   if (const auto Refused = m_Suspects.refusedFor(Entry.m_Digest, m_Loop.now()))
     return refuse(Request, Reason::CrashesTargets, *Refused);
-  if (Entry.m_OfRepeat)
-    retryBudget(Entry.m_Service).onRepeat();
-  else
-    retryBudget(Entry.m_Service).onFirstAttempt();
   Entry.m_Exchange->onCallerDisconnected(
       [this, Request] { callerLeft(Request); });
   Entry.m_DeadlineTimer = m_Loop.after(Entry.m_Deadline - m_Loop.now(),
                                        [this, Request] { timedOut(Request); });
+  if (needsToken(Entry))
+    return acquireToken(Request);
+  start(Request);
+}
+
+bool Entrance::needsToken(const ActiveRequest &Entry) const {
+  return !Entry.m_Nested && Entry.m_Organisation &&
+         m_Quota.isLimited(*Entry.m_Organisation);
+}
+
+void Entrance::acquireToken(Id Request) {
+  ActiveRequest &Entry = m_Active.at(Request);
+  const Duration Wait(static_cast<Duration::rep>(
+      m_Options.m_QuotaWaitRatio *
+      static_cast<double>(micros(Entry.m_Deadline - Entry.m_ReceivedAt))));
+  Entry.m_Ticket =
+      m_Quota.acquire(*Entry.m_Organisation, Entry.m_ReceivedAt + Wait,
+                      [this, Request](QuotaVerdict Verdict, Duration After) {
+                        tokenDecided(Request, Verdict, After);
+                      });
+}
+
+void Entrance::tokenDecided(Id Request, QuotaVerdict Verdict,
+                            Duration RetryAfter) {
+  const auto Found = m_Active.find(Request);
+  if (Found == m_Active.end())
+    return;
+  Found->second.m_Ticket.reset();
+  if (Verdict != QuotaVerdict::Granted)
+    return refuse(Request,
+                  Verdict == QuotaVerdict::Denied ? Reason::OverQuota
+                                                  : Reason::QuotaUnavailable,
+                  RetryAfter);
+  Found->second.m_TokenAt = m_Loop.now();
+  start(Request);
+}
+
+void Entrance::returnToken(const ActiveRequest &Entry) {
+  if (Entry.m_TokenAt && !Entry.m_MayHaveRun)
+    m_Quota.giveBack(*Entry.m_Organisation, *Entry.m_TokenAt);
+}
+
+void Entrance::start(Id Request) {
+  const ActiveRequest &Entry = m_Active.at(Request);
+  if (Entry.m_OfRepeat)
+    retryBudget(Entry.m_Service).onRepeat();
+  else
+    retryBudget(Entry.m_Service).onFirstAttempt();
   dispatch(Request);
 }
 
@@ -285,6 +329,9 @@
   Entry.m_Job = {};
   if (Result.m_ReachedTarget)
     ++Entry.m_TargetAttempts;
+  Entry.m_MayHaveRun = Entry.m_MayHaveRun ||
+                       Result.m_Outcome == Outcome::Unknown ||
+                       Result.m_Outcome == Outcome::Done;
   if (Result.m_LeavingTarget)
     noteLeaving(Entry.m_Destination, *Result.m_LeavingTarget);
   const bool AttemptFailed =
@@ -396,6 +443,7 @@
                                : RefusalKind::Unavailable,
       Duration(static_cast<Duration::rep>(
           static_cast<double>(micros(RetryAfter)) * Spread)));
+  returnToken(m_Active.at(Request));
   answer(Request, std::move(Answer), "refused", Why);
 }
 
@@ -409,6 +457,8 @@
   ActiveRequest &Entry = Node.mapped();
   m_Loop.cancel(Entry.m_DeadlineTimer);
   m_Loop.cancel(Entry.m_OwnerRetryTimer);
+  if (Entry.m_Ticket)
+    m_Quota.cancel(*Entry.m_Ticket);
   const Duration Took = m_Loop.now() - Entry.m_ReceivedAt;
   const bool Good = Why == Reason::None && Answer.m_Status < 500;
   m_Log.write(
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -5,6 +5,7 @@
 #include "event_log.h"
 #include "exchange_format.h"
 #include "peer_mesh.h"
+#include "quota_service.h"
 #include "router_metrics.h"
 #include "target_agent.h"
 
@@ -52,6 +53,9 @@
   /// Retry-After is extended by a random amount of up to this fraction of it,
   /// so that callers don't return all at once.
   double m_RetryAfterSpread = 0.3;
+  /// How long a request may wait for a token of its organisation's quota, as a
+  /// fraction of its time limit; the rest is for running.
+  double m_QuotaWaitRatio = 0.6;
   RetryBudgetOptions m_Retries;
   /// Reserved from the time limit of leaving targets, for requests in flight.
   Duration m_DrainMargin = std::chrono::milliseconds(500);
@@ -65,7 +69,7 @@
   Entrance(EventLoop &Loop, EventLog &Log, const RouterSettings &Settings,
            const ExchangeFormat &Format, TargetAgent &Agent, PeerMesh &Mesh,
            TargetSelector &Selector, const CrashSuspects &Suspects,
-           RouterMetrics &Metrics, EntranceOptions Options,
+           QuotaService &Quota, RouterMetrics &Metrics, EntranceOptions Options,
            EntranceCallbacks Callbacks);
 
   /// Takes a request from a caller; it is answered through \p Exchange.
@@ -109,6 +113,12 @@
     std::uint32_t m_TargetAttempts = 0;
     int m_Forwards = 0;
     int m_OwnerLookups = 0;
+    /// Waits for a token of its organisation's quota.
+    std::optional<QuotaTicket> m_Ticket;
+    /// When it got the token; none without one.
+    std::optional<TimePoint> m_TokenAt;
+    /// An attempt has ended without proof that it hasn't run.
+    bool m_MayHaveRun = false;
     /// Instances that have refused or failed the request.
     std::set<InstanceName> m_Excluded;
   };
@@ -121,6 +131,14 @@
   static bool authenticate(ActiveRequest &Entry);
   /// Sets the service, the latency objective and the deadline.
   void applyRoute(ActiveRequest &Entry);
+  /// Whether the request needs a token of its organisation's quota.
+  bool needsToken(const ActiveRequest &Entry) const;
+  void acquireToken(Id Request);
+  void tokenDecided(Id Request, QuotaVerdict Verdict, Duration RetryAfter);
+  /// Returns the token of a request that ends as not run.
+  void returnToken(const ActiveRequest &Entry);
+  /// Begins to serve a request that may run.
+  void start(Id Request);
   /// Chooses an instance and forwards the request to it; refuses the request or
   /// schedules another owner lookup when there is none.
   void dispatch(Id Request);
@@ -165,6 +183,7 @@
   PeerMesh &m_Mesh;
   TargetSelector &m_Selector;
   const CrashSuspects &m_Suspects;
+  QuotaService &m_Quota;
   RouterMetrics &m_Metrics;
   EntranceOptions m_Options;
   EntranceCallbacks m_Callbacks;
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -150,6 +150,9 @@
              Frame.kind == LinkFrameKind::RefusedRequests ||
              Frame.kind == LinkFrameKind::SuspectCompleted) {
     m_Events.m_OnSuspects(Name, Frame);
+  } else if (Frame.kind == LinkFrameKind::QuotaStamp ||
+             Frame.kind == LinkFrameKind::QuotaReply) {
+    m_Events.m_OnQuotaAnswer(Name, Frame.kind, Body);
   }
 }
 
@@ -218,6 +221,10 @@
     return Remote.m_Link->send(m_Events.m_OnRowsWanted(Frame));
   case LinkFrameKind::MapCheckWanted:
     return m_Events.m_OnMapCheckWanted(LinkId, Frame);
+  case LinkFrameKind::QuotaLend:
+  case LinkFrameKind::QuotaAsk:
+    return m_Events.m_OnQuotaQuestion(LinkId, Remote.m_Instance, Frame.kind,
+                                      Body);
   default:
     return;
   }
@@ -401,11 +408,12 @@
       Remote.m_Link->sendEncoded(Text);
 }
 
-bool PeerMesh::send(const InstanceName &Name, const LinkFrame &Frame) {
+bool PeerMesh::send(const InstanceName &Name, const LinkFrame &Frame,
+                    std::string_view Body) {
   auto Found = m_Peers.find(Name);
   if (Found == m_Peers.end() || !Found->second.m_Up)
     return false;
-  Found->second.m_Link->send(Frame);
+  Found->second.m_Link->send(Frame, Body);
   return true;
 }
 
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -68,6 +68,15 @@
   std::function<void(std::uint64_t LinkId)> m_OnPeerConnected;
   /// News of requests that may crash targets.
   std::function<void(const InstanceName &, const LinkFrame &)> m_OnSuspects;
+  /// A lender's or asker's frame about quotas; it is answered by answer() with
+  /// the same link.
+  std::function<void(std::uint64_t LinkId, const InstanceName &, LinkFrameKind,
+                     std::string_view Body)>
+      m_OnQuotaQuestion;
+  /// A keeper's frame about quotas.
+  std::function<void(const InstanceName &, LinkFrameKind,
+                     std::string_view Body)>
+      m_OnQuotaAnswer;
   std::function<void(const InstanceName &)> m_OnPeerDown;
 };
 
@@ -125,7 +134,8 @@
   void broadcastInDomain(const LinkFrame &Frame);
   /// Sends a frame that is no request to a peer.
   /// \returns false when the peer isn't up.
-  bool send(const InstanceName &Peer, const LinkFrame &Frame);
+  bool send(const InstanceName &Peer, const LinkFrame &Frame,
+            std::string_view Body = {});
   /// Bytes of answers that haven't been written to their connections yet.
   std::size_t pendingAnswerBytes() const;
   /// Interval at which broadcast() is to be called.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -185,8 +185,21 @@
                [this](const InstanceName &Peer, const LinkFrame &Frame) {
                  handleSuspects(Peer, Frame);
                },
+           .m_OnQuotaQuestion =
+               [this](std::uint64_t Link, const InstanceName &Peer,
+                      LinkFrameKind Kind, std::string_view Body) {
+                 m_Quota.onQuestion(Link, Peer, Kind, Body);
+               },
+           .m_OnQuotaAnswer =
+               [this](const InstanceName &Peer, LinkFrameKind Kind,
+                      std::string_view Body) {
+                 m_Quota.onAnswer(Peer, Kind, Body);
+               },
            .m_OnPeerDown =
-               [this](const InstanceName &Peer) { m_Selector.forget(Peer); }}),
+               [this](const InstanceName &Peer) {
+                 m_Selector.forget(Peer);
+                 m_Quota.onPeerDown();
+               }}),
       m_Follower(
           Loop, Log, Table,
           {.m_BytesPerSecond = RowsLinkRatio * m_Settings.m_LinkBytesPerSecond},
@@ -197,9 +210,11 @@
             if (Table == TableName::Operators)
               sendTableFresh();
           }),
+      m_Quota(Loop, Log, Table, Metrics, m_Settings.m_Instance, {},
+              quotaCallbacks()),
       m_Entrance(
           Loop, Log, m_Settings, Format, m_Agent, m_Mesh, m_Selector,
-          m_Suspects, Metrics,
+          m_Suspects, m_Quota, Metrics,
           {.m_Retries = {.m_Ratio = m_Settings.m_RetryRatio / 2, .m_Burst = 4}},
           {.m_Routes = [this] { return m_Routes; },
            .m_KeyMap =
@@ -249,6 +264,7 @@
   if (Since > StopAcceptPeriod) {
     m_Entrance.refuseNew();
     m_Agent.refuseNew();
+    m_Quota.end();
   }
   const bool Idle = m_Entrance.active() == 0 && m_Agent.jobs() == 0 &&
                     m_Callers.pendingBytes() == 0 &&
@@ -307,6 +323,8 @@
   }
   if (Row.m_Key.value().starts_with(MemberPrefix))
     return membersChanged();
+  if (Row.m_Key == QuotaService::sharesRow())
+    return m_Quota.rowChanged(Row);
   if (parseKeyMapRow(Row.m_Key))
     keyMapChanged(Row);
 }
@@ -339,6 +357,7 @@
   Options.m_IdleTimeout = Limits.m_IdleTimeout;
   m_Callers.setOptions(Options);
   m_Agent.setService(m_Routes->service(m_Settings.m_Service));
+  m_Quota.configure(m_Routes->organisations());
   ensureCoordinator();
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -5,6 +5,7 @@
 
 #include "entrance.h"
 #include "key_coordinator.h"
+#include "quota_service.h"
 #include "row_catch_up.h"
 #include "table_follower.h"
 
@@ -100,6 +101,9 @@
   /// Whether a peer is up and reports that it can reach the platform's table.
   bool reachesTable(const InstanceName &Peer) const;
   bool isKeyPlanner() const;
+  QuotaCallbacks quotaCallbacks();
+  /// Whether this daemon writes the shares of the quotas.
+  bool isSharesWriter() const;
   /// Whether this daemon is one of the few that watch the daemons' own
   /// table.
   bool isWatcher() const;
@@ -163,6 +167,7 @@
   PeerMesh m_Mesh;
   RowCatchUp m_RowCatchUp;
   TableFollower m_Follower;
+  QuotaService m_Quota;
   Entrance m_Entrance;
   HttpServer m_Callers;
   std::unique_ptr<KeyCoordinator> m_Coordinator;
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -44,7 +44,8 @@
                         .Name("balsamwheel_target_limit")
                         .Help("Requests per second that the target takes")
                         .Register(*m_Registry)
-                        .Add({})) {}
+                        .Add({})),
+      m_Quota(*m_Registry) {}
 
 void RouterMetrics::requestEnded(const std::string &Service,
                                  const std::string &Outcome, Duration Took) {
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -1,6 +1,8 @@
 // Counters and latency histograms of a daemon.
 #pragma once
 
+#include "quota_counts.h"
+
 #include "balsamwheel/detail/core/time.h"
 
 #include <prometheus/counter.h>
@@ -28,6 +30,7 @@
   void storeEra(std::uint64_t Era);
   /// \param PerSecond the limit that the target names; 0 for none.
   void targetLimit(double PerSecond);
+  QuotaCounts &quota() { return m_Quota; }
   /// All metrics in the text format of Prometheus.
   std::string toText() const;
 
@@ -40,6 +43,7 @@
   prometheus::Gauge &m_Version;
   prometheus::Gauge &m_StoreEra;
   prometheus::Gauge &m_TargetLimit;
+  QuotaCounts m_Quota;
 };
 
 } // namespace balsamwheel
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -140,6 +140,7 @@
   Report.sees_table = m_Follower.isReachable(TableName::Operators);
   setRowsSeen(Report, rowsSeen());
   setCurrent(Report, m_Follower.current());
+  Report.quota_revision = m_Quota.revision().value();
   if (m_Coordinator && WithRates)
     for (std::size_t Slice = 0; Slice < KeySliceCount; ++Slice)
       if (const float Rate = m_Agent.sliceRates()[Slice];
@@ -186,6 +187,7 @@
   Known.m_NamedLimit =
       Report.named_limit < 0 ? std::nullopt : std::optional(Report.named_limit);
   Known.m_ReachesTable = Report.sees_table;
+  m_Quota.onReport(Peer, SharesRevision(Report.quota_revision));
   if (Report.has_rates) {
     Known.m_Rates.clear();
     for (const auto &Each : Report.slice_rates)
--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -248,6 +248,10 @@
     if (!Each.m_TableReachable)
       return;
     Members.insert(Each.m_Name);
+    // Member rows outlast their daemons.
+    if (Each.m_Member->shares().row().m_Revision.value() == 0)
+      for (const Daemon &Other : m_Daemons)
+        Members.insert(Other.m_Name);
     const auto Row =
         Each.m_Member->shares().next(Members, Each.m_Era, m_Now);
     if (!Row || Each.m_Era != m_Era || Each.m_KnownVersion != m_History.size())
@@ -295,8 +299,8 @@
 
   void work(Daemon &Each) {
     const QuotaMember::Work Work = Each.m_Member->work(m_Now);
-    for (const QuotaReply &Own : Work.m_OwnReplies)
-      count(Own);
+    for (const auto &[Ask, Reply] : Work.m_Own)
+      count(Reply);
     const std::size_t Self = indexOf(Each);
     for (const auto &Lend : Work.m_Lends)
       send(Self, indexOf(Lend.m_Keeper), [this, Self, Lend] {
--- a/tests/unit-quota.cpp
+++ b/tests/unit-quota.cpp
@@ -17,8 +17,6 @@
 const QuotaProcess KeeperProcess(7);
 const QuotaProcess LenderProcess(9);
 
-QuotaGroups allGroups() { return QuotaGroups((1U << QuotaGroupCount) - 1); }
-
 std::map<OrganisationName, Quota> quota(double Rate, double Burst) {
   return {{Org, {.m_Rate = Rate, .m_Burst = Burst}}};
 }
@@ -47,13 +45,14 @@
 
   /// Lends for two seconds from \p Now.
   QuotaStamp lend(std::uint32_t Units, TimePoint Now) {
-    const QuotaStamp Stamp = m_Keeper.onLend(
-        A, {.m_Lender = LenderProcess, .m_Sequence = nextSequence()}, Now);
+    m_Last.m_Lender = LenderProcess;
+    m_Last.m_Sequence = nextSequence();
+    const QuotaStamp Stamp = m_Keeper.onLend(A, m_Last, Now);
     m_Last = {.m_Lender = LenderProcess,
               .m_Sequence = nextSequence(),
               .m_Keeper = KeeperProcess,
               .m_Stamp = Stamp.m_Stamp,
-              .m_Groups = allGroups(),
+              .m_Groups = AllQuotaGroups,
               .m_Units = Units};
     return m_Keeper.onLend(A, m_Last, Now);
   }
@@ -84,7 +83,7 @@
 /// A lender whose only peer, B, keeps all groups, as A isn't chosen for some.
 struct LenderOfB {
   LenderOfB() : m_Lender(A, LenderProcess, {}, Start) {
-    m_Lender.setUnits(500, allGroups());
+    m_Lender.setUnits(500, AllQuotaGroups);
   }
 
   /// \returns the frames that the lender sends at \p Now.
@@ -320,7 +319,7 @@
   const QuotaGroups Lent = Rig.m_LastGroups;
   REQUIRE(!Lent.empty());
   const auto IsBack = [&](TimePoint At) {
-    return Rig.m_Lender.ownGroups(At) == allGroups();
+    return Rig.m_Lender.ownGroups(At) == AllQuotaGroups;
   };
   SUBCASE("after the lease") {
     Rig.update(Now, false);
@@ -358,7 +357,7 @@
                         .m_Ended = true},
                        Now);
   Rig.update(Now);
-  CHECK(Rig.m_Lender.ownGroups(Now) == allGroups());
+  CHECK(Rig.m_Lender.ownGroups(Now) == AllQuotaGroups);
 }
 
 TEST_CASE("a connected keeper that doesn't answer is left") {
