--- a/include/balsamwheel/detail/quota/lender.h
+++ b/include/balsamwheel/detail/quota/lender.h
@@ -32,7 +32,7 @@
   Duration m_StampLifetime = std::chrono::milliseconds(1500);
   /// A keeper that hasn't answered for this long counts as lost.
   Duration m_AnswerTimeout = std::chrono::milliseconds(1200);
-  /// How long a lost keeper isn't chosen again, unless it is heard of.
+  /// How long a lost keeper isn't chosen again.
   Duration m_LostTime = std::chrono::seconds(3);
   /// A better keeper replaces the present one once it has been up for this
   /// time.
@@ -72,6 +72,8 @@
     m_Units = Units;
     m_Groups = Groups;
   }
+  /// This daemon keeps no more, and is chosen only if there is no other.
+  void endSelf() { m_SelfEnded = true; }
   /// Chooses the keepers. Complexity: groups times peers when a peer has
   /// changed, else the groups.
   /// \param Up peers that are connected, without this daemon.
@@ -133,13 +135,15 @@
   };
 
   bool isUp(const InstanceName &Name) const {
-    return Name == m_Self || m_UpSince.contains(Name);
+    return Name == m_Self ? !m_SelfEnded : m_UpSince.contains(Name);
   }
   bool isLost(const InstanceName &Name, TimePoint Now) const;
   /// Whether the keeper has answered, so recently that its stamp can be echoed.
   bool hasAnswered(const InstanceName &Name, TimePoint Now) const;
   void noteUp(const std::vector<InstanceName> &Up, TimePoint Now);
   void noteSilent(TimePoint Now);
+  /// Keeps a daemon from being chosen for a while.
+  void markLost(const InstanceName &Name, Contact &Lost, TimePoint Now);
   void choose(QuotaGroup Group, TimePoint Now);
   /// The best of the daemons that have been up since \p UpBefore.
   InstanceName best(QuotaGroup Group, TimePoint UpBefore, TimePoint Now) const;
@@ -163,6 +167,7 @@
   std::uint32_t m_Units = 0;
   QuotaGroups m_Groups;
   QuotaSequence m_LastSequence;
+  bool m_SelfEnded = false;
   std::map<InstanceName, TimePoint> m_UpSince;
   std::map<InstanceName, Contact> m_Contacts;
   std::array<Place, QuotaGroupCount> m_Places;
--- a/include/balsamwheel/detail/quota/member.h
+++ b/include/balsamwheel/detail/quota/member.h
@@ -39,8 +39,8 @@
               const QuotaMemberOptions &Options, TimePoint Now)
       : m_Shares(Self, Options.m_Shares, Now),
         m_Lender(Self, Process, Options.m_Lender, Now),
-        m_Keeper(Process, Options.m_Keeper),
-        m_Asker(Process, Options.m_Asker) {}
+        m_Keeper(Process, Options.m_Keeper), m_Asker(Process, Options.m_Asker) {
+  }
 
   /// Sets the quotas in force.
   void configure(const std::map<OrganisationName, Quota> &Quotas,
@@ -66,7 +66,10 @@
     return m_Asker.onReply(From, Frame, Now);
   }
   /// Stops keeping: the process is about to end.
-  void end(TimePoint Now) { m_Keeper.end(Now); }
+  void end(TimePoint Now) {
+    m_Keeper.end(Now);
+    m_Lender.endSelf();
+  }
 
   QuotaShares &shares() { return m_Shares; }
   QuotaAsker &asker() { return m_Asker; }
--- a/include/balsamwheel/detail/quota/shares.h
+++ b/include/balsamwheel/detail/quota/shares.h
@@ -129,6 +129,9 @@
   bool canSettle(TimePoint Now);
   /// Time at which more than half of the row's daemons had last been reached.
   TimePoint majorityReachedAt(TimePoint Now) const;
+  /// Whether more than half of the row's daemons are present. A smaller side of
+  /// a split network must not take away the units of the others.
+  bool reachesMajority(const std::set<InstanceName> &Members) const;
   SharesRow divided(const std::set<InstanceName> &Members) const;
 
   InstanceName m_Self;
--- a/src/quota/asker.cpp
+++ b/src/quota/asker.cpp
@@ -47,8 +47,7 @@
                          TimePoint Now) const {
   if (!Asked.m_Question)
     return;
-  const bool Lost =
-      Keeper && !Keeper->sameProcess(Asked.m_Question->m_Keeper);
+  const bool Lost = Keeper && !Keeper->sameProcess(Asked.m_Question->m_Keeper);
   if (Lost || Now - Asked.m_Question->m_SentAt > m_Options.m_ReplyLimit)
     Asked.m_Question.reset();
 }
@@ -111,10 +110,9 @@
     Result.push_back(
         {.m_Ticket = take(Asked),
          .m_Verdict = QuotaVerdict::Denied,
-         .m_RetryAfter =
-             std::min(Reply.m_Wait +
-                          Reply.m_Spacing * static_cast<std::int64_t>(Index),
-                      m_Options.m_MaxWait)});
+         .m_RetryAfter = std::min(
+             Reply.m_Wait + Reply.m_Spacing * static_cast<std::int64_t>(Index),
+             m_Options.m_MaxWait)});
 }
 
 std::vector<QuotaDecision> QuotaAsker::onReply(const InstanceName &From,
@@ -127,8 +125,7 @@
     return Result;
   Organisation &Asked = Found->second;
   const Question Sent = *Asked.m_Question;
-  if (Sent.m_Sequence != Reply.m_Sequence ||
-      Sent.m_Keeper.m_Instance != From ||
+  if (Sent.m_Sequence != Reply.m_Sequence || Sent.m_Keeper.m_Instance != From ||
       Now - Sent.m_SentAt > m_Options.m_ReplyLimit)
     return Result;
   Asked.m_Question.reset();
@@ -164,8 +161,8 @@
     if (Index < Asked)
       --Of.m_Question->m_Count;
     m_Tickets.erase(Request.m_Ticket);
-    Result.push_back({.m_Ticket = Request.m_Ticket,
-                      .m_RetryAfter = m_Options.m_RetryDelay});
+    Result.push_back(
+        {.m_Ticket = Request.m_Ticket, .m_RetryAfter = m_Options.m_RetryDelay});
   }
   Of.m_Waiting = std::move(Kept);
 }
@@ -174,11 +171,11 @@
   std::vector<QuotaDecision> Result;
   for (auto Each = m_Organisations.begin(); Each != m_Organisations.end();) {
     Organisation &Of = Each->second;
-    const bool Due =
-        Of.m_Waiting.size() > m_Options.m_MaxWaiting ||
-        std::any_of(
-            Of.m_Waiting.begin(), Of.m_Waiting.end(),
-            [&](const Waiting &Request) { return Now >= Request.m_Until; });
+    const bool Due = Of.m_Waiting.size() > m_Options.m_MaxWaiting ||
+                     std::any_of(Of.m_Waiting.begin(), Of.m_Waiting.end(),
+                                 [&](const Waiting &Request) {
+                                   return Now >= Request.m_Until;
+                                 });
     if (Due)
       expireIn(Of, Now, Result);
     Each = eraseIfIdle(Each);
--- a/src/quota/keeper.cpp
+++ b/src/quota/keeper.cpp
@@ -18,7 +18,8 @@
 /// Tokens that a bucket may hold. Whoever holds more than half of the units, of
 /// which there is one daemon at most, can always grant one.
 double capacity(const Quota &Limit, std::uint32_t Held) {
-  return std::max(Limit.m_Burst * part(Held), Held > QuotaUnits / 2 ? 1.0 : 0.0);
+  return std::max(Limit.m_Burst * part(Held),
+                  Held > QuotaUnits / 2 ? 1.0 : 0.0);
 }
 
 Duration secondsToDuration(double Seconds) {
@@ -36,9 +37,9 @@
   Filled.m_AdvancedAt = Now;
   const double Part = part(Filled.m_Held);
   for (auto &[Name, Each] : Filled.m_Buckets)
-    Each.m_Tokens = std::min(capacity(Each.m_Limit, Filled.m_Held),
-                             Each.m_Tokens +
-                                 Each.m_Limit.m_Rate * Part * Seconds);
+    Each.m_Tokens =
+        std::min(capacity(Each.m_Limit, Filled.m_Held),
+                 Each.m_Tokens + Each.m_Limit.m_Rate * Part * Seconds);
 }
 
 void QuotaKeeper::setHeld(Group &Changed, std::uint32_t Held, TimePoint Now) {
@@ -63,8 +64,7 @@
     Group &In = groupOf(Name);
     Bucket &Known = In.m_Buckets[Name];
     Known.m_Limit = Limit;
-    Known.m_Tokens =
-        std::min(Known.m_Tokens, capacity(Limit, In.m_Held));
+    Known.m_Tokens = std::min(Known.m_Tokens, capacity(Limit, In.m_Held));
     Known.m_PromisedUntil = TimePoint();
   }
 }
@@ -157,8 +157,7 @@
                                              const QuotaAsk &Ask,
                                              TimePoint Now) {
   const auto Known = m_Lenders.find({Asker, Ask.m_Asker});
-  if (Known == m_Lenders.end() ||
-      !isFresh(Ask.m_Keeper, Ask.m_Stamp, Now) ||
+  if (Known == m_Lenders.end() || !isFresh(Ask.m_Keeper, Ask.m_Stamp, Now) ||
       Ask.m_Sequence <= Known->second.m_AskSequence)
     return std::nullopt;
   Known->second.m_AskSequence = Ask.m_Sequence;
--- a/src/quota/lender.cpp
+++ b/src/quota/lender.cpp
@@ -52,20 +52,28 @@
     if (!Each.m_UnansweredSince ||
         Now - *Each.m_UnansweredSince < m_Options.m_AnswerTimeout)
       continue;
-    Each.m_UnansweredSince.reset();
-    Each.m_LostUntil = Now + m_Options.m_LostTime;
-    if (const auto Known = m_UpSince.find(Name); Known != m_UpSince.end())
-      Known->second = Each.m_LostUntil;
+    markLost(Name, Each, Now);
   }
 }
 
+void QuotaLender::markLost(const InstanceName &Name, Contact &Lost,
+                           TimePoint Now) {
+  Lost.m_UnansweredSince.reset();
+  Lost.m_LostUntil = Now + m_Options.m_LostTime;
+  if (const auto Known = m_UpSince.find(Name); Known != m_UpSince.end())
+    Known->second = Lost.m_LostUntil;
+}
+
 InstanceName QuotaLender::best(QuotaGroup Group, TimePoint UpBefore,
                                TimePoint Now) const {
   InstanceName Best = m_Self;
+  bool Any = !m_SelfEnded;
   for (const auto &[Name, Since] : m_UpSince)
     if (Since <= UpBefore && !isLost(Name, Now) &&
-        score(Name, Group) > score(Best, Group))
+        (!Any || score(Name, Group) > score(Best, Group))) {
       Best = Name;
+      Any = true;
+    }
   return Best;
 }
 
@@ -156,7 +164,8 @@
         lendable(Name, Now) != Each.m_SentGroups ||
         (!Each.m_SentGroups.empty() && m_Units != Each.m_SentUnits);
     if (Changed || Now - Each.m_SentAt >= m_Options.m_RenewInterval)
-      Result.push_back({.m_Keeper = Name, .m_Frame = makeFrame(Name, Each, Now)});
+      Result.push_back(
+          {.m_Keeper = Name, .m_Frame = makeFrame(Name, Each, Now)});
   }
   return Result;
 }
@@ -167,16 +176,16 @@
   if (Found == m_Contacts.end())
     return;
   Contact &From = Found->second;
-  if (Stamp.m_Lender != m_Process || From.m_Ended.contains(Stamp.m_Keeper))
+  if (Stamp.m_Lender != m_Process)
     return;
   if (Stamp.m_Ended) {
     From.m_Ended.insert(Stamp.m_Keeper);
     if (From.m_Process == Stamp.m_Keeper)
       From.m_Process = QuotaProcess();
-    From.m_LostUntil = Now + m_Options.m_LostTime;
-    return;
+    return markLost(Keeper, From, Now);
   }
-  if (Stamp.m_Confirmed <= From.m_Confirmed)
+  if (From.m_Ended.contains(Stamp.m_Keeper) ||
+      Stamp.m_Confirmed <= From.m_Confirmed)
     return;
   if (From.m_Process != Stamp.m_Keeper) {
     // A process that has ended before can't have got what was lent since.
@@ -191,7 +200,6 @@
   From.m_Stamp = Stamp.m_Stamp;
   From.m_StampAt = Now;
   From.m_UnansweredSince.reset();
-  From.m_LostUntil = TimePoint();
 }
 
 QuotaGroups QuotaLender::ownGroups(TimePoint Now) const {
--- a/src/quota/member.cpp
+++ b/src/quota/member.cpp
@@ -39,8 +39,7 @@
       continue;
     }
     const QuotaReply Reply = m_Keeper.take(Each.m_Frame, Now);
-    const auto Decided =
-        m_Asker.onReply(Each.m_Keeper.m_Instance, Reply, Now);
+    const auto Decided = m_Asker.onReply(Each.m_Keeper.m_Instance, Reply, Now);
     Result.m_Own.emplace_back(std::move(Each.m_Frame), Reply);
     Result.m_Decisions.insert(Result.m_Decisions.end(), Decided.begin(),
                               Decided.end());
--- a/src/quota/shares.cpp
+++ b/src/quota/shares.cpp
@@ -75,12 +75,11 @@
     auto Earlier = decode(Encoded.at("earlier"));
     if (!Units || !Earlier)
       return std::nullopt;
-    return SharesRow{
-        .m_Revision =
-            SharesRevision(Encoded.at("revision").get<std::uint64_t>()),
-        .m_Units = std::move(*Units),
-        .m_Settled = Encoded.at("settled").get<bool>(),
-        .m_Earlier = std::move(*Earlier)};
+    return SharesRow{.m_Revision = SharesRevision(
+                         Encoded.at("revision").get<std::uint64_t>()),
+                     .m_Units = std::move(*Units),
+                     .m_Settled = Encoded.at("settled").get<bool>(),
+                     .m_Earlier = std::move(*Earlier)};
   } catch (const json::exception &) {
     return std::nullopt;
   }
@@ -185,10 +184,9 @@
     const auto Known = m_Reports.find(Name);
     const TimePoint LastHeard =
         Known == m_Reports.end() ? TimePoint() : Known->second.m_At;
-    OthersSilent =
-        OthersSilent &&
-        Now - std::max({LastHeard, m_AppliedAt, m_IgnoreReportsUntil}) >=
-            m_Options.m_SilenceLimit;
+    OthersSilent = OthersSilent && Now - std::max({LastHeard, m_AppliedAt,
+                                                   m_IgnoreReportsUntil}) >=
+                                       m_Options.m_SilenceLimit;
   }
   if (Reported * 2 > Before.size() && !m_MajoritySince)
     m_MajoritySince = Now;
@@ -201,6 +199,13 @@
              m_Options.m_SilenceLimit + m_Options.m_SettleDelay;
 }
 
+bool QuotaShares::reachesMajority(const std::set<InstanceName> &Members) const {
+  const auto Reached = std::count_if(
+      m_Row.m_Units.begin(), m_Row.m_Units.end(),
+      [&](const auto &Each) { return Members.contains(Each.first); });
+  return static_cast<std::size_t>(Reached) * 2 > m_Row.m_Units.size();
+}
+
 SharesRow QuotaShares::divided(const std::set<InstanceName> &Members) const {
   SharesRow Row;
   const auto Count = static_cast<std::uint32_t>(Members.size());
@@ -212,8 +217,9 @@
   return Row;
 }
 
-std::optional<SharesRow> QuotaShares::next(const std::set<InstanceName> &Members,
-                                           StoreEra Era, TimePoint Now) {
+std::optional<SharesRow>
+QuotaShares::next(const std::set<InstanceName> &Members, StoreEra Era,
+                  TimePoint Now) {
   if (Members != m_Members) {
     m_Members = Members;
     m_MembersSince = Now;
@@ -251,7 +257,8 @@
   }
   if (!m_DifferSince)
     m_DifferSince = Now;
-  if (Now - *m_DifferSince < m_Options.m_MembersDiffer)
+  if (Now - *m_DifferSince < m_Options.m_MembersDiffer ||
+      !reachesMajority(Members))
     return std::nullopt;
   SharesRow Moved = divided(Members);
   Moved.m_Revision = nextRevision(m_Row.m_Revision, Era);
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -26,10 +26,12 @@
                    const RouterSettings &Settings, const ExchangeFormat &Format,
                    TargetAgent &Agent, PeerMesh &Mesh, TargetSelector &Selector,
                    const CrashSuspects &Suspects, QuotaService &Quota,
-                   RouterMetrics &Metrics, EntranceOptions Options, EntranceCallbacks Callbacks)
+                   RouterMetrics &Metrics, EntranceOptions Options,
+                   EntranceCallbacks Callbacks)
     : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Format(Format),
       m_Agent(Agent), m_Mesh(Mesh), m_Selector(Selector), m_Suspects(Suspects),
-      m_Quota(Quota), m_Metrics(Metrics), m_Options(Options), m_Callbacks(std::move(Callbacks)),
+      m_Quota(Quota), m_Metrics(Metrics), m_Options(Options),
+      m_Callbacks(std::move(Callbacks)),
       m_Random(std::hash<InstanceName>()(Settings.m_Instance)) {}
 
 void Entrance::accept(std::shared_ptr<HttpExchange> Exchange) {
--- a/src/router/quota_counts.cpp
+++ b/src/router/quota_counts.cpp
@@ -25,8 +25,8 @@
   }
   prometheus::Counter *&Counter = Own->second[Result];
   if (!Counter)
-    Counter = &m_Family.Add(
-        {{"organisation", Name.value()}, {"result", Result}});
+    Counter =
+        &m_Family.Add({{"organisation", Name.value()}, {"result", Result}});
   Counter->Increment();
 }
 
--- a/src/router/quota_service.cpp
+++ b/src/router/quota_service.cpp
@@ -79,14 +79,17 @@
   m_LoggedKeepers = {};
   m_DenialLoggedAt.clear();
   for (const auto &[Ticket, Each] : std::exchange(m_Pending, {}))
-    m_Loop.post([Done = Each.m_Done] {
-      Done(QuotaVerdict::Granted, Duration::zero());
+    m_Loop.post([Done = Each.m_Done, Alive = std::weak_ptr(m_Alive)] {
+      if (!Alive.expired())
+        Done(QuotaVerdict::Granted, Duration::zero());
     });
 }
 
 void QuotaService::end() {
-  if (std::exchange(m_Ended, true) || !m_Member)
+  // Alone, this daemon is needed until it has ended.
+  if (m_Ended || !m_Member || m_Callbacks.m_UpPeers().empty())
     return;
+  m_Ended = true;
   // Lenders learn of it by the answers to their next frames.
   m_Member->end(m_Loop.refreshNow());
 }
@@ -107,15 +110,14 @@
   const TimePoint Now = m_Loop.refreshNow();
   const bool Applied = Shares && m_Member->shares().apply(*Shares, Now);
   LogLine Line(Applied ? "quota_shares_applied" : "quota_shares_ignored");
-  Line.add("revision", static_cast<std::int64_t>(
-                           Shares ? Shares->m_Revision.value() : 0));
+  Line.add("revision",
+           static_cast<std::int64_t>(Shares ? Shares->m_Revision.value() : 0));
   if (Shares) {
     const auto Own = Shares->m_Units.find(m_Self);
     Line.add("settled", std::int64_t{Shares->m_Settled})
         .add("instances", static_cast<std::int64_t>(Shares->m_Units.size()))
-        .add("own_units", std::int64_t{Own == Shares->m_Units.end()
-                                           ? 0
-                                           : Own->second});
+        .add("own_units",
+             std::int64_t{Own == Shares->m_Units.end() ? 0 : Own->second});
   }
   m_Log.write(LogClass::StateChange, Line);
   postWork();
@@ -164,11 +166,11 @@
   });
 }
 
-QuotaTicket QuotaService::acquire(const OrganisationName &Name,
-                                  TimePoint Until, OnDecision Done) {
+QuotaTicket QuotaService::acquire(const OrganisationName &Name, TimePoint Until,
+                                  OnDecision Done) {
   const QuotaTicket Ticket = m_Member->asker().add(Name, Until);
-  m_Pending.emplace(
-      Ticket, Pending{.m_Organisation = Name, .m_Done = std::move(Done)});
+  m_Pending.emplace(Ticket,
+                    Pending{.m_Organisation = Name, .m_Done = std::move(Done)});
   postWork();
   return Ticket;
 }
@@ -340,9 +342,9 @@
     Logged = Chosen;
   }
   for (const auto &[FromTo, Groups] : Changes) {
-    const bool Lost = !FromTo.first.value().empty() &&
-                      !m_Member->lender().isAvailable(FromTo.first,
-                                                      m_Loop.now());
+    const bool Lost =
+        !FromTo.first.value().empty() &&
+        !m_Member->lender().isAvailable(FromTo.first, m_Loop.now());
     m_Log.write(LogClass::StateChange,
                 LogLine(Lost ? "quota_lease_lost" : "quota_keeper_chosen")
                     .add("groups", Groups)
@@ -357,8 +359,7 @@
     return;
   const TimePoint Now = m_Loop.now();
   TimePoint &LoggedAt = m_DenialLoggedAt[Ask.m_Organisation];
-  if (LoggedAt != TimePoint() &&
-      Now - LoggedAt < m_Options.m_DenialLogInterval)
+  if (LoggedAt != TimePoint() && Now - LoggedAt < m_Options.m_DenialLogInterval)
     return;
   LoggedAt = Now;
   const auto Group = quotaGroupOf(Ask.m_Organisation);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -254,6 +254,7 @@
       LogLine("stopping")
           .add("requests", static_cast<std::int64_t>(m_Entrance.active())));
   m_Agent.setStopping();
+  m_Quota.end();
   m_Callers.closeAfterAnswers();
 }
 
@@ -264,7 +265,6 @@
   if (Since > StopAcceptPeriod) {
     m_Entrance.refuseNew();
     m_Agent.refuseNew();
-    m_Quota.end();
   }
   const bool Idle = m_Entrance.active() == 0 && m_Agent.jobs() == 0 &&
                     m_Callers.pendingBytes() == 0 &&
--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -178,14 +178,13 @@
       return;
     const int Copies = uniform() < m_Options.m_Duplicates ? 2 : 1;
     for (int Copy = 0; Copy < Copies; ++Copy) {
-      const auto Delay = m_Options.m_MinDelay +
-                         Duration(static_cast<Duration::rep>(
-                             uniform() * static_cast<double>(
-                                             (m_Options.m_MaxDelay -
-                                              m_Options.m_MinDelay)
-                                                 .count())));
-      m_Flying.emplace(m_Now + Delay,
-                       Flying{.m_To = To, .m_Deliver = Deliver});
+      const auto Delay =
+          m_Options.m_MinDelay +
+          Duration(static_cast<Duration::rep>(
+              uniform() *
+              static_cast<double>(
+                  (m_Options.m_MaxDelay - m_Options.m_MinDelay).count())));
+      m_Flying.emplace(m_Now + Delay, Flying{.m_To = To, .m_Deliver = Deliver});
     }
   }
 
@@ -252,8 +251,7 @@
     if (Each.m_Member->shares().row().m_Revision.value() == 0)
       for (const Daemon &Other : m_Daemons)
         Members.insert(Other.m_Name);
-    const auto Row =
-        Each.m_Member->shares().next(Members, Each.m_Era, m_Now);
+    const auto Row = Each.m_Member->shares().next(Members, Each.m_Era, m_Now);
     if (!Row || Each.m_Era != m_Era || Each.m_KnownVersion != m_History.size())
       return;
     m_History.push_back(*Row);
@@ -269,8 +267,7 @@
     for (Daemon &To : m_Daemons)
       if (&To != &From)
         send(indexOf(From), indexOf(To),
-             [this, To = &To, Name = From.m_Name,
-              Known,
+             [this, To = &To, Name = From.m_Name, Known,
               Applied = From.m_Member->shares().toReport()] {
                To->m_HeardAt[Name] = m_Now;
                To->m_Member->shares().onReport(Name, Applied, m_Now);
@@ -314,16 +311,16 @@
   }
 
   void lend(std::size_t From, std::size_t To, const QuotaLend &Frame) {
-    const QuotaStamp Stamp = m_Daemons[To].m_Member->onLend(
-        m_Daemons[From].m_Name, Frame, m_Now);
+    const QuotaStamp Stamp =
+        m_Daemons[To].m_Member->onLend(m_Daemons[From].m_Name, Frame, m_Now);
     send(To, From, [this, From, To, Stamp] {
       m_Daemons[From].m_Member->onStamp(m_Daemons[To].m_Name, Stamp, m_Now);
     });
   }
 
   void ask(std::size_t From, std::size_t To, const QuotaAsk &Frame) {
-    const auto Reply = m_Daemons[To].m_Member->onAsk(m_Daemons[From].m_Name,
-                                                     Frame, m_Now);
+    const auto Reply =
+        m_Daemons[To].m_Member->onAsk(m_Daemons[From].m_Name, Frame, m_Now);
     if (!Reply)
       return;
     count(*Reply);
--- a/tests/unit-quota-model.cpp
+++ b/tests/unit-quota-model.cpp
@@ -66,9 +66,8 @@
     World.m_Options.m_Duplicates = Done.m_Second % 4 * 0.1;
     return;
   case 6:
-    World.m_Options.m_MaxDelay = Done.m_First % 5 == 0
-                                     ? Duration(4s)
-                                     : Duration(Done.m_Second * 1ms);
+    World.m_Options.m_MaxDelay =
+        Done.m_First % 5 == 0 ? Duration(4s) : Duration(Done.m_Second * 1ms);
     return;
   case 7:
     if (Done.m_Second % 4 == 0)
--- a/tests/unit-quota.cpp
+++ b/tests/unit-quota.cpp
@@ -380,10 +380,10 @@
                                         std::uint64_t Process = 7) {
     return m_Asker.due(
         [&](QuotaGroup) {
-          return std::optional(QuotaKeeperRef{.m_Instance = B,
-                                              .m_Process =
-                                                  QuotaProcess(Process),
-                                              .m_Stamp = QuotaStampTime(1)});
+          return std::optional(
+              QuotaKeeperRef{.m_Instance = B,
+                             .m_Process = QuotaProcess(Process),
+                             .m_Stamp = QuotaStampTime(1)});
         },
         Now);
   }
--- a/tests/unit-router-quota.cpp
+++ b/tests/unit-router-quota.cpp
@@ -20,7 +20,8 @@
   }
 
   void configure(int Version, double Rate, double Burst) {
-    nlohmann::json Configuration = nlohmann::json::parse(configuration(Version));
+    nlohmann::json Configuration =
+        nlohmann::json::parse(configuration(Version));
     Configuration["Services"].push_back({{"Name", "other"}});
     Configuration["Tenants"] = {{{"Name", "org"},
                                  {"ApiKeys", {"key-1"}},
@@ -59,15 +60,14 @@
     const TimePoint Started = bootNow();
     while (bootNow() - Started < Time) {
       if (bootNow() - Started >= Gap * static_cast<int>(Calls.size()))
-        Calls.push_back(m_Rig.start(
-            *Entrances[Calls.size() % Entrances.size()], "/read/1", "GET"));
+        Calls.push_back(m_Rig.start(*Entrances[Calls.size() % Entrances.size()],
+                                    "/read/1", "GET"));
       else
         m_Rig.runFor(Gap / 4);
     }
     const auto Ended = [](const auto &Call) { return Call->has_value(); };
-    REQUIRE(m_Rig.runUntil([&] {
-      return std::all_of(Calls.begin(), Calls.end(), Ended);
-    }));
+    REQUIRE(m_Rig.runUntil(
+        [&] { return std::all_of(Calls.begin(), Calls.end(), Ended); }));
     Counts Result;
     for (const auto &Call : Calls) {
       const unsigned Status = (*Call)->m_Answer.m_Status;
@@ -132,11 +132,11 @@
   Rig.startServing(0.5, 4);
   Rig.m_Rig.runFor(9s);
   Rig.m_Owner.m_Target.m_Behaviour = [](const std::string &Request) {
-    return std::optional(RawReply{
-        .m_Bytes = "HTTP/1.1 503 Busy\r\nX-Request-Id: " +
-                   Target::header(Request, "X-Request-Id: ") +
-                   "\r\nX-Server-Signature: s\r\nX-Not-Executed: 1\r\n"
-                   "Content-Length: 0\r\n\r\n"});
+    return std::optional(
+        RawReply{.m_Bytes = "HTTP/1.1 503 Busy\r\nX-Request-Id: " +
+                            Target::header(Request, "X-Request-Id: ") +
+                            "\r\nX-Server-Signature: s\r\nX-Not-Executed: 1\r\n"
+                            "Content-Length: 0\r\n\r\n"});
   };
   int Refused = 0;
   for (int Count = 0; Count < 12; ++Count) {
