--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -49,7 +49,8 @@
                         .Name("balsamwheel_caller_bytes")
                         .Help("Input and answers held for all callers")
                         .Register(*m_Registry)
-                        .Add({})) {}
+                        .Add({})),
+      m_Quota(*m_Registry) {}
 
 void RouterMetrics::requestEnded(const std::string &Service,
                                  const std::string &Outcome, Duration Took) {
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -1,6 +1,8 @@
 // Counters and latency histograms of a daemon.
 #pragma once
 
+#include "quota_counts.h"
+
 #include "balsamwheel/detail/core/time.h"
 
 #include <prometheus/counter.h>
@@ -30,6 +32,7 @@
   void targetLimit(double PerSecond);
   /// \param Bytes held for the connections of all callers.
   void callerBytes(std::size_t Bytes);
+  QuotaCounts &quota() { return m_Quota; }
   /// All metrics in the text format of Prometheus.
   std::string toText() const;
 
@@ -43,6 +46,7 @@
   prometheus::Gauge &m_StoreEra;
   prometheus::Gauge &m_TargetLimit;
   prometheus::Gauge &m_CallerBytes;
+  QuotaCounts m_Quota;
 };
 
 } // namespace balsamwheel
