--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -78,7 +78,7 @@
                                       HttpAnswer Answer) {
   Exchange.m_Connection = nullptr;
   Answer.m_KeepAlive = Answer.m_KeepAlive && Exchange.m_KeepAlive;
-  const std::size_t Bytes = bytesOf(Answer);
+  const std::size_t Bytes = m_Pipeline ? bytesOf(Answer) : 0;
   if (m_Pipeline)
     m_Pipeline->m_ExpectedAnswerBytes =
         std::max(Bytes, m_Pipeline->m_ExpectedAnswerBytes -
@@ -151,6 +151,8 @@
   m_ParsedBytes = 0;
   if (m_Pipeline)
     m_Pipeline->m_Arrivals.clear();
+  // What comes now is dropped, so that the caller's end is noticed.
+  resumeReading();
 }
 
 void HttpServerConnection::dropFollowers(std::size_t Index) {
@@ -174,7 +176,6 @@
 void HttpServerConnection::finish() {
   dropInput();
   m_Closing = true;
-  resumeReading();
   if (m_Stream.pendingBytes() == 0)
     closeAfterLast();
 }
@@ -183,7 +184,7 @@
   if (!m_SentAhead)
     return close();
   m_Stream.endOutput();
-  m_Loop.after(LingerTime, [this, Alive = std::weak_ptr(m_Alive)] {
+  m_Loop.after(LingerTime, [this, Alive = alive()] {
     if (!Alive.expired())
       close();
   });
@@ -233,10 +234,10 @@
                              : m_Server.m_Options.m_IdleTimeout;
   if (Now - m_LastActive <= Limit)
     return;
-  if (RequestStarted)
-    fail(408);
-  else
-    close();
+  if (!RequestStarted)
+    return close();
+  m_Input.clear(); // All that was sent has been read.
+  fail(408);
 }
 
 void HttpServerConnection::onData(std::string_view Bytes) {
@@ -269,7 +270,7 @@
   if (m_AdvancePosted)
     return;
   m_AdvancePosted = true;
-  m_Loop.post([this, Alive = std::weak_ptr(m_Alive)] {
+  m_Loop.post([this, Alive = alive()] {
     if (Alive.expired())
       return;
     m_AdvancePosted = false;
@@ -377,7 +378,8 @@
   if (!m_Stream.isReading() || !m_Stream.isOpen())
     return;
   m_Stream.setReading(false);
-  checkPaused();
+  if (!m_PausedCheckDue)
+    checkPaused();
 }
 
 void HttpServerConnection::resumeReading() {
@@ -386,8 +388,12 @@
 }
 
 void HttpServerConnection::checkPaused() {
-  m_Loop.after(PausedCheckInterval, [this, Alive = std::weak_ptr(m_Alive)] {
-    if (Alive.expired() || m_Stream.isReading() || !m_Stream.isOpen())
+  m_PausedCheckDue = true;
+  m_Loop.after(PausedCheckInterval, [this, Alive = alive()] {
+    if (Alive.expired())
+      return;
+    m_PausedCheckDue = false;
+    if (m_Stream.isReading() || !m_Stream.isOpen())
       return;
     if (m_Stream.closedByPeer())
       onEnd();
@@ -396,6 +402,12 @@
   });
 }
 
+std::weak_ptr<int> HttpServerConnection::alive() {
+  if (!m_Alive)
+    m_Alive = std::make_shared<int>(0);
+  return m_Alive;
+}
+
 void HttpServerConnection::noteArrival(std::size_t Bytes) {
   auto &Arrivals = pipeline().m_Arrivals;
   const TimePoint Now = m_Loop.now();
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -124,6 +124,8 @@
   /// Whether the caller has closed the connection is checked in this way while
   /// nothing is read from it.
   void checkPaused();
+  /// For posted tasks and timers: expires when the connection is destroyed.
+  std::weak_ptr<int> alive();
   void noteArrival(std::size_t Bytes);
   /// Removes \p Bytes from the front of the arrivals.
   /// \returns when the last one of them was received.
@@ -147,9 +149,9 @@
   /// Input behind the last request was or may be dropped.
   bool m_SentAhead = false;
   bool m_AdvancePosted = false;
-  /// Posted tasks hold a weak pointer to it, which expires when the connection
-  /// is destroyed.
-  std::shared_ptr<int> m_Alive = std::make_shared<int>(0);
+  bool m_PausedCheckDue = false;
+  /// See alive(); null until it is needed.
+  std::shared_ptr<int> m_Alive;
 };
 
 } // namespace balsamwheel
