Refuse large answers while too many bytes of answers are held

Cause: slow callers and peers make a daemon hold large answers without bound.

Change: AnswerRoom refuses requests of download routes at the entrance, as not run with a Retry-After, while unsent answers take over a quarter of Limits.MemoryMb. Metric balsamwheel_answer_bytes. An answer of a target that closes its connection doesn't close the caller's any more: it would cancel the requests behind.

--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -57,6 +57,11 @@
   if (Entry.m_Deadline <= m_Loop.now())
     return refuse(Request, Reason::DeadlinePassed,
                   m_Options.m_DefaultRetryAfter);
+  const auto NoRoom = Entry.m_Route->m_Kind == RouteKind::Download
+                          ? m_Callbacks.m_LargeAnswersRefusedFor()
+                          : std::nullopt;
+  if (NoRoom)
+    return refuse(Request, Reason::Overloaded, *NoRoom);
   if (const auto Refused = m_Suspects.refusedFor(Entry.m_Digest, m_Loop.now()))
     return refuse(Request, Reason::CrashesTargets, *Refused);
   if (Entry.m_OfRepeat)
@@ -301,6 +306,9 @@
     if (AttemptFailed && Entry.m_Route->idempotent() && acquireRetry(Entry))
       return dispatch(Request);
     Result.m_Answer.m_Headers.removeHopByHop();
+    // A target that closes its own connection mustn't end the requests that the
+    // caller has sent behind this one.
+    Result.m_Answer.m_KeepAlive = true;
     return answer(Request, std::move(Result.m_Answer), "done", Reason::None);
   }
   if (Result.m_Outcome != Outcome::Unknown)
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -33,6 +33,9 @@
   /// The target that an instance reports; none when it reports none.
   std::function<std::optional<TargetIncarnation>(const InstanceName &)>
       m_Target;
+  /// When a caller whose answer would be large may return; none while there is
+  /// room for it.
+  std::function<std::optional<Duration>()> m_LargeAnswersRefusedFor;
 };
 
 struct EntranceOptions {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -27,6 +27,8 @@
 constexpr Duration SendFlushTime = std::chrono::milliseconds(200);
 /// Reserved from the grace period for the exit of the process itself.
 constexpr Duration ProcessExitMargin = std::chrono::milliseconds(400);
+/// Answers that aren't sent yet may take the memory divided by this.
+constexpr std::size_t AnswersDivisor = 4;
 /// Number of daemons that watch the daemons' own table directly.
 constexpr std::ptrdiff_t OwnTableWatchers = 3;
 /// Number of daemons in a failure domain that watch the operators' table for
@@ -211,11 +213,15 @@
            .m_Target =
                [this](const InstanceName &Name) {
                  return reportedTarget(Name);
-               }}),
+               },
+           .m_LargeAnswersRefusedFor =
+               [this] { return m_AnswerRoom.refusedFor(heldAnswerBytes()); }}),
       m_Callers(Loop, callerOptions(m_Settings),
                 [this](std::shared_ptr<HttpExchange> Exchange) {
                   m_Entrance.accept(std::move(Exchange));
                 }),
+      m_AnswerRoom({.m_MaxBytes = m_Settings.m_MemoryLimit / AnswersDivisor,
+                    .m_BytesPerSecond = m_Settings.m_LinkBytesPerSecond}),
       m_Metrics(Metrics) {}
 
 Router::~Router() = default;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -8,6 +8,8 @@
 #include "row_catch_up.h"
 #include "table_follower.h"
 
+#include "balsamwheel/detail/load/answer_room.h"
+
 namespace balsamwheel {
 
 /// Decodes rows that operators write; implemented by an adapter.
@@ -131,6 +133,10 @@
   candidates(const ServiceName &Service) const;
   std::optional<TargetIncarnation>
   reportedTarget(const InstanceName &Name) const;
+  /// Bytes of answers that aren't sent yet, to callers and peers.
+  std::size_t heldAnswerBytes() const {
+    return m_Callers.pendingBytes() + m_Mesh.pendingAnswerBytes();
+  }
   const KeyMap *keyMap(const ServiceName &Service) const;
 
   /// State of a peer's target, as last reported by the peer.
@@ -165,6 +171,7 @@
   TableFollower m_Follower;
   Entrance m_Entrance;
   HttpServer m_Callers;
+  AnswerRoom m_AnswerRoom;
   std::unique_ptr<KeyCoordinator> m_Coordinator;
   RouterMetrics &m_Metrics;
 
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -49,6 +49,11 @@
                         .Name("balsamwheel_caller_bytes")
                         .Help("Input and answers held for all callers")
                         .Register(*m_Registry)
+                        .Add({})),
+      m_AnswerBytes(prometheus::BuildGauge()
+                        .Name("balsamwheel_answer_bytes")
+                        .Help("Answers to callers and peers, not sent yet")
+                        .Register(*m_Registry)
                         .Add({})) {}
 
 void RouterMetrics::requestEnded(const std::string &Service,
@@ -83,6 +88,10 @@
   m_CallerBytes.Set(static_cast<double>(Bytes));
 }
 
+void RouterMetrics::answerBytes(std::size_t Bytes) {
+  m_AnswerBytes.Set(static_cast<double>(Bytes));
+}
+
 std::string RouterMetrics::toText() const {
   return prometheus::TextSerializer().Serialize(m_Registry->Collect());
 }
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -30,6 +30,8 @@
   void targetLimit(double PerSecond);
   /// \param Bytes held for the connections of all callers.
   void callerBytes(std::size_t Bytes);
+  /// \param Bytes of answers that aren't sent yet, to callers and peers.
+  void answerBytes(std::size_t Bytes);
   /// All metrics in the text format of Prometheus.
   std::string toText() const;
 
@@ -43,6 +45,7 @@
   prometheus::Gauge &m_StoreEra;
   prometheus::Gauge &m_TargetLimit;
   prometheus::Gauge &m_CallerBytes;
+  prometheus::Gauge &m_AnswerBytes;
 };
 
 } // namespace balsamwheel
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -168,6 +168,7 @@
                    WithRates ? std::optional(makeReport(true)) : std::nullopt);
   m_Metrics.gate(Gate.m_Running, Gate.m_Waiting);
   m_Metrics.callerBytes(m_Callers.heldBytes());
+  m_Metrics.answerBytes(heldAnswerBytes());
   m_Metrics.targetLimit(m_Agent.namedLimit().value_or(0));
   m_ReportTimer =
       m_Loop.after(m_Mesh.reportInterval(), [this] { sendReports(); });
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -42,6 +42,9 @@
   /// sends more fails. Bounds the memory that the target's calls take together.
   std::size_t m_MaxAnswerBytes = std::size_t{8} << 20;
 
+  /// Memory limit of the machine in bytes; 0 means that it isn't known.
+  std::size_t m_MemoryLimit = 0;
+
   /// The whole system starts for the first time: nobody holds keys yet.
   bool m_SystemStart = true;
 
