--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -32,6 +32,8 @@
   void targetLimit(double PerSecond);
   /// \param Bytes held for the connections of all callers.
   void callerBytes(std::size_t Bytes);
+  /// \param Bytes of answers that aren't sent yet, to callers and peers.
+  void answerBytes(std::size_t Bytes);
   QuotaCounts &quota() { return m_Quota; }
   /// All metrics in the text format of Prometheus.
   std::string toText() const;
@@ -46,6 +48,7 @@
   prometheus::Gauge &m_StoreEra;
   prometheus::Gauge &m_TargetLimit;
   prometheus::Gauge &m_CallerBytes;
+  prometheus::Gauge &m_AnswerBytes;
   QuotaCounts m_Quota;
 };
 
