Let a daemon promise in the place of earlier sessions at its address

Cause, from dumps of the group rows: a restarted daemon counts as the successor of its dead session only if it joins the same group.

Change: whoever receives a promise request answers for each other session at its own address too, be it a witness or the subject, once that session ended a lease plus margin ago. The end is the start of the daemon, or the moment at which the daemon took a new session. The request goes to the subject's address too; a promise in the place of the subject suffices alone. No message changes.

An address reaches one process, and daemons listen before they start their session, so a process that sees another session listed at its address is the later one, or has given that session up. The other session hence grants nothing any more, and a lease plus margin after its end all that it granted or held has run out: a promise for it, as witness or as holder, states a fact that stays true. The quorums are counted on session ids as before; the successor's own id still needs its own promise. Sessions given up before they joined never held a lease and never granted, so they need no wait of their own. The wait for the subject's sequence in the row and the condition on the row version stay.

--- a/include/balsamwheel/detail/coordination/membership.h
+++ b/include/balsamwheel/detail/coordination/membership.h
@@ -9,8 +9,10 @@
 #include "balsamwheel/detail/coordination/witness.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace balsamwheel {
 
@@ -80,6 +82,16 @@
   void updateWitnessedSessions(TimePoint Now);
   void onEntryChanged(TimePoint Now);
   PromiseReply answerPromise(const PromiseRequest &Message, TimePoint Now);
+  /// The answer of this session, and a promise for each earlier session at this
+  /// address, subject or witness, that ended long ago: it can neither act nor
+  /// grant any more.
+  std::vector<PromiseReply> answerPromises(const PromiseRequest &Message,
+                                           TimePoint Now);
+  /// Whether all leases and grants of an earlier session at this address have
+  /// run out.
+  bool hasEndedLongAgo(SessionId Former, TimePoint Now) const;
+  /// Lease duration plus the margin for clock drift.
+  Duration grantDuration() const;
   /// Moves the next heartbeat to the time at which the whole group renews.
   void alignHeartbeat(TimePoint GroupHeartbeatAt);
   void applyAck(const HeartbeatAck &Message, const PeerAddress &From,
@@ -93,6 +105,10 @@
   GroupLeader m_Leader;
   LeaseHolder m_Lease;
   Witness m_Witness;
+  /// Start of this daemon; all sessions of earlier runs had ended by then.
+  TimePoint m_StartedAt;
+  /// End of the sessions that were joined by this daemon and left recently.
+  std::map<SessionId, TimePoint> m_FormerSessions;
   State m_State = State::Idle;
   std::uint32_t m_Group = 0;
   Member m_Self;
--- a/src/coordination/expulsion.cpp
+++ b/src/coordination/expulsion.cpp
@@ -60,9 +60,11 @@
                                 TimePoint Now) const {
   if (!isLeaseWaitOver(Subject, Now))
     return false;
-  // A replaced session has got no extension since it was replaced.
+  // A replaced session has got no extension since it was replaced, and one
+  // whose successor promised for it holds no lease.
+  const SessionId Session = Subject.m_Member.m_Session;
   if (!m_Options.m_UseWitnesses || isPastPromiseLimit(Subject, Now) ||
-      isReplacedAndExpired(Subject.m_Member.m_Session, Now))
+      isReplacedAndExpired(Session, Now) || hasPromised(Subject, Session))
     return true;
   return countNonGranting(Subject, Now) > WitnessCount - WitnessQuorum;
 }
--- a/src/coordination/group_leader_expulsion.cpp
+++ b/src/coordination/group_leader_expulsion.cpp
@@ -47,6 +47,8 @@
     Request.m_Sequence = Subject.m_Sequence;
     Request.m_Group = Row.m_Group;
     Request.m_GroupRowVersion = Row.m_Version;
+    // At the subject's address a later session may promise for it.
+    m_SendPromiseRequest(Request.m_Subject, Request, Now);
     for (SessionId Witness : Subject.m_Witnesses)
       m_SendPromiseRequest(Witness, Request, Now);
   }
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -32,10 +32,6 @@
 /// further attempt to join, at most this many times.
 constexpr std::size_t MaxGroupDoublings = 6;
 
-Duration grantDuration(const CoordinationTiming &Timing) {
-  return Timing.m_Lease + Timing.m_LeaseMargin;
-}
-
 } // namespace
 
 Membership::Membership(CoordinationContext &Context)
@@ -51,13 +47,15 @@
           },
           [this](SessionId Witness, const PromiseRequest &Request,
                  TimePoint Now) {
-            if (Witness == m_Context->m_Session)
-              m_Leader.onPromiseReply(answerPromise(Request, Now));
-            else
-              m_Context->sendTo(Witness, Request);
+            const Member *Receiver = m_Context->m_View.findMember(Witness);
+            if (Receiver && Receiver->m_Peer != m_Self.m_Peer)
+              m_Context->send(Receiver->m_Peer, Request);
+            else if (Receiver)
+              for (const PromiseReply &Reply : answerPromises(Request, Now))
+                m_Leader.onPromiseReply(Reply);
           }),
       m_Lease(Context.m_Options.m_Timing.m_Lease, ExtensionLimit),
-      m_Witness(grantDuration(Context.m_Options.m_Timing)) {
+      m_Witness(grantDuration()) {
   const CoordinatorOptions &Options = Context.m_Options;
   m_Self.m_Session = Context.m_Session;
   m_Self.m_Instance = Options.m_Instance;
@@ -69,7 +67,15 @@
   m_Entry = toEntry(m_Self);
 }
 
-void Membership::start(TimePoint Now) { readTable(Now); }
+Duration Membership::grantDuration() const {
+  const CoordinationTiming &Timing = m_Context->m_Options.m_Timing;
+  return Timing.m_Lease + Timing.m_LeaseMargin;
+}
+
+void Membership::start(TimePoint Now) {
+  m_StartedAt = Now;
+  readTable(Now);
+}
 
 void Membership::readTable(TimePoint Now) {
   m_State = State::Reading;
@@ -123,7 +129,14 @@
 void Membership::rejoinAsNewSession(TimePoint Now) {
   const bool WasJoined = m_State == State::Joined;
   m_Lease = LeaseHolder(m_Context->m_Options.m_Timing.m_Lease, ExtensionLimit);
-  m_Witness = Witness(grantDuration(m_Context->m_Options.m_Timing));
+  m_Witness = Witness(grantDuration());
+  // Sessions that ended long ago need no entry, see hasEndedLongAgo(); neither
+  // does one that has not joined, since it never held a lease.
+  std::erase_if(m_FormerSessions, [this, Now](const auto &Item) {
+    return Now - Item.second >= grantDuration();
+  });
+  if (WasJoined)
+    m_FormerSessions[m_Context->m_Session] = Now;
   m_Context->m_Session = m_Context->newSession();
   m_Self.m_Session = m_Context->m_Session;
   m_Entry = toEntry(m_Self);
--- a/src/coordination/membership_extension.cpp
+++ b/src/coordination/membership_extension.cpp
@@ -97,9 +97,39 @@
   return Reply;
 }
 
+bool Membership::hasEndedLongAgo(SessionId Former, TimePoint Now) const {
+  const auto Ended = m_FormerSessions.find(Former);
+  const TimePoint EndedBy =
+      Ended == m_FormerSessions.end() ? m_StartedAt : Ended->second;
+  return Now - EndedBy >= grantDuration();
+}
+
+std::vector<PromiseReply>
+Membership::answerPromises(const PromiseRequest &Message, TimePoint Now) {
+  std::vector<PromiseReply> Result{answerPromise(Message, Now)};
+  const GroupRow *Group = m_Context->m_View.findGroup(Message.m_Group);
+  const GroupMember *Subject = Group ? Group->find(Message.m_Subject) : nullptr;
+  if (!Subject)
+    return Result;
+  std::vector<SessionId> Concerned = Subject->m_Witnesses;
+  Concerned.push_back(Message.m_Subject);
+  for (SessionId Session : Concerned) {
+    const GroupMember *Listed = Group->find(Session);
+    if (!Listed || Session == m_Context->m_Session ||
+        Listed->m_Member.m_Peer != m_Self.m_Peer ||
+        !hasEndedLongAgo(Session, Now))
+      continue;
+    PromiseReply &Reply = Result.emplace_back(Result.front());
+    Reply.m_Witness = Session;
+    Reply.m_Promised = true;
+  }
+  return Result;
+}
+
 void Membership::onPromiseRequest(const PromiseRequest &Message,
                                   const PeerAddress &From, TimePoint Now) {
-  m_Context->send(From, answerPromise(Message, Now));
+  for (const PromiseReply &Reply : answerPromises(Message, Now))
+    m_Context->send(From, Reply);
 }
 
 void Membership::onPromiseReply(const PromiseReply &Message) {
--- a/tests/unit-coordinator-faults.cpp
+++ b/tests/unit-coordinator-faults.cpp
@@ -213,3 +213,29 @@
   TestCluster.run(seconds(60));
   CHECK(TestCluster.m_Table.get(HeadRowKey) == Before);
 }
+
+TEST_CASE("daemons that were each other's witnesses are replaced although they "
+          "were restarted into other groups") {
+  struct Case {
+    std::uint64_t m_Seed;
+    std::vector<std::size_t> m_Restarted;
+  };
+  CoordinatorOptions Options;
+  Options.m_GroupSize = 3;
+  for (const Case &Each :
+       {Case{1, {0, 1, 2, 4}}, Case{1, {0, 1, 2, 5}}, Case{2, {0, 1, 4, 5}}}) {
+    Cluster TestCluster = makeCluster(Each.m_Seed);
+    for (const char *Domain : {"a", "b", "c", "a", "b", "c"})
+      TestCluster.add(Domain, Options);
+    TestCluster.run(RecoveryLimit);
+    REQUIRE(TestCluster.servedShards(Shards) == Shards);
+    for (std::size_t Index : Each.m_Restarted)
+      TestCluster.restart(Index, Options);
+    CHECK(TestCluster.runUntilServed(Shards, seconds(20)) <= RecoveryLimit);
+    std::set<std::uint32_t> Groups;
+    for (std::size_t Index : Each.m_Restarted)
+      Groups.insert(TestCluster.at(Index).status(TestCluster.m_Now).m_Group);
+    CHECK(Groups.size() > 1);
+    CHECK(TestCluster.m_MaxOwners == 1);
+  }
+}
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -175,3 +175,14 @@
   Tracker.observe(Renewed, Replaced + LeaseWait);
   CHECK_FALSE(Tracker.mayExpel(Renewed, Replaced + LeaseWait));
 }
+
+TEST_CASE("a promise in place of the subject itself suffices") {
+  ExpulsionTracker Tracker = makeTracker(true);
+  const GroupMember Subject = makeSubject(7);
+  Tracker.observe(Subject, Start);
+  Tracker.onPromise(SessionId(9), 6, SessionId(9));
+  CHECK_FALSE(Tracker.mayExpel(Subject, Start + LeaseWait));
+  Tracker.onPromise(SessionId(9), 7, SessionId(9));
+  CHECK_FALSE(Tracker.mayExpel(Subject, Start + LeaseWait - milliseconds(1)));
+  CHECK(Tracker.mayExpel(Subject, Start + LeaseWait));
+}
