Let organisations take turns at the gate

Cause: among requests of equal priority the gate served in the order of objectives, so a flood from one organisation took its share from all others. Change: start-time fair queueing among organisations of one priority, weighted by their usual number of requests; a full queue displaces a request of another organisation with a later turn. The gate's files are split into order and limits. Without organisations the recorded histories are the same as before.

--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -14,10 +14,14 @@
 //
 // Nested requests, i.e. those made by a running request, go before new ones:
 // refusing one wastes the slot that its parent occupies.
+//
+// Organisations take turns among waiting requests of equal priority, see
+// OrganisationTurns: a flood from one delays and displaces only its own.
 #pragma once
 
 #include "balsamwheel/detail/core/ids.h"
 #include "balsamwheel/detail/core/time.h"
+#include "balsamwheel/detail/load/organisation_turns.h"
 
 #include <cstdint>
 #include <map>
@@ -78,6 +82,8 @@
   std::string m_Route;
   /// 0 is the most urgent.
   std::uint32_t m_Priority = 0;
+  /// Empty when the caller has given no API key.
+  OrganisationName m_Organisation;
   /// Made by a running request that waits for the answer. Only the deadline
   /// applies, not the objective.
   bool m_Nested = false;
@@ -93,13 +99,19 @@
   GateVerdict m_Verdict = GateVerdict::Refuse;
   /// Expected time until a slot is free for the request.
   Duration m_ExpectedWait{0};
-  /// For a refusal: time after which a retry is likely to be admitted.
+  /// For a refusal, or for the request that was displaced: time after which a
+  /// retry is likely to be admitted.
   Duration m_RetryAfter{0};
+  /// A waiting request that has left the queue in favour of the new one; it
+  /// wasn't sent.
+  std::optional<RequestHandle> m_Displaced;
 };
 
 /// Performs no I/O and reads no clock; not thread-safe. Invariants: running()
 /// grows only while it is below slots() and the gate is open; a queued request
-/// leaves the queue exactly once, by next(), expire(), withdraw() or close().
+/// leaves the queue exactly once, by next(), expire(), withdraw(), close() or
+/// as GateDecision::m_Displaced. Without organisations, the order is that of
+/// priorities and objectives.
 class RequestGate {
 public:
   explicit RequestGate(RequestGateOptions Options)
@@ -157,6 +169,8 @@
   struct Waiting {
     GateRequest m_Request;
     std::uint64_t m_Sequence;
+    /// Equal for all nested requests.
+    OrganisationTurns::Turn m_Turn;
   };
 
   /// The deadline of a nested request, the objective of any other.
@@ -170,6 +184,33 @@
   GateDecision refusal(Duration Wait) const;
   /// Whether \p Left is to be sent before \p Right.
   bool precedes(const Waiting &Left, const Waiting &Right, TimePoint Now) const;
+  /// Whether the requests take their turns from the same organisation.
+  static bool shareTurns(const GateRequest &Left, const GateRequest &Right);
+  std::size_t countBefore(const Waiting &Subject, TimePoint Now) const;
+  /// The turn that the request would have now: the turns of an organisation go
+  /// to its requests by the time that they are due.
+  OrganisationTurns::Turn turnOf(const Waiting &Offered) const;
+  /// Appends the request to the queue and assigns the organisation's turns
+  /// anew.
+  void enqueue(const Waiting &Offered);
+  /// Returns the turn of a request that has left the queue unsent.
+  void giveTurnBack(const Waiting &Left);
+  /// Gives a turn to a request that is sent without waiting.
+  void useTurn(const GateRequest &Request);
+  /// Whether \p Offered may take the place of \p Other in a full queue.
+  static bool mayDisplace(const Waiting &Offered, const Waiting &Other);
+  /// The last waiting request that \p Offered may displace; m_Waiting.end() if
+  /// there is none.
+  std::vector<Waiting>::iterator lastDisplaceable(const Waiting &Offered,
+                                                  TimePoint Now);
+  /// Removes a waiting request in favour of \p Offered, which is about to be
+  /// queued, if there isn't room for both or it can't be on time any more.
+  std::optional<RequestHandle> displaceFor(const Waiting &Offered,
+                                           TimePoint Now);
+  bool isFull() const {
+    return m_Waiting.size() >=
+           std::size_t{m_Options.m_QueueLimitPerSlot} * m_Slots;
+  }
   Duration expectedWait(std::size_t Ahead, TimePoint Now) const;
   bool takeToken(TimePoint Now);
   bool hasNonNestedWaiting() const;
@@ -179,7 +220,7 @@
   /// Token bucket size under the present limits.
   double burst(TimePoint Now) const;
   /// Removes waiting requests whose tokens come too late.
-  void dropWithoutToken(TimePoint Now, std::vector<RequestHandle> &Dropped);
+  void dropWithoutToken(TimePoint Now, std::vector<Waiting> &Dropped);
   /// Credits the tokens earned so far, before the rate changes.
   void creditTokens(TimePoint Now);
 
@@ -188,6 +229,8 @@
   std::uint32_t m_Running = 0;
   std::uint64_t m_NextSequence = 0;
   std::vector<Waiting> m_Waiting;
+  /// Turns of organisations by priority.
+  std::map<std::uint32_t, OrganisationTurns> m_Turns;
   /// Moving averages by route, in microseconds.
   std::map<std::string, double> m_Service;
   /// Over all routes, in microseconds; 0 before the first sample.
--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -1,4 +1,4 @@
-// Admission, queue order and refusal of requests to one target.
+// Admission, start and refusal of requests to one target.
 #include "balsamwheel/detail/load/request_gate.h"
 
 #include <algorithm>
@@ -29,59 +29,6 @@
   return Result;
 }
 
-void RequestGate::creditTokens(TimePoint Now) {
-  m_Tokens = rateLimit(Now) > 0 ? availableTokens(Now) : m_Options.m_MinBurst;
-  m_TokensAt = Now;
-}
-
-void RequestGate::limitRate(double Rate, TimePoint Until, TimePoint Now) {
-  creditTokens(Now);
-  m_ColdRate = Rate;
-  m_ColdUntil = Until;
-}
-
-void RequestGate::setNamedLimit(std::optional<double> Rate, TimePoint Now) {
-  creditTokens(Now);
-  m_NamedLimit = Rate;
-  if (m_NamedLimit)
-    m_NamedLimit = std::max(*m_NamedLimit, m_Options.m_MinLimit);
-}
-
-double RequestGate::rateLimit(TimePoint Now) const {
-  const double Cold = Now < m_ColdUntil ? m_ColdRate : 0;
-  if (!m_NamedLimit)
-    return Cold;
-  return Cold > 0 ? std::min(Cold, *m_NamedLimit) : *m_NamedLimit;
-}
-
-double RequestGate::burst(TimePoint Now) const {
-  if (Now < m_ColdUntil)
-    return m_Options.m_MinBurst;
-  return std::max(m_Options.m_MinBurst, m_NamedLimit.value_or(0) *
-                                            micros(m_Options.m_LimitBurst) /
-                                            1e6);
-}
-
-double RequestGate::availableTokens(TimePoint Now) const {
-  return std::min(burst(Now),
-                  m_Tokens + rateLimit(Now) * micros(Now - m_TokensAt) / 1e6);
-}
-
-double RequestGate::spareTokens(TimePoint Now) const {
-  return availableTokens(Now) - static_cast<double>(m_Waiting.size());
-}
-
-bool RequestGate::takeToken(TimePoint Now) {
-  if (rateLimit(Now) == 0)
-    return true;
-  const double Tokens = availableTokens(Now);
-  if (Tokens < 1)
-    return false;
-  m_Tokens = Tokens - 1;
-  m_TokensAt = Now;
-  return true;
-}
-
 Duration RequestGate::expectedService(const std::string &Route) const {
   if (auto Found = m_Service.find(Route); Found != m_Service.end())
     return fromMicros(Found->second);
@@ -93,10 +40,6 @@
                            : m_Options.m_InitialService;
 }
 
-TimePoint RequestGate::dueBy(const GateRequest &Request) const {
-  return Request.m_Nested ? Request.m_Deadline : Request.m_Objective;
-}
-
 bool RequestGate::canBeOnTime(const GateRequest &Request, TimePoint Now) const {
   return micros(dueBy(Request) - Now) >=
          m_Options.m_FastServiceShare *
@@ -126,21 +69,6 @@
                                      m_Options.m_MaxRetryAfter)};
 }
 
-bool RequestGate::precedes(const Waiting &Left, const Waiting &Right,
-                           TimePoint Now) const {
-  const bool LeftOnTime = canBeOnTime(Left.m_Request, Now);
-  const bool RightOnTime = canBeOnTime(Right.m_Request, Now);
-  if (LeftOnTime != RightOnTime)
-    return LeftOnTime;
-  if (Left.m_Request.m_Nested != Right.m_Request.m_Nested)
-    return Left.m_Request.m_Nested;
-  if (Left.m_Request.m_Priority != Right.m_Request.m_Priority)
-    return Left.m_Request.m_Priority < Right.m_Request.m_Priority;
-  if (dueBy(Left.m_Request) != dueBy(Right.m_Request))
-    return dueBy(Left.m_Request) < dueBy(Right.m_Request);
-  return Left.m_Sequence < Right.m_Sequence;
-}
-
 Duration RequestGate::expectedWait(std::size_t Ahead, TimePoint Now) const {
   double Wait = 0;
   if (m_Running + Ahead >= m_Slots)
@@ -179,22 +107,44 @@
 GateDecision RequestGate::offer(const GateRequest &Request, TimePoint Now) {
   if (!isOpen() || cannotMeetDeadline(Request, Now))
     return refusal(meanService());
-  const Waiting Offered{.m_Request = Request, .m_Sequence = m_NextSequence++};
+  if (!Request.m_Nested)
+    m_Turns[Request.m_Priority].arrived(Request.m_Organisation, Now);
+  Waiting Offered{.m_Request = Request, .m_Sequence = m_NextSequence++};
   if (m_Waiting.empty() && m_Running < m_Slots && takeToken(Now)) {
     ++m_Running;
+    useTurn(Request);
     return {.m_Verdict = GateVerdict::Send};
   }
-  const auto Ahead = static_cast<std::size_t>(std::count_if(
-      m_Waiting.begin(), m_Waiting.end(),
-      [&](const Waiting &Each) { return precedes(Each, Offered, Now); }));
-  const Duration Wait = expectedWait(Ahead, Now);
+  Offered.m_Turn = turnOf(Offered);
+  const Duration Wait = expectedWait(countBefore(Offered, Now), Now);
   const bool Room =
-      m_Waiting.size() < std::size_t{m_Options.m_QueueLimitPerSlot} * m_Slots;
-  if (Room && Wait <= maxWait(Request, Now)) {
-    m_Waiting.push_back(Offered);
-    return {.m_Verdict = GateVerdict::Wait, .m_ExpectedWait = Wait};
-  }
-  return refusal(Wait);
+      !isFull() || lastDisplaceable(Offered, Now) != m_Waiting.end();
+  if (!Room || Wait > maxWait(Request, Now))
+    return refusal(Wait);
+  const auto Displaced = displaceFor(Offered, Now);
+  enqueue(Offered);
+  return {.m_Verdict = GateVerdict::Wait,
+          .m_ExpectedWait = Wait,
+          .m_RetryAfter =
+              Displaced
+                  ? refusal(expectedWait(m_Waiting.size(), Now)).m_RetryAfter
+                  : Duration::zero(),
+          .m_Displaced = Displaced};
+}
+
+std::optional<RequestHandle> RequestGate::displaceFor(const Waiting &Offered,
+                                                      TimePoint Now) {
+  const auto Last = lastDisplaceable(Offered, Now);
+  if (Last == m_Waiting.end())
+    return std::nullopt;
+  // The new request and those before the last one.
+  const std::size_t Ahead = countBefore(*Last, Now) + 1;
+  if (!isFull() && canBeOnTime(Last->m_Request, Now + expectedWait(Ahead, Now)))
+    return std::nullopt;
+  const Waiting Displaced = *Last;
+  m_Waiting.erase(Last);
+  giveTurnBack(Displaced);
+  return Displaced.m_Request.m_Handle;
 }
 
 std::optional<RequestHandle> RequestGate::next(TimePoint Now) {
@@ -206,34 +156,14 @@
                                });
   if (!takeToken(Now))
     return std::nullopt;
-  const RequestHandle Result = Best->m_Request.m_Handle;
-  const bool Nested = Best->m_Request.m_Nested;
+  const Waiting Sent = *Best;
   m_Waiting.erase(Best);
   ++m_Running;
-  if (!Nested)
+  if (!Sent.m_Request.m_Nested) {
+    m_Turns[Sent.m_Request.m_Priority].sent(Sent.m_Turn);
     recordStart(Now);
-  return Result;
-}
-
-void RequestGate::dropWithoutToken(TimePoint Now,
-                                   std::vector<RequestHandle> &Dropped) {
-  const double Rate = rateLimit(Now);
-  if (Rate == 0)
-    return;
-  std::sort(m_Waiting.begin(), m_Waiting.end(),
-            [&](const Waiting &Left, const Waiting &Right) {
-              return precedes(Left, Right, Now);
-            });
-  double Missing = 1 - availableTokens(Now);
-  std::erase_if(m_Waiting, [&](const Waiting &Each) {
-    const bool TooLate = fromMicros(std::max(0.0, Missing) / Rate * 1e6) >
-                         maxWait(Each.m_Request, Now);
-    if (TooLate)
-      Dropped.push_back(Each.m_Request.m_Handle);
-    else
-      Missing += 1;
-    return TooLate;
-  });
+  }
+  return Sent.m_Request.m_Handle;
 }
 
 std::vector<RequestHandle> RequestGate::expire(TimePoint Now) {
@@ -241,26 +171,37 @@
       std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const Waiting &Each) {
         return canBeOnTime(Each.m_Request, Now);
       });
-  std::vector<RequestHandle> Result;
+  std::vector<Waiting> Dropped;
   std::erase_if(m_Waiting, [&](const Waiting &Each) {
     const bool Drop =
         cannotMeetDeadline(Each.m_Request, Now + m_Options.m_ExpireInterval) ||
         (Contended && !canBeOnTime(Each.m_Request, Now));
     if (Drop)
-      Result.push_back(Each.m_Request.m_Handle);
+      Dropped.push_back(Each);
     return Drop;
   });
-  dropWithoutToken(Now, Result);
+  dropWithoutToken(Now, Dropped);
+  std::vector<RequestHandle> Result;
+  Result.reserve(Dropped.size());
+  for (const Waiting &Each : Dropped) {
+    giveTurnBack(Each);
+    Result.push_back(Each.m_Request.m_Handle);
+  }
   m_Backlogged = m_Backlogged && hasNonNestedWaiting();
   return Result;
 }
 
 bool RequestGate::withdraw(RequestHandle Request) {
-  const bool Found = std::erase_if(m_Waiting, [&](const Waiting &Each) {
-                       return Each.m_Request.m_Handle == Request;
-                     }) > 0;
+  const auto Found = std::find_if(
+      m_Waiting.begin(), m_Waiting.end(),
+      [&](const Waiting &Each) { return Each.m_Request.m_Handle == Request; });
+  if (Found == m_Waiting.end())
+    return false;
+  const Waiting Withdrawn = *Found;
+  m_Waiting.erase(Found);
+  giveTurnBack(Withdrawn);
   m_Backlogged = m_Backlogged && hasNonNestedWaiting();
-  return Found;
+  return true;
 }
 
 void RequestGate::finished(const std::string &Route, Duration Service,
@@ -278,15 +219,4 @@
   UpdateMean(m_MeanService);
 }
 
-std::optional<TimePoint> RequestGate::nextWake(TimePoint Now) const {
-  if (m_Waiting.empty())
-    return std::nullopt;
-  const double Rate = rateLimit(Now);
-  // The wake-up is at least 1000 microseconds away.
-  if (Rate > 0 && m_Running < m_Slots)
-    return Now + fromMicros(
-                     std::max(1000.0, (1 - availableTokens(Now)) / Rate * 1e6));
-  return std::nullopt;
-}
-
 } // namespace balsamwheel
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -246,10 +246,15 @@
       m_Gate.offer({.m_Handle = Id,
                     .m_Route = Entry.m_Job.m_Route,
                     .m_Priority = Entry.m_Job.m_Priority,
+                    .m_Organisation = Entry.m_Job.m_Organisation,
                     .m_Nested = Entry.m_Job.m_Nested,
                     .m_Objective = Entry.m_Job.m_Objective,
                     .m_Deadline = Entry.m_Job.m_Deadline},
                    m_Loop.now());
+  if (Decision.m_Displaced)
+    finish(*Decision.m_Displaced, {.m_Outcome = Outcome::Wait,
+                                   .m_Reason = Reason::Overloaded,
+                                   .m_RetryAfter = Decision.m_RetryAfter});
   switch (Decision.m_Verdict) {
   case GateVerdict::Send:
     return send(Id);
