Leave room at the gate for more urgent priorities

Cause: a burst of slow requests of the least urgent route took all slots, and urgent requests whose objective is too near to wait for the next slot were refused. Nested requests went before all others whatever their parent's rank. Change: slots are left for more urgent requests that can't wait, as far as they have used them in the last second; a more urgent request displaces the least urgent waiting one; nested requests have the priority of their parent; a priority served far less often than all goes first. Refusals are logged with priority and cause and counted by priority.

--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -17,16 +17,23 @@
 //
 // Organisations take turns among waiting requests of equal priority, see
 // OrganisationTurns: a flood from one delays and displaces only its own.
+//
+// Where requests of different priorities meet, slots are left for the more
+// urgent ones as far as they have used them lately, see GateRanks, and a more
+// urgent request displaces the least urgent waiting one. A nested request has
+// the priority of its parent and goes before new ones of its rank.
 #pragma once
 
 #include "balsamwheel/detail/core/ids.h"
 #include "balsamwheel/detail/core/time.h"
+#include "balsamwheel/detail/load/gate_ranks.h"
 #include "balsamwheel/detail/load/organisation_turns.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace balsamwheel {
@@ -71,6 +78,12 @@
   Duration m_ExpireInterval = std::chrono::milliseconds(50);
   /// Maximum queue length per slot.
   std::uint32_t m_QueueLimitPerSlot = 6;
+  /// Whether priorities are more than an order among waiting requests.
+  bool m_RoomByPriority = true;
+  GateRanksOptions m_Ranks = {};
+  /// Interval at which next() is to be called while slots are left for more
+  /// urgent requests.
+  Duration m_RoomInterval = std::chrono::milliseconds(10);
   Duration m_MinRetryAfter = std::chrono::milliseconds(50);
   Duration m_MaxRetryAfter = std::chrono::seconds(2);
 };
@@ -95,6 +108,31 @@
 
 enum class GateVerdict : std::uint8_t { Send, Wait, Refuse };
 
+/// Why a request was refused.
+enum class GateRefusal : std::uint8_t {
+  None,
+  Closed,
+  DeadlineTooNear,
+  QueueFull,
+  WaitTooLong
+};
+
+constexpr std::string_view toString(GateRefusal Why) {
+  switch (Why) {
+  case GateRefusal::None:
+    return "";
+  case GateRefusal::Closed:
+    return "closed";
+  case GateRefusal::DeadlineTooNear:
+    return "deadline_too_near";
+  case GateRefusal::QueueFull:
+    return "queue_full";
+  case GateRefusal::WaitTooLong:
+    return "wait_too_long";
+  }
+  return "";
+}
+
 struct GateDecision {
   GateVerdict m_Verdict = GateVerdict::Refuse;
   /// Expected time until a slot is free for the request.
@@ -105,17 +143,19 @@
   /// A waiting request that has left the queue in favour of the new one; it
   /// wasn't sent.
   std::optional<RequestHandle> m_Displaced;
+  GateRefusal m_Why = GateRefusal::None;
 };
 
 /// Performs no I/O and reads no clock; not thread-safe. Invariants: running()
 /// grows only while it is below slots() and the gate is open; a queued request
 /// leaves the queue exactly once, by next(), expire(), withdraw(), close() or
-/// as GateDecision::m_Displaced. Without organisations, the order is that of
-/// priorities and objectives.
+/// as GateDecision::m_Displaced. Without organisations and with one priority,
+/// the order is that of objectives and no slot is left free.
 class RequestGate {
 public:
   explicit RequestGate(RequestGateOptions Options)
-      : m_Options(Options), m_Tokens(Options.m_MinBurst) {}
+      : m_Options(Options), m_Ranks(Options.m_Ranks),
+        m_Tokens(Options.m_MinBurst) {}
 
   /// Opens the gate: the target accepts \p Slots concurrent requests.
   void open(std::uint32_t Slots);
@@ -147,9 +187,11 @@
   bool withdraw(RequestHandle Request);
   /// Frees the slot of a request that was sent and has ended.
   ///
+  /// \param Priority that of the request.
   /// \param Served whether \p Service counts towards the expected service time
   ///        of the route.
-  void finished(const std::string &Route, Duration Service, bool Served);
+  void finished(const std::string &Route, std::uint32_t Priority,
+                Duration Service, bool Served);
 
   std::uint32_t running() const { return m_Running; }
   std::uint32_t slots() const { return m_Slots; }
@@ -171,6 +213,8 @@
     std::uint64_t m_Sequence;
     /// Equal for all nested requests.
     OrganisationTurns::Turn m_Turn;
+    /// As of the last updateRanks(); the lower is sent first.
+    std::int64_t m_Rank = 0;
   };
 
   /// The deadline of a nested request, the objective of any other.
@@ -181,7 +225,16 @@
   bool cannotMeetDeadline(const GateRequest &Request, TimePoint Now) const;
   /// Maximum time for which the request may be queued.
   Duration maxWait(const GateRequest &Request, TimePoint Now) const;
-  GateDecision refusal(Duration Wait) const;
+  GateDecision refusal(Duration Wait, GateRefusal Why) const;
+  /// Decides anew on slots to leave and ranks.
+  void updateRanks(TimePoint Now);
+  /// Whether a slot is free that needn't be left for more urgent requests.
+  bool hasSlotFor(const GateRequest &Request) const;
+  /// Whether all waiting requests are less urgent, so that they wait for slots
+  /// that are left free.
+  bool isBeforeAll(const Waiting &Offered) const;
+  /// Counts a request that occupies a slot from now on.
+  void start(const Waiting &Started, TimePoint Now);
   /// Whether \p Left is to be sent before \p Right.
   bool precedes(const Waiting &Left, const Waiting &Right, TimePoint Now) const;
   /// Whether the requests take their turns from the same organisation.
@@ -198,20 +251,23 @@
   /// Gives a turn to a request that is sent without waiting.
   void useTurn(const GateRequest &Request);
   /// Whether \p Offered may take the place of \p Other in a full queue.
-  static bool mayDisplace(const Waiting &Offered, const Waiting &Other);
+  bool mayDisplace(const Waiting &Offered, const Waiting &Other) const;
   /// The last waiting request that \p Offered may displace; m_Waiting.end() if
   /// there is none.
   std::vector<Waiting>::iterator lastDisplaceable(const Waiting &Offered,
                                                   TimePoint Now);
   /// Removes a waiting request in favour of \p Offered, which is about to be
   /// queued, if there isn't room for both or it can't be on time any more.
-  std::optional<RequestHandle> displaceFor(const Waiting &Offered,
-                                           TimePoint Now);
+  std::optional<GateRequest> displaceFor(const Waiting &Offered, TimePoint Now);
+  /// Queues a request, for which another may have to leave.
+  GateDecision admit(const Waiting &Offered, Duration Wait, TimePoint Now);
   bool isFull() const {
     return m_Waiting.size() >=
            std::size_t{m_Options.m_QueueLimitPerSlot} * m_Slots;
   }
-  Duration expectedWait(std::size_t Ahead, TimePoint Now) const;
+  /// \param Ahead number of waiting requests that are sent before.
+  Duration expectedWait(const GateRequest &Request, std::size_t Ahead,
+                        TimePoint Now) const;
   bool takeToken(TimePoint Now);
   bool hasNonNestedWaiting() const;
   /// Updates m_StartGap at the start of a request from the queue.
@@ -231,6 +287,7 @@
   std::vector<Waiting> m_Waiting;
   /// Turns of organisations by priority.
   std::map<std::uint32_t, OrganisationTurns> m_Turns;
+  GateRanks m_Ranks;
   /// Moving averages by route, in microseconds.
   std::map<std::string, double> m_Service;
   /// Over all routes, in microseconds; 0 before the first sample.
--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -62,18 +62,28 @@
          m_Options.m_MinServiceShare * micros(expectedService(Request.m_Route));
 }
 
-GateDecision RequestGate::refusal(Duration Wait) const {
+GateDecision RequestGate::refusal(Duration Wait, GateRefusal Why) const {
   return {.m_Verdict = GateVerdict::Refuse,
           .m_ExpectedWait = Wait,
           .m_RetryAfter = std::clamp(Wait, m_Options.m_MinRetryAfter,
-                                     m_Options.m_MaxRetryAfter)};
+                                     m_Options.m_MaxRetryAfter),
+          .m_Why = Why};
 }
 
-Duration RequestGate::expectedWait(std::size_t Ahead, TimePoint Now) const {
+Duration RequestGate::expectedWait(const GateRequest &Request,
+                                   std::size_t Ahead, TimePoint Now) const {
   double Wait = 0;
-  if (m_Running + Ahead >= m_Slots)
-    Wait = micros(meanService()) *
-           static_cast<double>(m_Running + Ahead - m_Slots + 1) / m_Slots;
+  const std::size_t Before =
+      m_Running + m_Ranks.slotsToLeave(Request.m_Priority) + Ahead;
+  // Slots that more urgent requests use don't become free for this one, and the
+  // others are used by requests like it.
+  const double Used = m_Ranks.slotsUsedBefore(Request.m_Priority);
+  const double Slots = std::max(m_Slots - Used, 1.0);
+  const Duration Service =
+      Used > 0 ? std::max(meanService(), expectedService(Request.m_Route))
+               : meanService();
+  if (Before >= m_Slots)
+    Wait = micros(Service) * static_cast<double>(Before - m_Slots + 1) / Slots;
   if (m_StartGap > 0 && Now - m_LastStart < m_Options.m_StartGapLifetime)
     Wait = std::max(Wait, m_StartGap * static_cast<double>(Ahead + 1));
   if (const double Rate = rateLimit(Now); Rate > 0) {
@@ -104,61 +114,87 @@
   m_Backlogged = hasNonNestedWaiting();
 }
 
+void RequestGate::start(const Waiting &Started, TimePoint Now) {
+  ++m_Running;
+  m_Ranks.started(Started.m_Request.m_Priority, Now);
+}
+
 GateDecision RequestGate::offer(const GateRequest &Request, TimePoint Now) {
-  if (!isOpen() || cannotMeetDeadline(Request, Now))
-    return refusal(meanService());
+  if (!isOpen())
+    return refusal(meanService(), GateRefusal::Closed);
+  if (cannotMeetDeadline(Request, Now))
+    return refusal(meanService(), GateRefusal::DeadlineTooNear);
   if (!Request.m_Nested)
     m_Turns[Request.m_Priority].arrived(Request.m_Organisation, Now);
+  m_Ranks.arrived(Request.m_Priority, expectedService(Request.m_Route),
+                  maxWait(Request, Now), Now);
+  updateRanks(Now);
   Waiting Offered{.m_Request = Request, .m_Sequence = m_NextSequence++};
-  if (m_Waiting.empty() && m_Running < m_Slots && takeToken(Now)) {
-    ++m_Running;
+  Offered.m_Rank = m_Options.m_RoomByPriority ? m_Ranks.rank(Request.m_Priority)
+                                              : Request.m_Priority;
+  if (isBeforeAll(Offered) && hasSlotFor(Request) && takeToken(Now)) {
+    start(Offered, Now);
     useTurn(Request);
+    if (!m_Waiting.empty() && !Request.m_Nested)
+      recordStart(Now);
     return {.m_Verdict = GateVerdict::Send};
   }
   Offered.m_Turn = turnOf(Offered);
-  const Duration Wait = expectedWait(countBefore(Offered, Now), Now);
-  const bool Room =
-      !isFull() || lastDisplaceable(Offered, Now) != m_Waiting.end();
-  if (!Room || Wait > maxWait(Request, Now))
-    return refusal(Wait);
-  const auto Displaced = displaceFor(Offered, Now);
+  const Duration Wait = expectedWait(Request, countBefore(Offered, Now), Now);
+  const bool TooLong = Wait > maxWait(Request, Now);
+  if (!TooLong &&
+      (!isFull() || lastDisplaceable(Offered, Now) != m_Waiting.end()))
+    return admit(Offered, Wait, Now);
+  m_Ranks.refused(Request.m_Priority, Now);
+  return refusal(Wait,
+                 TooLong ? GateRefusal::WaitTooLong : GateRefusal::QueueFull);
+}
+
+GateDecision RequestGate::admit(const Waiting &Offered, Duration Wait,
+                                TimePoint Now) {
+  GateDecision Result{.m_Verdict = GateVerdict::Wait, .m_ExpectedWait = Wait};
+  if (const auto Displaced = displaceFor(Offered, Now)) {
+    const Duration Longer = expectedWait(*Displaced, m_Waiting.size() + 1, Now);
+    Result.m_Displaced = Displaced->m_Handle;
+    Result.m_RetryAfter =
+        refusal(Longer, GateRefusal::WaitTooLong).m_RetryAfter;
+  }
   enqueue(Offered);
-  return {.m_Verdict = GateVerdict::Wait,
-          .m_ExpectedWait = Wait,
-          .m_RetryAfter =
-              Displaced
-                  ? refusal(expectedWait(m_Waiting.size(), Now)).m_RetryAfter
-                  : Duration::zero(),
-          .m_Displaced = Displaced};
+  return Result;
 }
 
-std::optional<RequestHandle> RequestGate::displaceFor(const Waiting &Offered,
-                                                      TimePoint Now) {
+std::optional<GateRequest> RequestGate::displaceFor(const Waiting &Offered,
+                                                    TimePoint Now) {
   const auto Last = lastDisplaceable(Offered, Now);
   if (Last == m_Waiting.end())
     return std::nullopt;
   // The new request and those before the last one.
   const std::size_t Ahead = countBefore(*Last, Now) + 1;
-  if (!isFull() && canBeOnTime(Last->m_Request, Now + expectedWait(Ahead, Now)))
+  const GateRequest &Request = Last->m_Request;
+  if (!isFull() &&
+      canBeOnTime(Request, Now + expectedWait(Request, Ahead, Now)))
     return std::nullopt;
   const Waiting Displaced = *Last;
   m_Waiting.erase(Last);
   giveTurnBack(Displaced);
-  return Displaced.m_Request.m_Handle;
+  m_Ranks.refused(Displaced.m_Request.m_Priority, Now);
+  return Displaced.m_Request;
 }
 
 std::optional<RequestHandle> RequestGate::next(TimePoint Now) {
   if (m_Running >= m_Slots || m_Waiting.empty())
     return std::nullopt;
-  auto Best = std::min_element(m_Waiting.begin(), m_Waiting.end(),
-                               [&](const Waiting &Left, const Waiting &Right) {
-                                 return precedes(Left, Right, Now);
-                               });
-  if (!takeToken(Now))
+  updateRanks(Now);
+  auto Best = m_Waiting.end();
+  for (auto Each = m_Waiting.begin(); Each != m_Waiting.end(); ++Each)
+    if (hasSlotFor(Each->m_Request) &&
+        (Best == m_Waiting.end() || precedes(*Each, *Best, Now)))
+      Best = Each;
+  if (Best == m_Waiting.end() || !takeToken(Now))
     return std::nullopt;
   const Waiting Sent = *Best;
   m_Waiting.erase(Best);
-  ++m_Running;
+  start(Sent, Now);
   if (!Sent.m_Request.m_Nested) {
     m_Turns[Sent.m_Request.m_Priority].sent(Sent.m_Turn);
     recordStart(Now);
@@ -167,6 +203,7 @@
 }
 
 std::vector<RequestHandle> RequestGate::expire(TimePoint Now) {
+  updateRanks(Now);
   const bool Contended =
       std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const Waiting &Each) {
         return canBeOnTime(Each.m_Request, Now);
@@ -185,6 +222,7 @@
   Result.reserve(Dropped.size());
   for (const Waiting &Each : Dropped) {
     giveTurnBack(Each);
+    m_Ranks.refused(Each.m_Request.m_Priority, Now);
     Result.push_back(Each.m_Request.m_Handle);
   }
   m_Backlogged = m_Backlogged && hasNonNestedWaiting();
@@ -204,8 +242,9 @@
   return true;
 }
 
-void RequestGate::finished(const std::string &Route, Duration Service,
-                           bool Served) {
+void RequestGate::finished(const std::string &Route, std::uint32_t Priority,
+                           Duration Service, bool Served) {
+  m_Ranks.finished(Priority);
   if (m_Running > 0)
     --m_Running;
   if (!Served)
--- a/src/load/request_gate_limits.cpp
+++ b/src/load/request_gate_limits.cpp
@@ -93,10 +93,14 @@
   if (m_Waiting.empty())
     return std::nullopt;
   const double Rate = rateLimit(Now);
+  const double Missing = 1 - availableTokens(Now);
+  // Otherwise the queue is empty unless slots are left for others.
+  if (m_Running < m_Slots && m_Options.m_RoomByPriority && m_Ranks.size() > 1 &&
+      (Rate == 0 || Missing <= 0))
+    return Now + m_Options.m_RoomInterval;
   // The wake-up is at least 1000 microseconds away.
   if (Rate > 0 && m_Running < m_Slots)
-    return Now + fromMicros(
-                     std::max(1000.0, (1 - availableTokens(Now)) / Rate * 1e6));
+    return Now + fromMicros(std::max(1000.0, Missing / Rate * 1e6));
   return std::nullopt;
 }
 
--- a/src/load/request_gate_order.cpp
+++ b/src/load/request_gate_order.cpp
@@ -6,6 +6,25 @@
 
 namespace balsamwheel {
 
+void RequestGate::updateRanks(TimePoint Now) {
+  if (!m_Options.m_RoomByPriority)
+    return;
+  m_Ranks.update(meanService() / std::max(m_Slots, 1U), meanService(), Now);
+  for (Waiting &Each : m_Waiting)
+    Each.m_Rank = m_Ranks.rank(Each.m_Request.m_Priority);
+}
+
+bool RequestGate::hasSlotFor(const GateRequest &Request) const {
+  return m_Running + m_Ranks.slotsToLeave(Request.m_Priority) < m_Slots;
+}
+
+bool RequestGate::isBeforeAll(const Waiting &Offered) const {
+  return std::all_of(
+      m_Waiting.begin(), m_Waiting.end(), [&](const Waiting &Each) {
+        return m_Options.m_RoomByPriority && Offered.m_Rank < Each.m_Rank;
+      });
+}
+
 TimePoint RequestGate::dueBy(const GateRequest &Request) const {
   return Request.m_Nested ? Request.m_Deadline : Request.m_Objective;
 }
@@ -16,10 +35,12 @@
   const bool RightOnTime = canBeOnTime(Right.m_Request, Now);
   if (LeftOnTime != RightOnTime)
     return LeftOnTime;
+  if (m_Options.m_RoomByPriority && Left.m_Rank != Right.m_Rank)
+    return Left.m_Rank < Right.m_Rank;
   if (Left.m_Request.m_Nested != Right.m_Request.m_Nested)
     return Left.m_Request.m_Nested;
-  if (Left.m_Request.m_Priority != Right.m_Request.m_Priority)
-    return Left.m_Request.m_Priority < Right.m_Request.m_Priority;
+  if (Left.m_Rank != Right.m_Rank)
+    return Left.m_Rank < Right.m_Rank;
   if (Left.m_Turn.m_Start != Right.m_Turn.m_Start)
     return Left.m_Turn.m_Start < Right.m_Turn.m_Start;
   if (dueBy(Left.m_Request) != dueBy(Right.m_Request))
@@ -100,7 +121,10 @@
   Turns.sent(Used);
 }
 
-bool RequestGate::mayDisplace(const Waiting &Offered, const Waiting &Other) {
+bool RequestGate::mayDisplace(const Waiting &Offered,
+                              const Waiting &Other) const {
+  if (m_Options.m_RoomByPriority && Offered.m_Rank != Other.m_Rank)
+    return Offered.m_Rank < Other.m_Rank;
   const GateRequest &New = Offered.m_Request;
   const GateRequest &Old = Other.m_Request;
   return !New.m_Nested && !Old.m_Nested && New.m_Priority == Old.m_Priority &&
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -72,8 +72,12 @@
   return Entry.m_Route != nullptr;
 }
 
-bool Entrance::authenticate(ActiveRequest &Entry) {
-  Entry.m_Priority = Entry.m_Route->m_Priority;
+bool Entrance::authenticate(ActiveRequest &Entry) const {
+  // A nested request is as urgent as what its parent's caller waits for.
+  Entry.m_Priority =
+      (Entry.m_Nested ? m_Agent.runningPriority(*Entry.m_Metadata.m_ParentId)
+                      : std::nullopt)
+          .value_or(Entry.m_Route->m_Priority);
   const OrganisationDirectory &Organisations = Entry.m_Table->organisations();
   if (Organisations.empty() || Entry.m_Route->m_Public || Entry.m_Nested)
     return true;
@@ -396,6 +400,9 @@
                                : RefusalKind::Unavailable,
       Duration(static_cast<Duration::rep>(
           static_cast<double>(micros(RetryAfter)) * Spread)));
+  const ActiveRequest &Entry = m_Active.at(Request);
+  m_Metrics.requestRefused(Entry.m_Service.value(), Entry.m_Priority,
+                           toString(Why));
   answer(Request, std::move(Answer), "refused", Why);
 }
 
@@ -422,6 +429,7 @@
           .add("service", Entry.m_Service.value())
           .add("organisation",
                Entry.m_Organisation ? Entry.m_Organisation->value() : "")
+          .add("priority", std::int64_t{Entry.m_Priority})
           .add("nested", std::int64_t{Entry.m_Nested})
           .add("key",
                std::int64_t{Entry.m_Metadata.m_Key ? *Entry.m_Metadata.m_Key
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -118,7 +118,7 @@
   static bool matchRoute(ActiveRequest &Entry);
   /// Finds the organisation by the API key, and sets the priority.
   /// \returns false when the key is needed and unknown.
-  static bool authenticate(ActiveRequest &Entry);
+  bool authenticate(ActiveRequest &Entry) const;
   /// Sets the service, the latency objective and the deadline.
   void applyRoute(ActiveRequest &Entry);
   /// Chooses an instance and forwards the request to it; refuses the request or
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -10,6 +10,9 @@
 const prometheus::Histogram::BucketBoundaries LatencySeconds{
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 5};
 
+/// Less urgent priorities share one label.
+constexpr std::uint32_t HighestPriorityLabel = 7;
+
 } // namespace
 
 RouterMetrics::RouterMetrics()
@@ -18,6 +21,11 @@
                      .Name("balsamwheel_requests_total")
                      .Help("Requests of callers, by service and outcome")
                      .Register(*m_Registry)),
+      m_Refusals(prometheus::BuildCounter()
+                     .Name("balsamwheel_refusals_total")
+                     .Help("Requests that were refused without having run, by "
+                           "service, priority and reason")
+                     .Register(*m_Registry)),
       m_Latency(prometheus::BuildHistogram()
                     .Name("balsamwheel_request_seconds")
                     .Help("Time from reading a request to its answer")
@@ -53,6 +61,19 @@
       .Observe(static_cast<double>(Took.count()) / 1e6);
 }
 
+void RouterMetrics::requestRefused(const std::string &Service,
+                                   std::uint32_t Priority,
+                                   std::string_view Reason) {
+  const std::string Label = Priority < HighestPriorityLabel
+                                ? std::to_string(Priority)
+                                : std::to_string(HighestPriorityLabel) + "+";
+  m_Refusals
+      .Add({{"service", Service},
+            {"priority", Label},
+            {"reason", std::string(Reason)}})
+      .Increment();
+}
+
 void RouterMetrics::tableCall(const std::string &Call, const std::string &End) {
   m_TableCalls.Add({{"call", Call}, {"end", End}}).Increment();
 }
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace balsamwheel {
 
@@ -22,6 +23,11 @@
   /// \param Outcome a short fixed text.
   void requestEnded(const std::string &Service, const std::string &Outcome,
                     Duration Took);
+  /// Counts a request that was refused without having run.
+  /// \param Priority those of 7 and above share a label.
+  /// \param Reason a short fixed text.
+  void requestRefused(const std::string &Service, std::uint32_t Priority,
+                      std::string_view Reason);
   void tableCall(const std::string &Call, const std::string &End);
   void gate(std::uint32_t Running, std::size_t Waiting);
   void configVersion(std::uint64_t Version);
@@ -34,6 +40,7 @@
 private:
   std::shared_ptr<prometheus::Registry> m_Registry;
   prometheus::Family<prometheus::Counter> &m_Requests;
+  prometheus::Family<prometheus::Counter> &m_Refusals;
   prometheus::Family<prometheus::Histogram> &m_Latency;
   prometheus::Family<prometheus::Counter> &m_TableCalls;
   prometheus::Family<prometheus::Gauge> &m_Gate;
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -239,47 +239,13 @@
     offer(Each);
 }
 
-void TargetAgent::offer(JobId Id) {
-  closeIfDue();
-  const Job &Entry = m_Jobs.at(Id);
-  const GateDecision Decision =
-      m_Gate.offer({.m_Handle = Id,
-                    .m_Route = Entry.m_Job.m_Route,
-                    .m_Priority = Entry.m_Job.m_Priority,
-                    .m_Organisation = Entry.m_Job.m_Organisation,
-                    .m_Nested = Entry.m_Job.m_Nested,
-                    .m_Objective = Entry.m_Job.m_Objective,
-                    .m_Deadline = Entry.m_Job.m_Deadline},
-                   m_Loop.now());
-  if (Decision.m_Displaced)
-    finish(*Decision.m_Displaced, {.m_Outcome = Outcome::Wait,
-                                   .m_Reason = Reason::Overloaded,
-                                   .m_RetryAfter = Decision.m_RetryAfter});
-  switch (Decision.m_Verdict) {
-  case GateVerdict::Send:
-    return send(Id);
-  case GateVerdict::Wait:
-    if (m_Gate.waiting() == 1)
-      expireWaiting();
-    return sendQueued();
-  case GateVerdict::Refuse:
-    break;
-  }
-  const Reason Why = m_Gate.isOpen() ? Reason::Overloaded
-                     : m_Leaving     ? Reason::Draining
-                     : m_Evacuated   ? Reason::DomainOut
-                                     : Reason::TargetFailed;
-  finish(Id, {.m_Outcome = Outcome::Wait,
-              .m_Reason = Why,
-              .m_RetryAfter = Decision.m_RetryAfter});
-}
-
 void TargetAgent::send(JobId Id) {
   Job &Entry = m_Jobs.at(Id);
   const TimePoint Now = m_Loop.now();
   const Duration TimeLeft = Entry.m_Job.m_Deadline - Now;
   if (const auto Refused = m_Suspects.refusedFor(Entry.m_Job.m_Digest, Now)) {
-    m_Gate.finished(Entry.m_Job.m_Route, Duration::zero(), false);
+    m_Gate.finished(Entry.m_Job.m_Route, Entry.m_Job.m_Priority,
+                    Duration::zero(), false);
     finish(Id, {.m_Outcome = Outcome::Wait,
                 .m_Reason = Reason::CrashesTargets,
                 .m_RetryAfter = *Refused});
@@ -287,7 +253,8 @@
   }
   const bool KeyLost = Entry.m_Job.m_Key && !m_Keys->holds(*Entry.m_Job.m_Key);
   if (TimeLeft < MinTimeLeft || KeyLost) {
-    m_Gate.finished(Entry.m_Job.m_Route, Duration::zero(), false);
+    m_Gate.finished(Entry.m_Job.m_Route, Entry.m_Job.m_Priority,
+                    Duration::zero(), false);
     finish(Id,
            {.m_Outcome = Outcome::NotRun,
             .m_Reason = KeyLost ? Reason::NotOwner : Reason::DeadlinePassed});
@@ -295,7 +262,7 @@
   }
   Entry.m_Sent = true;
   Entry.m_SentAt = Now;
-  m_RunningIds.insert(Entry.m_Job.m_Id);
+  m_RunningIds.emplace(Entry.m_Job.m_Id, Entry.m_Job.m_Priority);
   if (Entry.m_Job.m_Repeated)
     m_RunningRepeats.insert(Entry.m_Job.m_Id);
   m_Format.addTargetMetadata(
@@ -381,7 +348,8 @@
                     .add("outcome", toString(JobResult.m_Outcome))
                     .add("running", std::int64_t{m_Gate.running()})
                     .add("took", ServiceTime));
-  m_Gate.finished(Entry.m_Job.m_Route, ServiceTime, Served);
+  m_Gate.finished(Entry.m_Job.m_Route, Entry.m_Job.m_Priority, ServiceTime,
+                  Served);
   if (Result.m_CallOutcome == HttpCallOutcome::NotSent)
     onConnectionRefused();
   finish(Id, std::move(JobResult));
@@ -409,14 +377,25 @@
                                          1000 * m_NamedLimit.value_or(0))));
 }
 
+std::optional<std::uint32_t>
+TargetAgent::runningPriority(const std::string &RequestId) const {
+  std::optional<std::uint32_t> Result;
+  const auto [First, Last] = m_RunningIds.equal_range(RequestId);
+  for (auto Each = First; Each != Last; ++Each)
+    Result = std::min(Result.value_or(Each->second), Each->second);
+  return Result;
+}
+
 void TargetAgent::forgetRunning(const TargetJob &Request) {
-  const auto EraseOne = [&](std::multiset<std::string> &Ids) {
-    if (auto Found = Ids.find(Request.m_Id); Found != Ids.end())
-      Ids.erase(Found);
-  };
-  EraseOne(m_RunningIds);
-  if (Request.m_Repeated)
-    EraseOne(m_RunningRepeats);
+  const auto [First, Last] = m_RunningIds.equal_range(Request.m_Id);
+  const auto Found = std::find_if(First, Last, [&](const auto &Each) {
+    return Each.second == Request.m_Priority;
+  });
+  if (Found != Last)
+    m_RunningIds.erase(Found);
+  if (auto Repeat = m_RunningRepeats.find(Request.m_Id);
+      Request.m_Repeated && Repeat != m_RunningRepeats.end())
+    m_RunningRepeats.erase(Repeat);
 }
 
 void TargetAgent::onConnectionRefused() {
@@ -478,29 +457,10 @@
   }
   forgetRunning(Entry.m_Job);
   m_Client->cancel(Entry.m_Call);
-  m_Gate.finished(Entry.m_Job.m_Route, Duration::zero(), false);
+  m_Gate.finished(Entry.m_Job.m_Route, Entry.m_Job.m_Priority, Duration::zero(),
+                  false);
   m_Jobs.erase(Found);
   sendQueued();
 }
 
-void TargetAgent::sendQueued() {
-  closeIfDue();
-  while (auto Next = m_Gate.next(m_Loop.now()))
-    send(*Next);
-  m_Loop.cancel(m_SendTimer);
-  if (const auto Wake = m_Gate.nextWake(m_Loop.now()))
-    m_SendTimer = m_Loop.after(*Wake - m_Loop.now(), [this] { sendQueued(); });
-}
-
-void TargetAgent::expireWaiting() {
-  m_Loop.cancel(m_ExpireTimer);
-  for (JobId Each : m_Gate.expire(m_Loop.now()))
-    finish(Each, {.m_Outcome = Outcome::Wait,
-                  .m_Reason = Reason::DeadlinePassed,
-                  .m_RetryAfter = m_Gate.meanService()});
-  if (m_Gate.waiting() > 0)
-    m_ExpireTimer = m_Loop.after(m_Options.m_Gate.m_ExpireInterval,
-                                 [this] { expireWaiting(); });
-}
-
 } // namespace balsamwheel
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace balsamwheel {
 
@@ -141,6 +142,10 @@
   bool isRunning(const std::string &RequestId) const {
     return m_RunningIds.contains(RequestId);
   }
+  /// Priority of the request with this id that the target is running; the most
+  /// urgent if there are several, none if there is none.
+  std::optional<std::uint32_t>
+  runningPriority(const std::string &RequestId) const;
   /// Whether the target is running a repeated request with this id.
   bool isRunningRepeat(const std::string &RequestId) const {
     return m_RunningRepeats.contains(RequestId);
@@ -193,6 +198,10 @@
   /// How long a request may wait for a key that is to be granted.
   Duration grantWaitLimit(const TargetJob &Entry) const;
   void offer(JobId Id);
+  /// Refuses a request that the gate doesn't send.
+  /// \param Cause what happened at the gate, for the log.
+  void refuseWaiting(JobId Id, std::string_view Cause, Reason Why,
+                     Duration RetryAfter);
   void send(JobId Id);
   void callEnded(JobId Id, HttpCallResult Result);
   /// Handles what the target says about itself in an answer of this kind.
@@ -247,8 +256,8 @@
   EventLoop::TimerId m_ExpireTimer;
   std::uint64_t m_LastJob = 0;
   std::map<JobId, Job> m_Jobs;
-  /// Ids of the requests that the target is running.
-  std::multiset<std::string> m_RunningIds;
+  /// Priorities of the requests that the target is running, by their ids.
+  std::multimap<std::string, std::uint32_t> m_RunningIds;
   /// Those of m_RunningIds whose requests are repeats.
   std::multiset<std::string> m_RunningRepeats;
   /// Jobs that wait for their keys to be granted with the next heartbeat.
