Tell refused callers to return one after the other

Cause: Retry-After was the wait of a single request, so the refused part of a burst returned at once and was refused again. Change: each refusal is told a time after the earlier ones that are still to come, spaced by the starts that the usual load leaves, and not later than the caller can still be served.

--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -28,6 +28,7 @@
 #include "balsamwheel/detail/core/time.h"
 #include "balsamwheel/detail/load/gate_ranks.h"
 #include "balsamwheel/detail/load/organisation_turns.h"
+#include "balsamwheel/detail/load/return_schedule.h"
 
 #include <cstdint>
 #include <map>
@@ -84,8 +85,10 @@
   /// Interval at which next() is to be called while slots are left for more
   /// urgent requests.
   Duration m_RoomInterval = std::chrono::milliseconds(10);
+  /// Whether refused callers are told to return one after the other.
+  bool m_ScheduleReturns = true;
   Duration m_MinRetryAfter = std::chrono::milliseconds(50);
-  Duration m_MaxRetryAfter = std::chrono::seconds(2);
+  Duration m_MaxRetryAfter = std::chrono::seconds(4);
 };
 
 /// The properties of a request that decide on its admission and order.
@@ -225,7 +228,12 @@
   bool cannotMeetDeadline(const GateRequest &Request, TimePoint Now) const;
   /// Maximum time for which the request may be queued.
   Duration maxWait(const GateRequest &Request, TimePoint Now) const;
-  GateDecision refusal(Duration Wait, GateRefusal Why) const;
+  /// Refuses a request whose wait would be \p Wait.
+  GateDecision refusal(const GateRequest &Request, Duration Wait,
+                       GateRefusal Why, TimePoint Now);
+  /// Time after which the caller of a refused request is to return: not later
+  /// than it can still be served.
+  Duration retryAfter(const GateRequest &Request, Duration Wait, TimePoint Now);
   /// Decides anew on slots to leave and ranks.
   void updateRanks(TimePoint Now);
   /// Whether a slot is free that needn't be left for more urgent requests.
@@ -288,6 +296,8 @@
   /// Turns of organisations by priority.
   std::map<std::uint32_t, OrganisationTurns> m_Turns;
   GateRanks m_Ranks;
+  /// Returns of refused callers by priority.
+  std::map<std::uint32_t, ReturnSchedule> m_Returns;
   /// Moving averages by route, in microseconds.
   std::map<std::string, double> m_Service;
   /// Over all routes, in microseconds; 0 before the first sample.
--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -62,14 +62,32 @@
          m_Options.m_MinServiceShare * micros(expectedService(Request.m_Route));
 }
 
-GateDecision RequestGate::refusal(Duration Wait, GateRefusal Why) const {
+GateDecision RequestGate::refusal(const GateRequest &Request, Duration Wait,
+                                  GateRefusal Why, TimePoint Now) {
   return {.m_Verdict = GateVerdict::Refuse,
           .m_ExpectedWait = Wait,
-          .m_RetryAfter = std::clamp(Wait, m_Options.m_MinRetryAfter,
-                                     m_Options.m_MaxRetryAfter),
+          .m_RetryAfter = retryAfter(Request, Wait, Now),
           .m_Why = Why};
 }
 
+Duration RequestGate::retryAfter(const GateRequest &Request, Duration Wait,
+                                 TimePoint Now) {
+  if (!m_Options.m_ScheduleReturns || !isOpen())
+    return std::clamp(Wait, m_Options.m_MinRetryAfter,
+                      m_Options.m_MaxRetryAfter);
+  const double Useful =
+      micros(Request.m_Deadline - Now) -
+      m_Options.m_MinServiceShare * micros(expectedService(Request.m_Route));
+  const Duration Longest = std::clamp(
+      fromMicros(Useful), m_Options.m_MinRetryAfter, m_Options.m_MaxRetryAfter);
+  double StartGap = micros(meanService()) / m_Slots;
+  if (const double Rate = rateLimit(Now); Rate > 0)
+    StartGap = std::max(StartGap, 1e6 / Rate);
+  return m_Returns[Request.m_Priority].next(
+      std::max(Wait, m_Options.m_MinRetryAfter), fromMicros(StartGap), Longest,
+      Now);
+}
+
 Duration RequestGate::expectedWait(const GateRequest &Request,
                                    std::size_t Ahead, TimePoint Now) const {
   double Wait = 0;
@@ -121,9 +139,10 @@
 
 GateDecision RequestGate::offer(const GateRequest &Request, TimePoint Now) {
   if (!isOpen())
-    return refusal(meanService(), GateRefusal::Closed);
+    return refusal(Request, meanService(), GateRefusal::Closed, Now);
   if (cannotMeetDeadline(Request, Now))
-    return refusal(meanService(), GateRefusal::DeadlineTooNear);
+    return refusal(Request, meanService(), GateRefusal::DeadlineTooNear, Now);
+  m_Returns[Request.m_Priority].arrived(Now);
   if (!Request.m_Nested)
     m_Turns[Request.m_Priority].arrived(Request.m_Organisation, Now);
   m_Ranks.arrived(Request.m_Priority, expectedService(Request.m_Route),
@@ -146,8 +165,9 @@
       (!isFull() || lastDisplaceable(Offered, Now) != m_Waiting.end()))
     return admit(Offered, Wait, Now);
   m_Ranks.refused(Request.m_Priority, Now);
-  return refusal(Wait,
-                 TooLong ? GateRefusal::WaitTooLong : GateRefusal::QueueFull);
+  return refusal(Request, Wait,
+                 TooLong ? GateRefusal::WaitTooLong : GateRefusal::QueueFull,
+                 Now);
 }
 
 GateDecision RequestGate::admit(const Waiting &Offered, Duration Wait,
@@ -156,8 +176,7 @@
   if (const auto Displaced = displaceFor(Offered, Now)) {
     const Duration Longer = expectedWait(*Displaced, m_Waiting.size() + 1, Now);
     Result.m_Displaced = Displaced->m_Handle;
-    Result.m_RetryAfter =
-        refusal(Longer, GateRefusal::WaitTooLong).m_RetryAfter;
+    Result.m_RetryAfter = retryAfter(*Displaced, Longer, Now);
   }
   enqueue(Offered);
   return Result;
