--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -1,4 +1,4 @@
-// Admission, queue order and refusal of requests to one target.
+// Admission, start and refusal of requests to one target.
 #include "balsamwheel/detail/load/request_gate.h"
 
 #include <algorithm>
@@ -29,59 +29,6 @@
   return Result;
 }
 
-void RequestGate::creditTokens(TimePoint Now) {
-  m_Tokens = rateLimit(Now) > 0 ? availableTokens(Now) : m_Options.m_MinBurst;
-  m_TokensAt = Now;
-}
-
-void RequestGate::limitRate(double Rate, TimePoint Until, TimePoint Now) {
-  creditTokens(Now);
-  m_ColdRate = Rate;
-  m_ColdUntil = Until;
-}
-
-void RequestGate::setNamedLimit(std::optional<double> Rate, TimePoint Now) {
-  creditTokens(Now);
-  m_NamedLimit = Rate;
-  if (m_NamedLimit)
-    m_NamedLimit = std::max(*m_NamedLimit, m_Options.m_MinLimit);
-}
-
-double RequestGate::rateLimit(TimePoint Now) const {
-  const double Cold = Now < m_ColdUntil ? m_ColdRate : 0;
-  if (!m_NamedLimit)
-    return Cold;
-  return Cold > 0 ? std::min(Cold, *m_NamedLimit) : *m_NamedLimit;
-}
-
-double RequestGate::burst(TimePoint Now) const {
-  if (Now < m_ColdUntil)
-    return m_Options.m_MinBurst;
-  return std::max(m_Options.m_MinBurst, m_NamedLimit.value_or(0) *
-                                            micros(m_Options.m_LimitBurst) /
-                                            1e6);
-}
-
-double RequestGate::availableTokens(TimePoint Now) const {
-  return std::min(burst(Now),
-                  m_Tokens + rateLimit(Now) * micros(Now - m_TokensAt) / 1e6);
-}
-
-double RequestGate::spareTokens(TimePoint Now) const {
-  return availableTokens(Now) - static_cast<double>(m_Waiting.size());
-}
-
-bool RequestGate::takeToken(TimePoint Now) {
-  if (rateLimit(Now) == 0)
-    return true;
-  const double Tokens = availableTokens(Now);
-  if (Tokens < 1)
-    return false;
-  m_Tokens = Tokens - 1;
-  m_TokensAt = Now;
-  return true;
-}
-
 Duration RequestGate::expectedService(const std::string &Route) const {
   if (auto Found = m_Service.find(Route); Found != m_Service.end())
     return fromMicros(Found->second);
@@ -93,10 +40,6 @@
                            : m_Options.m_InitialService;
 }
 
-TimePoint RequestGate::dueBy(const GateRequest &Request) const {
-  return Request.m_Nested ? Request.m_Deadline : Request.m_Objective;
-}
-
 bool RequestGate::canBeOnTime(const GateRequest &Request, TimePoint Now) const {
   return micros(dueBy(Request) - Now) >=
          m_Options.m_FastServiceShare *
@@ -119,33 +62,47 @@
          m_Options.m_MinServiceShare * micros(expectedService(Request.m_Route));
 }
 
-GateDecision RequestGate::refusal(Duration Wait) const {
+GateDecision RequestGate::refusal(const GateRequest &Request, Duration Wait,
+                                  GateRefusal Why, TimePoint Now) {
   return {.m_Verdict = GateVerdict::Refuse,
           .m_ExpectedWait = Wait,
-          .m_RetryAfter = std::clamp(Wait, m_Options.m_MinRetryAfter,
-                                     m_Options.m_MaxRetryAfter)};
+          .m_RetryAfter = retryAfter(Request, Wait, Now),
+          .m_Why = Why};
 }
 
-bool RequestGate::precedes(const Waiting &Left, const Waiting &Right,
-                           TimePoint Now) const {
-  const bool LeftOnTime = canBeOnTime(Left.m_Request, Now);
-  const bool RightOnTime = canBeOnTime(Right.m_Request, Now);
-  if (LeftOnTime != RightOnTime)
-    return LeftOnTime;
-  if (Left.m_Request.m_Nested != Right.m_Request.m_Nested)
-    return Left.m_Request.m_Nested;
-  if (Left.m_Request.m_Priority != Right.m_Request.m_Priority)
-    return Left.m_Request.m_Priority < Right.m_Request.m_Priority;
-  if (dueBy(Left.m_Request) != dueBy(Right.m_Request))
-    return dueBy(Left.m_Request) < dueBy(Right.m_Request);
-  return Left.m_Sequence < Right.m_Sequence;
+Duration RequestGate::retryAfter(const GateRequest &Request, Duration Wait,
+                                 TimePoint Now) {
+  if (!m_Options.m_ScheduleReturns || !isOpen())
+    return std::clamp(Wait, m_Options.m_MinRetryAfter,
+                      m_Options.m_MaxRetryAfter);
+  const double Useful =
+      micros(Request.m_Deadline - Now) -
+      m_Options.m_MinServiceShare * micros(expectedService(Request.m_Route));
+  const Duration Longest =
+      std::clamp(fromMicros(Useful), m_Options.m_MinRetryAfter,
+                 m_Options.m_MaxScheduledReturn);
+  double StartGap = micros(meanService()) / m_Slots;
+  if (const double Rate = rateLimit(Now); Rate > 0)
+    StartGap = std::max(StartGap, 1e6 / Rate);
+  return m_Returns[Request.m_Priority].next(
+      std::max(Wait, m_Options.m_MinRetryAfter), fromMicros(StartGap), Longest,
+      Now);
 }
 
-Duration RequestGate::expectedWait(std::size_t Ahead, TimePoint Now) const {
+Duration RequestGate::expectedWait(const GateRequest &Request,
+                                   std::size_t Ahead, TimePoint Now) const {
   double Wait = 0;
-  if (m_Running + Ahead >= m_Slots)
-    Wait = micros(meanService()) *
-           static_cast<double>(m_Running + Ahead - m_Slots + 1) / m_Slots;
+  const std::size_t Before =
+      m_Running + m_Ranks.slotsToLeave(Request.m_Priority) + Ahead;
+  // Slots that more urgent requests use don't become free for this one, and the
+  // others are used by requests like it.
+  const double Used = m_Ranks.slotsUsedBefore(Request.m_Priority);
+  const double Slots = std::max(m_Slots - Used, 1.0);
+  const Duration Service =
+      Used > 0 ? std::max(meanService(), expectedService(Request.m_Route))
+               : meanService();
+  if (Before >= m_Slots)
+    Wait = micros(Service) * static_cast<double>(Before - m_Slots + 1) / Slots;
   if (m_StartGap > 0 && Now - m_LastStart < m_Options.m_StartGapLifetime)
     Wait = std::max(Wait, m_StartGap * static_cast<double>(Ahead + 1));
   if (const double Rate = rateLimit(Now); Rate > 0) {
@@ -176,95 +133,138 @@
   m_Backlogged = hasNonNestedWaiting();
 }
 
+void RequestGate::start(const Waiting &Started, TimePoint Now) {
+  ++m_Running;
+  m_Ranks.started(Started.m_Request.m_Priority, Now);
+}
+
 GateDecision RequestGate::offer(const GateRequest &Request, TimePoint Now) {
-  if (!isOpen() || cannotMeetDeadline(Request, Now))
-    return refusal(meanService());
-  const Waiting Offered{.m_Request = Request, .m_Sequence = m_NextSequence++};
-  if (m_Waiting.empty() && m_Running < m_Slots && takeToken(Now)) {
-    ++m_Running;
+  if (!isOpen())
+    return refusal(Request, meanService(), GateRefusal::Closed, Now);
+  if (cannotMeetDeadline(Request, Now))
+    return refusal(Request, meanService(), GateRefusal::DeadlineTooNear, Now);
+  m_Returns[Request.m_Priority].arrived(Now);
+  if (!Request.m_Nested)
+    m_Turns[Request.m_Priority].arrived(Request.m_Organisation, Now);
+  m_Ranks.arrived(Request.m_Priority, expectedService(Request.m_Route),
+                  maxWait(Request, Now), Now);
+  updateRanks(Now);
+  Waiting Offered{.m_Request = Request, .m_Sequence = m_NextSequence++};
+  Offered.m_Rank = m_Options.m_RoomByPriority ? m_Ranks.rank(Request.m_Priority)
+                                              : Request.m_Priority;
+  if (isBeforeAll(Offered) && hasSlotFor(Request) && takeToken(Now)) {
+    start(Offered, Now);
+    useTurn(Request);
+    if (!m_Waiting.empty() && !Request.m_Nested)
+      recordStart(Now);
     return {.m_Verdict = GateVerdict::Send};
   }
-  const auto Ahead = static_cast<std::size_t>(std::count_if(
-      m_Waiting.begin(), m_Waiting.end(),
-      [&](const Waiting &Each) { return precedes(Each, Offered, Now); }));
-  const Duration Wait = expectedWait(Ahead, Now);
-  const bool Room =
-      m_Waiting.size() < std::size_t{m_Options.m_QueueLimitPerSlot} * m_Slots;
-  if (Room && Wait <= maxWait(Request, Now)) {
-    m_Waiting.push_back(Offered);
-    return {.m_Verdict = GateVerdict::Wait, .m_ExpectedWait = Wait};
+  Offered.m_Turn = turnOf(Offered);
+  const Duration Wait = expectedWait(Request, countBefore(Offered, Now), Now);
+  const bool TooLong = Wait > maxWait(Request, Now);
+  if (!TooLong &&
+      (!isFull() || lastDisplaceable(Offered, Now) != m_Waiting.end()))
+    return admit(Offered, Wait, Now);
+  m_Ranks.refused(Request.m_Priority, Now);
+  return refusal(Request, Wait,
+                 TooLong ? GateRefusal::WaitTooLong : GateRefusal::QueueFull,
+                 Now);
+}
+
+GateDecision RequestGate::admit(const Waiting &Offered, Duration Wait,
+                                TimePoint Now) {
+  GateDecision Result{.m_Verdict = GateVerdict::Wait, .m_ExpectedWait = Wait};
+  if (const auto Displaced = displaceFor(Offered, Now)) {
+    const Duration Longer = expectedWait(*Displaced, m_Waiting.size() + 1, Now);
+    Result.m_Displaced = Displaced->m_Handle;
+    Result.m_RetryAfter = retryAfter(*Displaced, Longer, Now);
   }
-  return refusal(Wait);
+  enqueue(Offered);
+  return Result;
+}
+
+std::optional<GateRequest> RequestGate::displaceFor(const Waiting &Offered,
+                                                    TimePoint Now) {
+  const auto Last = lastDisplaceable(Offered, Now);
+  if (Last == m_Waiting.end())
+    return std::nullopt;
+  // The new request and those before the last one.
+  const std::size_t Ahead = countBefore(*Last, Now) + 1;
+  const GateRequest &Request = Last->m_Request;
+  if (!isFull() &&
+      canBeOnTime(Request, Now + expectedWait(Request, Ahead, Now)))
+    return std::nullopt;
+  const Waiting Displaced = *Last;
+  m_Waiting.erase(Last);
+  giveTurnBack(Displaced);
+  m_Ranks.refused(Displaced.m_Request.m_Priority, Now);
+  return Displaced.m_Request;
 }
 
 std::optional<RequestHandle> RequestGate::next(TimePoint Now) {
   if (m_Running >= m_Slots || m_Waiting.empty())
     return std::nullopt;
-  auto Best = std::min_element(m_Waiting.begin(), m_Waiting.end(),
-                               [&](const Waiting &Left, const Waiting &Right) {
-                                 return precedes(Left, Right, Now);
-                               });
-  if (!takeToken(Now))
+  updateRanks(Now);
+  auto Best = m_Waiting.end();
+  for (auto Each = m_Waiting.begin(); Each != m_Waiting.end(); ++Each)
+    if (hasSlotFor(Each->m_Request) &&
+        (Best == m_Waiting.end() || precedes(*Each, *Best, Now)))
+      Best = Each;
+  if (Best == m_Waiting.end() || !takeToken(Now))
     return std::nullopt;
-  const RequestHandle Result = Best->m_Request.m_Handle;
-  const bool Nested = Best->m_Request.m_Nested;
+  const Waiting Sent = *Best;
   m_Waiting.erase(Best);
-  ++m_Running;
-  if (!Nested)
+  start(Sent, Now);
+  if (!Sent.m_Request.m_Nested) {
+    m_Turns[Sent.m_Request.m_Priority].sent(Sent.m_Turn);
     recordStart(Now);
-  return Result;
-}
-
-void RequestGate::dropWithoutToken(TimePoint Now,
-                                   std::vector<RequestHandle> &Dropped) {
-  const double Rate = rateLimit(Now);
-  if (Rate == 0)
-    return;
-  std::sort(m_Waiting.begin(), m_Waiting.end(),
-            [&](const Waiting &Left, const Waiting &Right) {
-              return precedes(Left, Right, Now);
-            });
-  double Missing = 1 - availableTokens(Now);
-  std::erase_if(m_Waiting, [&](const Waiting &Each) {
-    const bool TooLate = fromMicros(std::max(0.0, Missing) / Rate * 1e6) >
-                         maxWait(Each.m_Request, Now);
-    if (TooLate)
-      Dropped.push_back(Each.m_Request.m_Handle);
-    else
-      Missing += 1;
-    return TooLate;
-  });
+  }
+  return Sent.m_Request.m_Handle;
 }
 
 std::vector<RequestHandle> RequestGate::expire(TimePoint Now) {
+  updateRanks(Now);
   const bool Contended =
       std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const Waiting &Each) {
         return canBeOnTime(Each.m_Request, Now);
       });
-  std::vector<RequestHandle> Result;
+  std::vector<Waiting> Dropped;
   std::erase_if(m_Waiting, [&](const Waiting &Each) {
     const bool Drop =
         cannotMeetDeadline(Each.m_Request, Now + m_Options.m_ExpireInterval) ||
         (Contended && !canBeOnTime(Each.m_Request, Now));
     if (Drop)
-      Result.push_back(Each.m_Request.m_Handle);
+      Dropped.push_back(Each);
     return Drop;
   });
-  dropWithoutToken(Now, Result);
+  dropWithoutToken(Now, Dropped);
+  std::vector<RequestHandle> Result;
+  Result.reserve(Dropped.size());
+  for (const Waiting &Each : Dropped) {
+    giveTurnBack(Each);
+    m_Ranks.refused(Each.m_Request.m_Priority, Now);
+    Result.push_back(Each.m_Request.m_Handle);
+  }
   m_Backlogged = m_Backlogged && hasNonNestedWaiting();
   return Result;
 }
 
 bool RequestGate::withdraw(RequestHandle Request) {
-  const bool Found = std::erase_if(m_Waiting, [&](const Waiting &Each) {
-                       return Each.m_Request.m_Handle == Request;
-                     }) > 0;
+  const auto Found = std::find_if(
+      m_Waiting.begin(), m_Waiting.end(),
+      [&](const Waiting &Each) { return Each.m_Request.m_Handle == Request; });
+  if (Found == m_Waiting.end())
+    return false;
+  const Waiting Withdrawn = *Found;
+  m_Waiting.erase(Found);
+  giveTurnBack(Withdrawn);
   m_Backlogged = m_Backlogged && hasNonNestedWaiting();
-  return Found;
+  return true;
 }
 
-void RequestGate::finished(const std::string &Route, Duration Service,
-                           bool Served) {
+void RequestGate::finished(const std::string &Route, std::uint32_t Priority,
+                           Duration Service, bool Served) {
+  m_Ranks.finished(Priority);
   if (m_Running > 0)
     --m_Running;
   if (!Served)
@@ -278,15 +278,4 @@
   UpdateMean(m_MeanService);
 }
 
-std::optional<TimePoint> RequestGate::nextWake(TimePoint Now) const {
-  if (m_Waiting.empty())
-    return std::nullopt;
-  const double Rate = rateLimit(Now);
-  // The wake-up is at least 1000 microseconds away.
-  if (Rate > 0 && m_Running < m_Slots)
-    return Now + fromMicros(
-                     std::max(1000.0, (1 - availableTokens(Now)) / Rate * 1e6));
-  return std::nullopt;
-}
-
 } // namespace balsamwheel
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -131,7 +131,7 @@
   static bool matchRoute(ActiveRequest &Entry);
   /// Finds the organisation by the API key, and sets the priority.
   /// \returns false when the key is needed and unknown.
-  static bool authenticate(ActiveRequest &Entry);
+  bool authenticate(ActiveRequest &Entry) const;
   /// Sets the service, the latency objective and the deadline.
   void applyRoute(ActiveRequest &Entry);
   /// Whether the request needs a token of its organisation's quota.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -80,6 +80,8 @@
   Hold = std::min(Hold, Settings.m_MaxHold);
   Options.m_EarlierGrantsExpiry = revocationWait(
       Options.m_Keys.m_Holds, KeyCoordinatorOptions{}.m_AuthorityDuration);
+  Options.m_Gate.m_RoomByPriority = Settings.m_ShareRoom;
+  Options.m_Gate.m_ScheduleReturns = Settings.m_ShareRoom;
   return Options;
 }
 
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -45,6 +45,11 @@
   /// Memory limit of the machine in bytes; 0 means that it isn't known.
   std::size_t m_MemoryLimit = 0;
 
+  /// Callers of different priority compete for too little room: targets leave
+  /// slots for the more urgent ones, nested requests are as urgent as their
+  /// parents, and refused callers are told to return one after the other.
+  bool m_ShareRoom = false;
+
   /// The whole system starts for the first time: nobody holds keys yet.
   bool m_SystemStart = true;
 
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -67,6 +67,9 @@
   Limited["Limits"]["LinkMbps"] = 10.0;
   CHECK(parseSettings(Limited.dump(), Problem)->m_LinkBytesPerSecond ==
         doctest::Approx(1.25e6));
+  CHECK_FALSE(Read->m_ShareRoom);
+  Limited["Contracts"] = {"base", "pressure"};
+  CHECK(parseSettings(Limited.dump(), Problem)->m_ShareRoom);
 }
 
 TEST_CASE("an invalid settings file is rejected with the name of the field") {
