--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -80,13 +80,13 @@
   /// Maximum queue length per slot.
   std::uint32_t m_QueueLimitPerSlot = 6;
   /// Whether priorities are more than an order among waiting requests.
-  bool m_RoomByPriority = false;
+  bool m_RoomByPriority = true;
   GateRanksOptions m_Ranks = {};
   /// Interval at which next() is to be called while slots are left for more
   /// urgent requests.
   Duration m_RoomInterval = std::chrono::milliseconds(10);
   /// Whether refused callers are told to return one after the other.
-  bool m_ScheduleReturns = false;
+  bool m_ScheduleReturns = true;
   Duration m_MinRetryAfter = std::chrono::milliseconds(50);
   Duration m_MaxRetryAfter = std::chrono::seconds(2);
   /// Limit of scheduled returns.
