--- a/include/balsamwheel/detail/load/target_selector.h
+++ b/include/balsamwheel/detail/load/target_selector.h
@@ -53,6 +53,8 @@
   double m_SpareTokens = 0;
   /// Expected wait of a large answer for the link of the target's machine.
   Duration m_LinkWait{0};
+
+  bool operator==(const GateReport &) const = default;
 };
 
 /// Service time to report for a target that has been idle for \p Idle.
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -41,6 +41,10 @@
   /// \param Bytes of answers that aren't sent yet, to callers and peers.
   void answerBytes(std::size_t Bytes);
   QuotaCounts &quota() { return m_Quota; }
+  /// Counts bytes sent to peers.
+  /// \param Kind of the frames; a short fixed text.
+  /// \param OwnDomain whether the receivers are in the daemon's failure domain.
+  void peerBytes(const std::string &Kind, bool OwnDomain, std::uint64_t Bytes);
   /// All metrics in the text format of Prometheus.
   std::string toText() const;
 
@@ -50,6 +54,7 @@
   prometheus::Family<prometheus::Counter> &m_Refusals;
   prometheus::Family<prometheus::Histogram> &m_Latency;
   prometheus::Family<prometheus::Counter> &m_TableCalls;
+  prometheus::Family<prometheus::Counter> &m_PeerBytes;
   prometheus::Family<prometheus::Gauge> &m_Gate;
   prometheus::Gauge &m_Version;
   prometheus::Gauge &m_StoreEra;
