Count beats as reports of the shares that a daemon applies

Full reports come each 30 s only; without this, daemons checked the shares row in the table instead, and after a suspension had no units until the check.

--- a/src/router/router.h
+++ b/src/router/router.h
@@ -177,6 +177,8 @@
     bool m_ReachesTable = false;
     /// A beat tells only what has changed.
     RowsSeen m_RowsSeen;
+    /// As the last full report said.
+    SharesRevision m_SharesRevision;
     /// Request rates of the slices whose rate isn't negligible; only if this
     /// daemon plans, or may have to soon.
     std::vector<std::pair<std::uint16_t, float>> m_Rates;
