Test that promises in the place of an earlier session come after its lease

A daemon promises for an earlier session at its address only a lease plus margin after that session's end. Change: the cluster test of restarted daemons also checks the time of the first such promise. Measured: it passes, and fails in all three cases with the wait removed.

--- a/tests/unit-coordinator-faults.cpp
+++ b/tests/unit-coordinator-faults.cpp
@@ -36,6 +36,8 @@
 
 /// After a loss, all shards must be served again within this simulated time.
 constexpr Duration RecoveryLimit = seconds(4);
+/// Lease duration plus margin of the default timing.
+constexpr Duration LeaseWait = milliseconds(1980);
 
 } // namespace
 
@@ -229,9 +231,23 @@
       TestCluster.add(Domain, Options);
     TestCluster.run(RecoveryLimit);
     REQUIRE(TestCluster.servedShards(Shards) == Shards);
+    // Promises in the place of an earlier session, and the first one's time.
+    std::size_t Promises = 0;
+    TimePoint First = TimePoint::max();
+    TestCluster.m_OnSend = [&](std::size_t Sender, const SendControl &Sent) {
+      const auto *Reply = std::get_if<PromiseReply>(&Sent.m_Message);
+      if (!Reply || !Reply->m_Promised ||
+          Reply->m_Witness == TestCluster.at(Sender).session())
+        return;
+      ++Promises;
+      First = std::min(First, TestCluster.m_Now);
+    };
+    const TimePoint RestartedAt = TestCluster.m_Now;
     for (std::size_t Index : Each.m_Restarted)
       TestCluster.restart(Index, Options);
     CHECK(TestCluster.runUntilServed(Shards, seconds(20)) <= RecoveryLimit);
+    CHECK(Promises > 0);
+    CHECK(First >= RestartedAt + LeaseWait);
     std::set<std::uint32_t> Groups;
     for (std::size_t Index : Each.m_Restarted)
       Groups.insert(TestCluster.at(Index).status(TestCluster.m_Now).m_Group);
