Limit the gate to the measured capacity of the target

Where the settings' contracts hold pressure, TargetAgent feeds TargetCapacity with the requests at the target and opens the gate with its limit, which the reports to peers then contain. Placement of keys uses it smoothed over seconds; target_capacity logs lasting changes, and a metric shows it.

--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -45,6 +45,12 @@
                         .Help("Requests per second that the target takes")
                         .Register(*m_Registry)
                         .Add({})),
+      m_TargetCapacity(
+          prometheus::BuildGauge()
+              .Name("balsamwheel_target_capacity")
+              .Help("Requests at a time that the target handles well")
+              .Register(*m_Registry)
+              .Add({})),
       m_CallerBytes(prometheus::BuildGauge()
                         .Name("balsamwheel_caller_bytes")
                         .Help("Input and answers held for all callers")
@@ -79,6 +85,10 @@
   m_TargetLimit.Set(PerSecond);
 }
 
+void RouterMetrics::targetCapacity(std::uint32_t Slots) {
+  m_TargetCapacity.Set(Slots);
+}
+
 void RouterMetrics::callerBytes(std::size_t Bytes) {
   m_CallerBytes.Set(static_cast<double>(Bytes));
 }
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -28,6 +28,8 @@
   void storeEra(std::uint64_t Era);
   /// \param PerSecond the limit that the target names; 0 for none.
   void targetLimit(double PerSecond);
+  /// \param Slots that are measured to be handled well; 0 if not measured.
+  void targetCapacity(std::uint32_t Slots);
   /// \param Bytes held for the connections of all callers.
   void callerBytes(std::size_t Bytes);
   /// All metrics in the text format of Prometheus.
@@ -42,6 +44,7 @@
   prometheus::Gauge &m_Version;
   prometheus::Gauge &m_StoreEra;
   prometheus::Gauge &m_TargetLimit;
+  prometheus::Gauge &m_TargetCapacity;
   prometheus::Gauge &m_CallerBytes;
 };
 
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -169,6 +169,7 @@
   m_Metrics.gate(Gate.m_Running, Gate.m_Waiting);
   m_Metrics.callerBytes(m_Callers.heldBytes());
   m_Metrics.targetLimit(m_Agent.namedLimit().value_or(0));
+  m_Metrics.targetCapacity(m_Agent.measuredSlots().value_or(0));
   m_ReportTimer =
       m_Loop.after(m_Mesh.reportInterval(), [this] { sendReports(); });
 }
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -58,6 +58,8 @@
   Duration m_GracePeriod = std::chrono::seconds(6);
   /// Retry budget: retries per request, over all daemons.
   double m_RetryRatio = 0.2;
+  /// Limits the requests at the target to its measured capacity.
+  bool m_MeasureCapacity = false;
   /// Longest hold of a key that targets accept.
   Duration m_MaxHold = std::chrono::seconds(10);
 };
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -111,6 +111,7 @@
   m_CrashReported = false;
   m_LastSequence = 0;
   m_Slots = Heartbeat.m_Slots;
+  startMeasuring();
   m_NamedLimit.reset();
   m_LastEnded.reset();
   m_Gate.setNamedLimit(std::nullopt, m_Loop.now());
@@ -176,7 +177,9 @@
   // Slots divided by the mean service time.
   const double ServiceTime =
       static_cast<double>(m_Gate.meanService().count()) / 1e6;
-  return m_Slots / std::max(ServiceTime, 0.001);
+  const double Slots =
+      m_Capacity ? m_Capacity->smoothed(m_Loop.now()) : m_Slots;
+  return Slots / std::max(ServiceTime, 0.001);
 }
 
 void TargetAgent::decaySliceRates(Duration Interval) {
@@ -298,6 +301,9 @@
   }
   Entry.m_Sent = true;
   Entry.m_SentAt = Now;
+  Entry.m_Incarnation = m_Target;
+  if (m_Capacity)
+    Entry.m_Run = m_Capacity->started(Now);
   m_RunningIds.insert(Entry.m_Job.m_Id);
   if (Entry.m_Job.m_Repeated)
     m_RunningRepeats.insert(Entry.m_Job.m_Id);
@@ -323,6 +329,7 @@
   TargetJobResult JobResult{.m_ReachedTarget = Result.m_CallOutcome !=
                                                HttpCallOutcome::NotSent};
   bool Served = false;
+  bool Shed = false;
   switch (Result.m_CallOutcome) {
   case HttpCallOutcome::NotSent:
     JobResult.m_Reason = Reason::TargetFailed;
@@ -357,6 +364,7 @@
         m_LinkBudget.sent(JobResult.m_Answer.m_Body.size());
       break;
     case TargetAnswerKind::Shed:
+      Shed = true;
       JobResult.m_Outcome = Outcome::Wait;
       JobResult.m_Reason = Reason::Overloaded;
       JobResult.m_RetryAfter = m_Gate.meanService();
@@ -386,6 +394,9 @@
                     .add("took", ServiceTime));
   m_LastEnded = m_Loop.now();
   m_Gate.finished(Entry.m_Job.m_Route, ServiceTime, Served);
+  measureEnd(Entry, Served ? CapacityEnd::Served
+                    : Shed ? CapacityEnd::Refused
+                           : CapacityEnd::Other);
   if (Result.m_CallOutcome == HttpCallOutcome::NotSent)
     onConnectionRefused();
   finish(Id, std::move(JobResult));
@@ -483,6 +494,7 @@
   forgetRunning(Entry.m_Job);
   m_Client->cancel(Entry.m_Call);
   m_Gate.finished(Entry.m_Job.m_Route, Duration::zero(), false);
+  measureEnd(Entry, CapacityEnd::Other);
   m_Jobs.erase(Found);
   sendQueued();
 }
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -12,6 +12,7 @@
 #include "balsamwheel/detail/load/crash_suspects.h"
 #include "balsamwheel/detail/load/link_budget.h"
 #include "balsamwheel/detail/load/request_gate.h"
+#include "balsamwheel/detail/load/target_capacity.h"
 #include "balsamwheel/detail/load/target_selector.h"
 #include "balsamwheel/detail/routing/route_table.h"
 
@@ -150,8 +151,11 @@
   std::optional<KeyOwner> owner() const;
   TargetCondition condition() const;
   GateReport gateReport() const;
-  /// Requests per second that the target can complete.
+  /// Requests per second that the target can complete. Changes slowly.
   double capacity() const;
+  /// Measured number of requests that the target handles well at a time; none
+  /// if it isn't measured.
+  std::optional<std::uint32_t> measuredSlots() const;
   /// Recent requests per second for each slice of keys, weighted by age.
   const SliceLoads &sliceRates() const { return m_SliceRates; }
   void decaySliceRates(Duration Interval);
@@ -174,6 +178,9 @@
     TimePoint m_Submitted;
     TimePoint m_SentAt;
     bool m_Sent = false;
+    /// Where it was sent to, and its part in the measured capacity.
+    std::optional<TargetIncarnation> m_Incarnation;
+    TargetCapacity::Run m_Run;
     /// The job was cancelled; its result is discarded.
     bool m_Cancelled = false;
     HttpClient::CallId m_Call;
@@ -183,6 +190,15 @@
   /// For how long no request has been running at the target; zero before its
   /// first one.
   Duration idleTime() const;
+  /// Slots that the target and its service allow.
+  std::uint32_t namedSlots() const;
+  /// The same, limited to the measured capacity.
+  std::uint32_t gateSlots() const;
+  /// Measures the capacity anew, for a new incarnation.
+  void startMeasuring();
+  void measureEnd(const Job &Entry, CapacityEnd How);
+  /// Applies the measured capacity to the gate, and logs a lasting change.
+  void applyCapacity();
   /// Opens the gate unless the state of the target or daemon forbids it.
   void openGate();
   void limitColdRate();
@@ -216,6 +232,10 @@
   TargetAgentOptions m_Options;
   TimePoint m_StartedAt;
   RequestGate m_Gate;
+  /// Null while it isn't measured.
+  std::unique_ptr<TargetCapacity> m_Capacity;
+  /// smoothed() of the capacity when it was last logged.
+  double m_LoggedCapacity = 0;
   LinkBudget m_LinkBudget;
   std::optional<TargetIncarnation> m_Target;
   const CrashSuspects &m_Suspects;
--- a/src/router/target_gate.cpp
+++ b/src/router/target_gate.cpp
@@ -16,7 +16,9 @@
   if (!m_Target || !m_ServiceSpec || leaving() || m_RefuseNew)
     return;
   limitColdRate();
-  m_Gate.open(std::min(m_Slots, m_ServiceSpec->m_MaxConnections));
+  if (m_Capacity)
+    m_Capacity->setSlots(namedSlots(), m_Loop.now());
+  m_Gate.open(gateSlots());
   m_Loop.post([this] { sendQueued(); });
 }
 
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -69,6 +69,20 @@
         doctest::Approx(1.25e6));
 }
 
+TEST_CASE("the capacity is measured where the contracts hold pressure") {
+  std::string Problem;
+  nlohmann::json File = settings();
+  CHECK_FALSE(parseSettings(File.dump(), Problem)->m_MeasureCapacity);
+  const nlohmann::json Without[] = {nlohmann::json::array({"keys", 1}),
+                                    "pressure", nullptr};
+  for (const nlohmann::json &Each : Without) {
+    File["Contracts"] = Each;
+    CHECK_FALSE(parseSettings(File.dump(), Problem)->m_MeasureCapacity);
+  }
+  File["Contracts"] = {"keys", "pressure"};
+  CHECK(parseSettings(File.dump(), Problem)->m_MeasureCapacity);
+}
+
 TEST_CASE("an invalid settings file is rejected with the name of the field") {
   std::string Problem;
   CHECK_FALSE(parseSettings("{", Problem).has_value());
