--- a/src/router/router_reports.cpp
+++ b/src/router/router_reports.cpp
@@ -93,6 +93,7 @@
   m_Metrics.callerBytes(m_Callers.heldBytes());
   m_Metrics.answerBytes(heldAnswerBytes());
   m_Metrics.targetLimit(m_Agent.namedLimit().value_or(0));
+  m_Metrics.targetCapacity(m_Agent.measuredSlots().value_or(0));
   requestMissingRows();
   sendDueReports();
 }
