Test shares that move, and killed keepers without stale timers

Cause: a failed property didn't fail its test case; a router that is only destroyed leaves timers behind.

--- a/tests/unit-quota-model.cpp
+++ b/tests/unit-quota-model.cpp
@@ -80,10 +80,31 @@
   }
 }
 
+/// Like apply(), with faults that last until shares are moved.
+void applyLong(QuotaWorld &World, const Step &Done) {
+  const std::size_t Index =
+      static_cast<std::size_t>(Done.m_First) % World.m_Daemons.size();
+  switch (Done.m_Kind) {
+  case 0:
+    return World.restart(Index, Done.m_Second * 100ms);
+  case 1:
+    return World.freeze(Index, Done.m_Second * 150ms);
+  case 2:
+  case 3:
+  case 4:
+    return apply(World, Done);
+  case 5:
+    World.m_Options.m_MaxDelay = Done.m_Second * 2ms;
+    return;
+  default:
+    return World.advance(Done.m_Second * 90ms);
+  }
+}
+
 } // namespace
 
 TEST_CASE("no faults make the daemons create more tokens than the quota") {
-  rc::check([] {
+  CHECK(rc::check([] {
     QuotaWorldOptions Options;
     Options.m_Daemons = *rc::gen::inRange<std::size_t>(2, 6);
     Options.m_Seed = *rc::gen::arbitrary<std::uint32_t>();
@@ -96,11 +117,27 @@
     for (const auto &[Name, Oracle] : World.m_Oracles)
       // A token of the one that holds more than half of the units.
       RC_ASSERT(Oracle.m_Worst <= Oracle.m_Limit.m_Burst + 1 + 1e-6);
-  });
+  }));
+}
+
+TEST_CASE("nor while shares move between daemons") {
+  CHECK(rc::check([] {
+    QuotaWorldOptions Options;
+    Options.m_Daemons = *rc::gen::inRange<std::size_t>(3, 6);
+    Options.m_Seed = *rc::gen::arbitrary<std::uint32_t>();
+    QuotaWorld World(Options);
+    demandFlood(World);
+    World.advance(5s);
+    for (const Step &Each : *rc::gen::container<std::vector<Step>>(12, steps()))
+      applyLong(World, Each);
+    for (const auto &[Name, Oracle] : World.m_Oracles)
+      RC_ASSERT(Oracle.m_Worst <= Oracle.m_Limit.m_Burst + 1 + 1e-6);
+    RC_CLASSIFY(World.m_Commits > 2);
+  }));
 }
 
 TEST_CASE("tokens that are given back don't create others") {
-  rc::check([] {
+  CHECK(rc::check([] {
     QuotaWorldOptions Options;
     Options.m_Seed = *rc::gen::arbitrary<std::uint32_t>();
     QuotaWorld World(Options);
@@ -114,7 +151,7 @@
     for (const auto &[Name, Oracle] : World.m_Oracles)
       RC_ASSERT(Oracle.m_Worst <=
                 Oracle.m_Limit.m_Burst + 1 + 4 * Oracle.m_Limit.m_Rate);
-  });
+  }));
 }
 
 TEST_CASE("without faults one entrance gets the whole quota") {
--- a/tests/unit-router-quota.cpp
+++ b/tests/unit-router-quota.cpp
@@ -170,7 +170,9 @@
   Rig.startServing(50, 50);
   Rig.m_Rig.runFor(4s);
   REQUIRE(Rig.send({&Rig.m_B}, 1s, 100ms).m_Served >= 9);
-  Rig.m_A.m_Router.reset();
+  // Another daemon in its place: "a" itself is gone.
+  Rig.m_A.m_Settings.m_Instance = InstanceName("z");
+  Rig.m_A.restartRouter(Rig.m_Rig.m_Loop, Rig.m_Rig.m_Log);
   const TimePoint KilledAt = bootNow();
   Rig.waitUntilServed(Rig.m_B);
   MESSAGE("served again after ms: ", (bootNow() - KilledAt) / 1ms);
