--- a/include/balsamwheel/detail/load/target_capacity.h
+++ b/include/balsamwheel/detail/load/target_capacity.h
@@ -52,13 +52,13 @@
   /// the target has changed.
   double m_ChangeFactor = 1.5;
   /// A level isn't worth it when its cost exceeds that of a smaller one by
-  /// this share of what would use up all of its additional concurrency...
+  /// this share of what would use up all of its additional concurrency, and by
+  /// m_Noise, divided by the root of the requests seen at either.
   double m_WastedShare = 0.7;
-  /// The same after a trial of a smaller level: what lies between is tried
+  double m_Noise = 0.6;
+  /// The share after a trial of a smaller level: what lies between is tried
   /// afterwards.
   double m_WastedInTrial = 0.5;
-  /// ... and by this much, divided by the root of the requests seen at either.
-  double m_Noise = 0.6;
   /// Minimum time between two steps up.
   Duration m_MinStep = std::chrono::milliseconds(150);
   /// Time until a level that didn't raise the throughput is tried again;
@@ -75,7 +75,7 @@
   double m_TrialRatio = 2.0;
   Duration m_MinTrialPause = std::chrono::seconds(4);
   Duration m_MaxTrialPause = std::chrono::seconds(16);
-  /// Maximum duration of a trial of half of the level.
+  /// Maximum duration of a trial of a smaller level.
   Duration m_MaxTrial = std::chrono::seconds(2);
   /// Costs of levels that were not reached for this time are forgotten.
   Duration m_Memory = std::chrono::seconds(10);
@@ -109,7 +109,8 @@
   /// Sets the slots that the target names.
   void setSlots(std::uint32_t Slots, TimePoint Now);
   Run started(TimePoint Now);
-  /// Complexity: linear in the requests of the window.
+  /// Complexity: constant, and once per decision interval linear in the slots
+  /// times the requests of the window.
   void ended(const Run &Ended, const std::string &Route, CapacityEnd How,
              TimePoint Now);
 
@@ -117,7 +118,8 @@
   std::uint32_t limit() const { return m_Limit; }
   /// limit() smoothed over several seconds.
   double smoothed(TimePoint Now) const;
-  /// Time of requests at the limit relative to the usual one; 0 if unknown.
+  /// Time of requests at the limit relative to the usual one, times those sent
+  /// per request that wasn't refused; 0 if unknown.
   double costAtLimit() const;
   /// Changes of the target noticed so far.
   std::uint64_t changes() const { return m_Changes; }
@@ -195,9 +197,9 @@
   /// Level to return to after a trial; 0 if there is none.
   std::uint32_t m_TrialFrom = 0;
   TimePoint m_NextTrial;
+  Duration m_TrialPause{0};
   /// Requests that started earlier don't count.
   TimePoint m_CleanFrom;
-  Duration m_TrialPause{0};
   std::uint64_t m_Changes = 0;
   double m_Smoothed = 0;
   TimePoint m_SmoothedAt;
--- a/src/load/target_capacity.cpp
+++ b/src/load/target_capacity.cpp
@@ -37,8 +37,11 @@
 }
 
 void TargetCapacity::setSlots(std::uint32_t Slots, TimePoint Now) {
+  const std::size_t Before = m_Levels.size();
   m_Options.m_Slots = std::max(Slots, 1U);
   m_Levels.resize(std::size_t{m_Options.m_Slots} + 1);
+  if (m_Levels.size() == Before)
+    return;
   m_TrialFrom = std::min(m_TrialFrom, m_Options.m_Slots);
   setLimit(m_Limit, Now);
 }
@@ -301,6 +304,8 @@
   return m_Limit + (m_Smoothed - m_Limit) * Part;
 }
 
-double TargetCapacity::costAtLimit() const { return m_Levels[m_Limit].m_Cost; }
+double TargetCapacity::costAtLimit() const {
+  return m_Levels[m_Limit].m_Cost / std::exp(m_Drift);
+}
 
 } // namespace balsamwheel
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -156,32 +156,6 @@
                               : TargetCondition::Eligible;
 }
 
-Duration TargetAgent::idleTime() const {
-  const bool Idle = m_LastEnded && m_Gate.running() == 0;
-  return Idle ? m_Loop.now() - *m_LastEnded : Duration::zero();
-}
-
-GateReport TargetAgent::gateReport() const {
-  return {.m_Running = m_Gate.running(),
-          .m_Waiting = static_cast<std::uint32_t>(m_Gate.waiting()),
-          .m_Slots = leaving() || m_Stopping ? 0 : m_Gate.slots(),
-          .m_Service = m_Gate.knowsService()
-                           ? idleServiceTime(m_Gate.meanService(), idleTime())
-                           : Duration::zero(),
-          .m_RateLimit = m_Gate.rateLimit(m_Loop.now()),
-          .m_SpareTokens = m_Gate.spareTokens(m_Loop.now()),
-          .m_LinkWait = m_LinkBudget.wait(m_Loop.now())};
-}
-
-double TargetAgent::capacity() const {
-  // Slots divided by the mean service time.
-  const double ServiceTime =
-      static_cast<double>(m_Gate.meanService().count()) / 1e6;
-  const double Slots =
-      m_Capacity ? m_Capacity->smoothed(m_Loop.now()) : m_Slots;
-  return Slots / std::max(ServiceTime, 0.001);
-}
-
 void TargetAgent::decaySliceRates(Duration Interval) {
   const double Seconds = static_cast<double>(Interval.count()) / 1e6;
   const auto Factor =
