Place requests in the caller's domain first, and count rejections

Cause: the best of three targets out of all domains was chosen, so two thirds of the answers crossed domains although the own one had room. Targets that reject or reset most requests got as many as before, or, where a reset counted as a failure, nothing for seconds.

Change: TargetSelector::choose() gets the time left until the objective. A request stays in its domain while the expected completion is within 0.4 of it; up to 0.8 a rising part leaves, in proportion to the room elsewhere. Rejections have a rate of their own, which passes a target over in proportion. A daemon that refuses a request after a crash tells its peers the count: requests that stay at home showed that they may count fewer.

--- a/include/balsamwheel/detail/load/target_selector.h
+++ b/include/balsamwheel/detail/load/target_selector.h
@@ -5,6 +5,16 @@
 // drawn at random, the entrance chooses the one with the least expected
 // completion time, based on the reports of the gates and on what it has sent
 // since those reports.
+//
+// Answers that cross failure domains fill the links between them, so a target
+// of the caller's domain is chosen first, as long as it will probably answer
+// within a part of the time that the request has left. When demand swings
+// beyond the room of a domain, its entrances send a growing part elsewhere, in
+// proportion to the room there.
+//
+// Some targets reject or reset most requests for seconds, because they are full
+// before their slots are. They get less in proportion, and more again as they
+// accept.
 #pragma once
 
 #include "balsamwheel/detail/core/ids.h"
@@ -33,6 +43,29 @@
   double m_FailureFactor = 8;
   /// Half-life of the failure rate.
   Duration m_FailureHalfLife = std::chrono::seconds(3);
+  /// As above, of the rejection rate.
+  double m_RejectionWeight = 0.1;
+  Duration m_RejectionHalfLife = std::chrono::milliseconds(1500);
+  /// A target that rejects all requests still gets this part of its share, to
+  /// find out when it accepts again.
+  double m_MinAcceptance = 0.05;
+  /// A request stays in its domain while the expected completion is within this
+  /// part of the time left until its objective...
+  double m_HomeShare = 0.4;
+  /// ...and leaves it, if there is room elsewhere, beyond this part. Between
+  /// the two, the probability rises, so that entrances don't all change at
+  /// once.
+  double m_SpillShare = 0.8;
+};
+
+/// How a forwarded request ended, for its target.
+enum class AttemptEnd : std::uint8_t {
+  /// Neither of the others, whatever became of the request.
+  Accepted,
+  /// The target caused it to fail.
+  Failed,
+  /// The target rejected it or reset its connection.
+  Rejected,
 };
 
 /// State of a gate as it reports it to other instances.
@@ -64,9 +97,10 @@
   /// Records that a request was forwarded to the target's gate.
   void sent(const InstanceName &Target);
   /// Records the end of a forwarded request.
-  ///
-  /// \param Failed whether the target caused it to fail.
-  void done(const InstanceName &Target, bool Failed, TimePoint Now);
+  void done(const InstanceName &Target, AttemptEnd End, TimePoint Now);
+  void done(const InstanceName &Target, bool Failed, TimePoint Now) {
+    done(Target, Failed ? AttemptEnd::Failed : AttemptEnd::Accepted, Now);
+  }
 
   struct Candidate {
     InstanceName m_Target;
@@ -75,13 +109,17 @@
     bool m_Local = false;
   };
 
-  /// Draws a sample of the candidates whose gates are open and returns the one
-  /// with the lowest cost; std::nullopt when no gate is open.
+  /// Chooses among the candidates whose gates are open; std::nullopt when there
+  /// are none. Complexity: linear in the number of candidates.
   ///
-  /// \param Random seed of the sample.
-  std::optional<InstanceName> choose(std::span<const Candidate> Candidates,
-                                     bool LargeAnswer, std::uint64_t Random,
-                                     TimePoint Now) const;
+  /// \param Random seed of the choice.
+  /// \param TimeLeft until the request's objective. Without any left, or for a
+  /// large answer, the one with the lowest cost out of a sample of all
+  /// candidates is chosen.
+  std::optional<InstanceName>
+  choose(std::span<const Candidate> Candidates, bool LargeAnswer,
+         std::uint64_t Random, TimePoint Now,
+         Duration TimeLeft = Duration::zero()) const;
   /// Expected time until one more request would be complete, increased by the
   /// target's failure rate; std::nullopt when its gate is closed or unknown.
   std::optional<Duration> expectedCompletion(const InstanceName &Target,
@@ -95,11 +133,23 @@
     /// Failure rate as of m_FailureRateAt, within [0, 1].
     double m_FailureRate = 0;
     TimePoint m_FailureRateAt;
+    /// Likewise.
+    double m_RejectionRate = 0;
+    TimePoint m_RejectionRateAt;
+  };
+  struct OpenCandidate {
+    const Candidate *m_Candidate;
+    double m_Cost;
   };
+  class Draw;
 
   double cost(const Candidate &Option, bool LargeAnswer,
               Duration Completion) const;
   double failureRate(const Entry &Target, TimePoint Now) const;
+  double rejectionRate(const Entry &Target, TimePoint Now) const;
+  /// Requests that the target can take within a time, including the part of it
+  /// that it would reject.
+  double room(const OpenCandidate &Option, double Within) const;
 
   TargetSelectorOptions m_Options;
   std::map<InstanceName, Entry> m_Entries;
--- a/src/load/target_selector.cpp
+++ b/src/load/target_selector.cpp
@@ -9,6 +9,16 @@
 
 namespace balsamwheel {
 
+namespace {
+
+double decayed(double Rate, Duration Age, Duration HalfLife) {
+  const double HalfLives =
+      static_cast<double>(Age.count()) / static_cast<double>(HalfLife.count());
+  return Rate * std::exp2(-std::max(0.0, HalfLives));
+}
+
+} // namespace
+
 void TargetSelector::report(const InstanceName &Target,
                             const GateReport &Report) {
   Entry &Known = m_Entries[Target];
@@ -25,22 +35,31 @@
 }
 
 double TargetSelector::failureRate(const Entry &Target, TimePoint Now) const {
-  const double HalfLives =
-      static_cast<double>((Now - Target.m_FailureRateAt).count()) /
-      static_cast<double>(m_Options.m_FailureHalfLife.count());
-  return Target.m_FailureRate * std::exp2(-std::max(0.0, HalfLives));
+  return decayed(Target.m_FailureRate, Now - Target.m_FailureRateAt,
+                 m_Options.m_FailureHalfLife);
+}
+
+double TargetSelector::rejectionRate(const Entry &Target, TimePoint Now) const {
+  return decayed(Target.m_RejectionRate, Now - Target.m_RejectionRateAt,
+                 m_Options.m_RejectionHalfLife);
 }
 
-void TargetSelector::done(const InstanceName &Target, bool Failed,
+void TargetSelector::done(const InstanceName &Target, AttemptEnd End,
                           TimePoint Now) {
   auto Found = m_Entries.find(Target);
   if (Found == m_Entries.end())
     return;
   Entry &Known = Found->second;
-  const double Rate = failureRate(Known, Now);
-  Known.m_FailureRate =
-      Rate + m_Options.m_FailureWeight * ((Failed ? 1.0 : 0.0) - Rate);
+  const auto Observe = [&](double Rate, double Weight, AttemptEnd Counted) {
+    return Rate + Weight * ((End == Counted ? 1.0 : 0.0) - Rate);
+  };
+  Known.m_FailureRate = Observe(failureRate(Known, Now),
+                                m_Options.m_FailureWeight, AttemptEnd::Failed);
   Known.m_FailureRateAt = Now;
+  Known.m_RejectionRate =
+      Observe(rejectionRate(Known, Now), m_Options.m_RejectionWeight,
+              AttemptEnd::Rejected);
+  Known.m_RejectionRateAt = Now;
 }
 
 std::optional<Duration>
@@ -75,13 +94,83 @@
   return Cost;
 }
 
+double TargetSelector::room(const OpenCandidate &Option, double Within) const {
+  const GateReport &Report =
+      m_Entries.at(Option.m_Candidate->m_Target).m_Report;
+  return Report.m_Slots * std::max(0.0, Within - Option.m_Cost) /
+         std::max(1.0, static_cast<double>(Report.m_Service.count()));
+}
+
+/// The random part of one choice.
+class TargetSelector::Draw {
+public:
+  Draw(const TargetSelector &Selector, std::uint64_t Random, TimePoint Now)
+      : m_Selector(Selector), m_Generator(Random), m_Now(Now) {}
+
+  /// Within [0, 1).
+  double uniform() {
+    return static_cast<double>(m_Generator()) /
+           (static_cast<double>(pcg32::max()) + 1);
+  }
+
+  /// Returns the candidate with the lowest cost out of a sample, in which each
+  /// target is left out with the probability that it would reject the request.
+  const OpenCandidate &best(std::span<OpenCandidate> Choices) {
+    const OpenCandidate *Best = nullptr;
+    std::size_t Taken = 0;
+    // Draws the sample with a partial Fisher-Yates shuffle.
+    for (std::size_t Index = 0;
+         Index < Choices.size() && Taken < m_Selector.m_Options.m_SampleSize;
+         ++Index) {
+      std::swap(Choices[Index],
+                Choices[Index + m_Generator(static_cast<std::uint32_t>(
+                                    Choices.size() - Index))]);
+      if (!accepts(Choices[Index]))
+        continue;
+      ++Taken;
+      if (!Best || Choices[Index].m_Cost < Best->m_Cost)
+        Best = &Choices[Index];
+    }
+    return Best ? *Best : Choices.front();
+  }
+
+  /// Returns a candidate with a probability in proportion to its room; null
+  /// when none has any.
+  const OpenCandidate *byRoom(std::span<const OpenCandidate> Choices,
+                              double Within) {
+    double Sum = 0;
+    const OpenCandidate *Chosen = nullptr;
+    for (const OpenCandidate &Each : Choices) {
+      const double Room =
+          m_Selector.room(Each, Within) * (1 - rejectionOf(Each));
+      Sum += Room;
+      if (Room > 0 && uniform() * Sum < Room)
+        Chosen = &Each;
+    }
+    return Chosen;
+  }
+
+private:
+  double rejectionOf(const OpenCandidate &Each) const {
+    return std::min(
+        m_Selector.rejectionRate(
+            m_Selector.m_Entries.at(Each.m_Candidate->m_Target), m_Now),
+        1 - m_Selector.m_Options.m_MinAcceptance);
+  }
+  bool accepts(const OpenCandidate &Each) {
+    const double Rejection = rejectionOf(Each);
+    return Rejection <= 0 || uniform() >= Rejection;
+  }
+
+  const TargetSelector &m_Selector;
+  pcg32 m_Generator;
+  TimePoint m_Now;
+};
+
 std::optional<InstanceName>
 TargetSelector::choose(std::span<const Candidate> Candidates, bool LargeAnswer,
-                       std::uint64_t Random, TimePoint Now) const {
-  struct OpenCandidate {
-    const Candidate *m_Candidate;
-    double m_Cost;
-  };
+                       std::uint64_t Random, TimePoint Now,
+                       Duration TimeLeft) const {
   std::vector<OpenCandidate> Choices;
   Choices.reserve(Candidates.size());
   for (const Candidate &Each : Candidates)
@@ -89,19 +178,28 @@
       Choices.push_back({&Each, cost(Each, LargeAnswer, *Completion)});
   if (Choices.empty())
     return std::nullopt;
-  // Draws the sample with a partial Fisher-Yates shuffle.
-  const std::size_t Sample = std::min(m_Options.m_SampleSize, Choices.size());
-  pcg32 Generator(Random);
-  for (std::size_t Index = 0; Index < Sample; ++Index)
-    std::swap(Choices[Index],
-              Choices[Index + Generator(static_cast<std::uint32_t>(
-                                  Choices.size() - Index))]);
-  const auto Best = std::min_element(
-      Choices.begin(), Choices.begin() + static_cast<std::ptrdiff_t>(Sample),
-      [](const OpenCandidate &Left, const OpenCandidate &Right) {
-        return Left.m_Cost < Right.m_Cost;
-      });
-  return Best->m_Candidate->m_Target;
+  Draw Draw(*this, Random, Now);
+  const auto Elsewhere = std::partition(
+      Choices.begin(), Choices.end(),
+      [](const OpenCandidate &Each) { return Each.m_Candidate->m_SameDomain; });
+  const std::span<OpenCandidate> Home(Choices.begin(), Elsewhere);
+  const std::span<OpenCandidate> Others(Elsewhere, Choices.end());
+  if (LargeAnswer || TimeLeft <= Duration::zero() || Home.empty() ||
+      Others.empty())
+    return Draw.best(Choices).m_Candidate->m_Target;
+  const auto Left = static_cast<double>(TimeLeft.count());
+  const OpenCandidate &Best = Draw.best(Home);
+  const double Pressure = (Best.m_Cost / Left - m_Options.m_HomeShare) /
+                          (m_Options.m_SpillShare - m_Options.m_HomeShare);
+  if (Draw.uniform() >= Pressure)
+    return Best.m_Candidate->m_Target;
+  // Elsewhere requests aren't served better if the whole service is full, or if
+  // the time left is short for any target.
+  const auto *Spilled = Draw.byRoom(Others, m_Options.m_SpillShare * Left);
+  if (Spilled)
+    return (Spilled->m_Cost < Best.m_Cost ? *Spilled : Best)
+        .m_Candidate->m_Target;
+  return Draw.best(Choices).m_Candidate->m_Target;
 }
 
 } // namespace balsamwheel
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -20,6 +20,26 @@
 
 std::int64_t micros(Duration Value) { return Value.count(); }
 
+/// What the end of an attempt says about the target.
+///
+/// \param InTime the request's deadline has not passed.
+AttemptEnd attemptEnd(const TargetJobResult &Result, bool InTime) {
+  // A full target answers that it has not run the request, or breaks the
+  // connection.
+  const bool Shed = Result.m_ReachedTarget &&
+                    Result.m_Outcome != Outcome::Done &&
+                    Result.m_Reason == Reason::Overloaded;
+  const bool Reset = InTime && Result.m_Outcome == Outcome::Unknown &&
+                     Result.m_Reason == Reason::TargetFailed;
+  if (Shed || Reset)
+    return AttemptEnd::Rejected;
+  const bool Failed =
+      Result.m_Outcome == Outcome::Unknown ||
+      Result.m_Reason == Reason::TargetFailed ||
+      (Result.m_Outcome == Outcome::Done && Result.m_Answer.m_Status >= 500);
+  return Failed ? AttemptEnd::Failed : AttemptEnd::Accepted;
+}
+
 } // namespace
 
 Entrance::Entrance(EventLoop &Loop, EventLog &Log,
@@ -157,9 +177,9 @@
     return Entry.m_Excluded.contains(Each.m_Target) ||
            leavingFor(Each.m_Target);
   });
-  return m_Selector.choose(Candidates,
-                           Entry.m_Route->m_Kind == RouteKind::Download,
-                           m_Random(), m_Loop.now());
+  return m_Selector.choose(
+      Candidates, Entry.m_Route->m_Kind == RouteKind::Download, m_Random(),
+      m_Loop.now(), Entry.m_Objective - m_Loop.now());
 }
 
 void Entrance::dispatch(Id Request) {
@@ -291,7 +311,7 @@
       Result.m_Outcome == Outcome::Unknown ||
       (Result.m_Outcome == Outcome::Done && Result.m_Answer.m_Status >= 500);
   m_Selector.done(Entry.m_Destination,
-                  AttemptFailed || Result.m_Reason == Reason::TargetFailed,
+                  attemptEnd(Result, m_Loop.now() < Entry.m_Deadline),
                   m_Loop.now());
   if (Result.m_Outcome == Outcome::Done) {
     if (AttemptFailed && Entry.m_Route->idempotent() && acquireRetry(Entry))
--- a/src/router/router_crashes.cpp
+++ b/src/router/router_crashes.cpp
@@ -13,6 +13,18 @@
   return Result;
 }
 
+LinkFrame refusedRequests(const CrashSuspects &Suspects, TimePoint Now) {
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::RefusedRequests;
+  for (const CrashSuspect &Each : Suspects.refused(Now)) {
+    auto Suspect = suspectToWire(Each.m_Digest);
+    Suspect->crashes = Each.m_Crashes;
+    Suspect->crashed_before = (Now - Each.m_LastCrash).count();
+    Frame.suspects.push_back(std::move(Suspect));
+  }
+  return Frame;
+}
+
 } // namespace
 
 void Router::recordCrash(const std::vector<CrashedRun> &Runs,
@@ -47,6 +59,16 @@
     Frame.suspects.push_back(std::move(Suspect));
   }
   m_Mesh.broadcast(Frame);
+  // A peer may have heard of the crashes in another order and counted fewer. It
+  // would let the request run, and no further crash here would tell it.
+  LinkFrame Refused = refusedRequests(m_Suspects, m_Loop.now());
+  std::erase_if(Refused.suspects, [&](const auto &Each) {
+    return std::none_of(Runs.begin(), Runs.end(), [&](const CrashedRun &Run) {
+      return Run.m_Digest.value() == Each->digest;
+    });
+  });
+  if (!Refused.suspects.empty())
+    m_Mesh.broadcast(Refused);
 }
 
 void Router::onSuspectCompleted(RequestDigest Digest) {
@@ -59,14 +81,7 @@
 }
 
 void Router::sendRefusedRequests(std::uint64_t Link) {
-  LinkFrame Frame;
-  Frame.kind = LinkFrameKind::RefusedRequests;
-  for (const CrashSuspect &Each : m_Suspects.refused(m_Loop.now())) {
-    auto Suspect = suspectToWire(Each.m_Digest);
-    Suspect->crashes = Each.m_Crashes;
-    Suspect->crashed_before = (m_Loop.now() - Each.m_LastCrash).count();
-    Frame.suspects.push_back(std::move(Suspect));
-  }
+  const LinkFrame Frame = refusedRequests(m_Suspects, m_Loop.now());
   if (!Frame.suspects.empty())
     m_Mesh.answer(Link, Frame, {});
 }
