Count the room at targets whose service time isn't known yet

The room of a target that has just started was divided by a service time of zero. It is that of a usual target of the service now, as for the expected completion.

--- a/include/balsamwheel/detail/load/target_selector.h
+++ b/include/balsamwheel/detail/load/target_selector.h
@@ -154,6 +154,8 @@
   struct OpenCandidate {
     const Candidate *m_Candidate;
     double m_Cost;
+    /// Service time in microseconds; positive.
+    double m_Service;
   };
   class Draw;
 
--- a/src/load/target_selector.cpp
+++ b/src/load/target_selector.cpp
@@ -17,6 +17,13 @@
 constexpr Duration ServiceTimeHalfLife = std::chrono::milliseconds(500);
 constexpr double MaxHalfLives = 2;
 
+/// Mean service time in microseconds; positive.
+double serviceMicros(const GateReport &Report, Duration Typical) {
+  const Duration Mean =
+      Report.m_Service > Duration::zero() ? Report.m_Service : Typical;
+  return std::max(1.0, static_cast<double>(Mean.count()));
+}
+
 double decayed(double Rate, Duration Age, Duration HalfLife) {
   const double HalfLives =
       static_cast<double>(Age.count()) / static_cast<double>(HalfLife.count());
@@ -87,9 +94,7 @@
     return std::nullopt;
   const Entry &Known = Found->second;
   const GateReport &Report = Known.m_Report;
-  const Duration Mean =
-      Report.m_Service > Duration::zero() ? Report.m_Service : TypicalService;
-  const double Service = std::max(1.0, static_cast<double>(Mean.count()));
+  const double Service = serviceMicros(Report, TypicalService);
   const double Load =
       Report.m_Running + Report.m_Waiting + Known.m_SentSinceReport;
   double Total = Service * (1 + Load / Report.m_Slots);
@@ -131,7 +136,7 @@
   const GateReport &Report =
       m_Entries.at(Option.m_Candidate->m_Target).m_Report;
   return Report.m_Slots * std::max(0.0, Within - Option.m_Cost) /
-         std::max(1.0, static_cast<double>(Report.m_Service.count()));
+         Option.m_Service;
 }
 
 /// The random part of one choice.
@@ -209,7 +214,10 @@
   const Duration Typical = typicalService(Candidates);
   for (const Candidate &Each : Candidates)
     if (const auto Completion = expectedCompletion(Each.m_Target, Now, Typical))
-      Choices.push_back({&Each, cost(Each, LargeAnswer, *Completion)});
+      Choices.push_back({.m_Candidate = &Each,
+                         .m_Cost = cost(Each, LargeAnswer, *Completion),
+                         .m_Service = serviceMicros(
+                             m_Entries.at(Each.m_Target).m_Report, Typical)});
   if (Choices.empty())
     return std::nullopt;
   Draw Draw(*this, Random, Now);
