Send rejected keyed requests to their owner once more

Cause: when the owner's target rejected a keyed request without running it, the caller was refused at once, although the target may have room a moment later. Change: the request is sent there once more after half a mean service time, if the route's attempts, the deadline and the retry budget allow it. Result: unit-router-rejections; 40 requests that are all rejected arrive at most 48 times. All other sidecar tests pass.

--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -193,7 +193,7 @@
   if (!isFull() &&
       canBeOnTime(Request, Now + expectedWait(Request, Ahead, Now)))
     return std::nullopt;
-  const Waiting Displaced = *Last;
+  const Waiting Displaced = std::move(*Last);
   m_Waiting.erase(Last);
   giveTurnBack(Displaced);
   m_Ranks.refused(Displaced.m_Request.m_Priority, Now);
@@ -211,7 +211,7 @@
       Best = Each;
   if (Best == m_Waiting.end() || !takeToken(Now))
     return std::nullopt;
-  const Waiting Sent = *Best;
+  const Waiting Sent = std::move(*Best);
   m_Waiting.erase(Best);
   start(Sent, Now);
   if (!Sent.m_Request.m_Nested) {
@@ -254,7 +254,7 @@
       [&](const Waiting &Each) { return Each.m_Request.m_Handle == Request; });
   if (Found == m_Waiting.end())
     return false;
-  const Waiting Withdrawn = *Found;
+  const Waiting Withdrawn = std::move(*Found);
   m_Waiting.erase(Found);
   giveTurnBack(Withdrawn);
   m_Backlogged = m_Backlogged && hasNonNestedWaiting();
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -336,6 +336,8 @@
       return dispatch(Request);
     return retryOwnerLookup(Request);
   }
+  if (retryAtOwner(Request, Result))
+    return;
   const bool MayTryAnother =
       !isKeyed(Entry) && Entry.m_Forwards < m_Options.m_MaxForwards;
   if (MayTryAnother && (!Result.m_ReachedTarget || acquireRetry(Entry))) {
@@ -347,20 +349,44 @@
   refuse(Request, Result.m_Reason, Result.m_RetryAfter);
 }
 
+bool Entrance::retryAtOwner(Id Request, const TargetJobResult &Result) {
+  ActiveRequest &Entry = m_Active.at(Request);
+  const bool Rejected =
+      Result.m_ReachedTarget && Result.m_Reason == Reason::Overloaded;
+  if (!Rejected || !isKeyed(Entry) || Entry.m_RetriedAtOwner)
+    return false;
+  const Duration Pause =
+      std::clamp(Result.m_RetryAfter / 2, m_Options.m_MinRejectedPause,
+                 m_Options.m_MaxRejectedPause);
+  if (!chargeRetry(Entry, Entry.m_Destination, Pause))
+    return false;
+  Entry.m_RetriedAtOwner = true;
+  Entry.m_OwnerRetryTimer =
+      m_Loop.after(Pause, [this, Request] { dispatch(Request); });
+  return true;
+}
+
 bool Entrance::acquireRetry(ActiveRequest &Entry) {
   if (Entry.m_TargetAttempts >= Entry.m_Route->m_MaxAttempts)
     return false;
   Entry.m_Excluded.insert(Entry.m_Destination);
   // A keyed request is retried at the same owner, any other at another
   // instance.
-  const InstanceName Destination = choose(Entry).value_or(Entry.m_Destination);
+  return chargeRetry(Entry, choose(Entry).value_or(Entry.m_Destination),
+                     Duration::zero());
+}
+
+bool Entrance::chargeRetry(const ActiveRequest &Entry,
+                           const InstanceName &Destination, Duration Pause) {
+  if (Entry.m_TargetAttempts >= Entry.m_Route->m_MaxAttempts)
+    return false;
   const auto Expected =
       m_Selector.expectedCompletion(Destination, m_Loop.now());
   const double MinTimeLeft =
       m_Options.m_MinRetryTimeRatio *
       static_cast<double>(
           micros(Expected.value_or(m_Options.m_DefaultRetryAfter)));
-  return static_cast<double>(micros(Entry.m_Deadline - m_Loop.now())) >=
+  return static_cast<double>(micros(Entry.m_Deadline - m_Loop.now() - Pause)) >=
              MinTimeLeft &&
          retryBudget(Entry.m_Service).takeRetry();
 }
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -43,6 +43,10 @@
   Duration m_OwnerRetryDelay = std::chrono::milliseconds(60);
   /// Maximum number of repeated owner lookups for one request.
   int m_MaxOwnerLookups = 4;
+  /// Bounds of the pause before a request is sent again to a target that has
+  /// rejected it: half of its mean service time, in which it may have room.
+  Duration m_MinRejectedPause = std::chrono::milliseconds(20);
+  Duration m_MaxRejectedPause = std::chrono::milliseconds(150);
   /// Time that must be left before the deadline for a retry, as a fraction of
   /// the expected completion time. Below 1, because that is a mean over all
   /// routes, well above the time of a fast one.
@@ -109,6 +113,8 @@
     std::uint32_t m_TargetAttempts = 0;
     int m_Forwards = 0;
     int m_OwnerLookups = 0;
+    /// Sent to the owner again after its target had rejected it.
+    bool m_RetriedAtOwner = false;
     /// Instances that have refused or failed the request.
     std::set<InstanceName> m_Excluded;
   };
@@ -136,10 +142,18 @@
   void attemptEnded(Id Request, TargetJobResult Result);
   void noteLeaving(const InstanceName &Name, const TargetIncarnation &Leaving);
   void handleNotRun(Id Request, const TargetJobResult &Result);
+  /// Sends a keyed request that the owner's target has rejected without running
+  /// it there once more, after a pause.
+  /// \returns false when it may not be sent again.
+  bool retryAtOwner(Id Request, const TargetJobResult &Result);
   /// Excludes the last instance and checks the limits on retries.
   /// \returns whether a retry is allowed; it is then charged to the retry
   /// budget.
   bool acquireRetry(ActiveRequest &Entry);
+  /// Checks the limits on a retry at an instance after a pause.
+  /// \returns whether it is allowed; it is then charged to the retry budget.
+  bool chargeRetry(const ActiveRequest &Entry, const InstanceName &Destination,
+                   Duration Pause);
   RetryBudget &retryBudget(const ServiceName &Service) {
     return m_Retries.try_emplace(Service, m_Options.m_Retries).first->second;
   }
