--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -75,7 +75,7 @@
 /// A router with its table, its target and a caller.
 struct Instance {
   Instance(EventLoop &Loop, EventLog &Log, FakeRows &Rows,
-           const std::string &Name, const std::string &Service)
+           const std::string &Name, const std::string &Service, bool ShareRoom)
       : m_Table(Rows) {
     m_Settings.m_Instance = InstanceName(Name);
     m_Settings.m_Domain = DomainName("domain-" + Name);
@@ -85,6 +85,7 @@
     m_Settings.m_Peers = freeEndpoint();
     m_Settings.m_HeartbeatInterval = 200ms;
     m_Settings.m_MaxAnswerBytes = std::size_t{1} << 20;
+    m_Settings.m_ShareRoom = ShareRoom;
     restartRouter(Loop, Log);
     m_Callers = std::make_unique<HttpClient>(Loop, m_Settings.m_Callers,
                                              HttpClientOptions{});
@@ -129,9 +130,11 @@
       : m_Loop({.m_MaxSleep = 20ms}), m_Log(m_Loop, {.m_Output = -1}),
         m_Rows(m_Loop) {}
 
-  Instance &add(const std::string &Name, const std::string &Service) {
-    m_Instances.push_back(
-        std::make_unique<Instance>(m_Loop, m_Log, m_Rows, Name, Service));
+  /// \param ShareRoom see RouterSettings::m_ShareRoom.
+  Instance &add(const std::string &Name, const std::string &Service,
+                bool ShareRoom = false) {
+    m_Instances.push_back(std::make_unique<Instance>(m_Loop, m_Log, m_Rows,
+                                                     Name, Service, ShareRoom));
     return *m_Instances.back();
   }
 
