Keep the test of nested requests for gates that don't share room by priority

The test had been changed to equal ranks for the new rule; the former rule stays in force where the settings don't ask for the new one, and has its test again.

--- a/tests/unit-request-gate.cpp
+++ b/tests/unit-request-gate.cpp
@@ -210,6 +210,20 @@
   CHECK(Gate.next(Start) == RequestHandle(3));
 }
 
+TEST_CASE("without room by priority, a nested request goes before new ones of "
+          "any priority") {
+  RequestGate Gate({.m_RoomByPriority = false});
+  Gate.open(1);
+  Gate.offer(request(1, 1s), Start);
+  Gate.offer(request(2, 1s, 0), Start);
+  GateRequest Nested = request(3, 300ms, 5);
+  Nested.m_Deadline = Start + 1s;
+  Nested.m_Nested = true;
+  CHECK(Gate.offer(Nested, Start).m_Verdict == GateVerdict::Wait);
+  Gate.finished("r", 1, 100ms, true);
+  CHECK(Gate.next(Start) == RequestHandle(3));
+}
+
 TEST_CASE("a late waiting request expires if another one can be on time") {
   RequestGate Gate = gateWithService(1, 100ms);
   Gate.offer(request(1, 1s), Start);
