--- a/tests/unit-router-quota.cpp
+++ b/tests/unit-router-quota.cpp
@@ -202,3 +202,27 @@
   Rig.m_Rig.runFor(1500ms);
   CHECK(Rig.send({&Rig.m_A}, 1s, 25ms).m_OverQuota == 0);
 }
+
+TEST_CASE("the metrics name the organisations with the most requests only") {
+  RouterMetrics Metrics;
+  const auto Count = [&](int First, int Last, int Times) {
+    for (int Index = First; Index <= Last; ++Index)
+      for (int Time = 0; Time < Times; ++Time)
+        Metrics.quota().count(OrganisationName("o" + std::to_string(Index)),
+                              "granted");
+  };
+  const auto Has = [&](const std::string &Label) {
+    return Metrics.toText().find("organisation=\"" + Label + "\"") !=
+           std::string::npos;
+  };
+  Count(100, 129, 1);
+  CHECK(Has("o119"));
+  CHECK(!Has("o120"));
+  CHECK(Has("other"));
+  Count(120, 129, 5);
+  Metrics.quota().chooseLabels();
+  Count(120, 129, 1);
+  CHECK(Has("o129"));
+  // Of those with one request each, the last by name stay.
+  CHECK(!Has("o105"));
+}
