Have no contract switch the measured capacity on

The test of the settings checks now that pressure sets the sharing of room, and that no contract has the capacity measured.

--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -67,23 +67,22 @@
   Limited["Limits"]["LinkMbps"] = 10.0;
   CHECK(parseSettings(Limited.dump(), Problem)->m_LinkBytesPerSecond ==
         doctest::Approx(1.25e6));
-  CHECK_FALSE(Read->m_ShareRoom);
-  Limited["Contracts"] = {"base", "pressure"};
-  CHECK(parseSettings(Limited.dump(), Problem)->m_ShareRoom);
 }
 
-TEST_CASE("the capacity is measured where the contracts hold pressure") {
+TEST_CASE("room is shared by priority where the contracts hold pressure, and "
+          "no contract has the capacity measured") {
   std::string Problem;
   nlohmann::json File = settings();
-  CHECK_FALSE(parseSettings(File.dump(), Problem)->m_MeasureCapacity);
+  CHECK_FALSE(parseSettings(File.dump(), Problem)->m_ShareRoom);
   const nlohmann::json Without[] = {nlohmann::json::array({"keys", 1}),
                                     "pressure", nullptr};
   for (const nlohmann::json &Each : Without) {
     File["Contracts"] = Each;
-    CHECK_FALSE(parseSettings(File.dump(), Problem)->m_MeasureCapacity);
+    CHECK_FALSE(parseSettings(File.dump(), Problem)->m_ShareRoom);
   }
   File["Contracts"] = {"keys", "pressure"};
-  CHECK(parseSettings(File.dump(), Problem)->m_MeasureCapacity);
+  CHECK(parseSettings(File.dump(), Problem)->m_ShareRoom);
+  CHECK_FALSE(parseSettings(File.dump(), Problem)->m_MeasureCapacity);
 }
 
 TEST_CASE("an invalid settings file is rejected with the name of the field") {
