--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -10,6 +10,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 
 namespace balsamwheel::tests {
@@ -201,12 +202,24 @@
   }
 
   /// Writes the configuration, sends a heartbeat of each target, and waits
-  /// until the first instance serves requests.
+  /// until the first instance serves requests and all know each other.
   void startServing() {
     configure(1);
     for (const auto &Each : m_Instances)
       Each->sendHeartbeat();
     waitUntilServed(*m_Instances.front(), "/read/1");
+    REQUIRE(runUntil([&] { return allReport(); }));
+  }
+
+  /// Whether each daemon has sent a beat, i.e. a report after its first one, so
+  /// that others know its target.
+  bool allReport() const {
+    return m_Instances.size() == 1 ||
+           std::all_of(
+               m_Instances.begin(), m_Instances.end(), [](const auto &Each) {
+                 return Each->m_Metrics.toText().find("kind=\"Beat\"") !=
+                        std::string::npos;
+               });
   }
 
   EventLoop m_Loop;
