--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -240,7 +240,9 @@
   });
   return m_Selector.choose(
       Candidates, Entry.m_Route->m_Kind == RouteKind::Download, m_Random(),
-      m_Loop.now(), Entry.m_Objective - m_Loop.now());
+      m_Loop.now(),
+      m_Settings.m_PreferOwnDomain ? Entry.m_Objective - m_Loop.now()
+                                   : Duration::zero());
 }
 
 void Entrance::dispatch(Id Request) {
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -66,6 +66,9 @@
   Duration m_GracePeriod = std::chrono::seconds(6);
   /// Retry budget: retries per request, over all daemons.
   double m_RetryRatio = 0.2;
+  /// Requests for services without keys stay in their failure domain while they
+  /// can probably be in time there.
+  bool m_PreferOwnDomain = false;
   /// Limits the requests at the target to its measured capacity.
   bool m_MeasureCapacity = false;
   /// Longest hold of a key that targets accept.
