--- a/tests/target_capacity_model.h
+++ b/tests/target_capacity_model.h
@@ -279,8 +279,8 @@
 };
 
 /// Between the times, and the usual value otherwise.
-std::function<double(Duration)> during(Duration From, Duration To, double Value,
-                                       double Usual) {
+inline std::function<double(Duration)> during(Duration From, Duration To,
+                                              double Value, double Usual) {
   return [=](Duration Now) { return Now >= From && Now < To ? Value : Usual; };
 }
 
