--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -49,6 +49,8 @@
     return m_Call ? m_Call->m_Id : HttpClient::CallId();
   }
 
+  bool requestSent() const { return m_RequestSent; }
+
   void start(HttpClient::PendingCall Call) {
     m_Call = std::make_unique<HttpClient::PendingCall>(std::move(Call));
     m_Input.clear();
@@ -261,6 +263,17 @@
       return Connection->shutDown();
 }
 
+bool HttpClient::isUnsent(CallId Call) const {
+  const auto Queued =
+      std::any_of(m_Queue.begin(), m_Queue.end(),
+                  [&](const PendingCall &Each) { return Each.m_Id == Call; });
+  return Queued || std::any_of(m_Connections.begin(), m_Connections.end(),
+                               [&](const auto &Connection) {
+                                 return Connection->callId() == Call &&
+                                        !Connection->requestSent();
+                               });
+}
+
 void HttpClient::reset() {
   std::list<PendingCall> Unsent;
   Unsent.swap(m_Queue);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -77,6 +77,9 @@
   /// Removes a call without calling its callback. The connection of a call in
   /// progress is closed.
   void cancel(CallId Call);
+  /// Whether a call waits for a connection, so that no byte of it was sent.
+  /// Complexity: linear in the number of calls.
+  bool isUnsent(CallId Call) const;
   /// Closes all connections. Calls in progress end as Broken, queued ones as
   /// NotSent.
   void reset();
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -479,7 +479,7 @@
 
 void Entrance::cancelAttempt(const ActiveRequest &Entry) {
   if (Entry.m_Job.value() != 0)
-    m_Agent.cancel(Entry.m_Job);
+    m_Metrics.attemptCancelled(toString(m_Agent.cancel(Entry.m_Job)));
   if (Entry.m_Stream != 0)
     m_Mesh.cancel(Entry.m_Destination, Entry.m_Stream);
 }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -139,7 +139,7 @@
            .m_OnCancel =
                [this](std::uint64_t Link, std::uint64_t Stream) {
                  if (auto Job = m_PeerJobs.extract({Link, Stream}))
-                   m_Agent.cancel(Job.mapped());
+                   cancelPeerJob(Job.mapped());
                },
            .m_OnInboundClosed =
                [this](std::uint64_t Link) {
@@ -147,7 +147,7 @@
                    auto First = m_PeerJobs.lower_bound({Link, 0});
                    if (First == m_PeerJobs.end() || First->first.m_Link != Link)
                      return;
-                   m_Agent.cancel(First->second);
+                   cancelPeerJob(First->second);
                    m_PeerJobs.erase(First);
                  }
                },
@@ -353,12 +353,17 @@
       .add("row_version",
            static_cast<std::int64_t>(Row.m_Version.m_Version.value()))
       .add("problem", Older ? "not newer than the one in force" : Problem);
+  const auto WrittenAfter = m_Follower.writtenAfter(Row.m_Version);
+  const std::optional<Duration> Age =
+      WrittenAfter ? std::optional(m_Loop.now() - *WrittenAfter) : std::nullopt;
+  if (Age)
+    Line.add("age_at_most", *Age);
   m_Log.write(LogClass::StateChange, Line);
   if (!Table || Older)
     return;
   m_Routes = std::move(Table);
   m_RoutesRow = Row;
-  m_Metrics.configVersion(m_Routes->version().value());
+  m_Metrics.configApplied(m_Routes->version().value(), Age);
   const CallerLimits &Limits = m_Routes->limits();
   HttpServerOptions Options = callerOptions(m_Settings);
   Options.m_Limits = {.m_MaxHeaderBytes = Limits.m_MaxHeaderBytes,
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -107,6 +107,7 @@
   std::set<InstanceName> planners() const;
   void handleReport(const InstanceName &Peer, const LinkFrame &Report);
   void handleBeat(const InstanceName &Peer, const LinkBeat &Beat);
+  void cancelPeerJob(TargetAgent::JobId Job);
   void handlePeerRequest(std::uint64_t Link, LinkFrame &Frame,
                          std::string Body);
   void sendPeerAnswer(std::uint64_t Link, std::uint64_t Stream,
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -43,11 +43,22 @@
                  .Name("balsamwheel_gate_requests")
                  .Help("Requests at the target's gate")
                  .Register(*m_Registry)),
+      m_Cancelled(prometheus::BuildCounter()
+                      .Name("balsamwheel_cancelled_attempts_total")
+                      .Help("Attempts whose callers have left or whose "
+                            "deadlines have passed, by what they were doing")
+                      .Register(*m_Registry)),
       m_Version(prometheus::BuildGauge()
                     .Name("balsamwheel_config_version")
                     .Help("Version of the configuration in force")
                     .Register(*m_Registry)
                     .Add({})),
+      m_ConfigAge(prometheus::BuildGauge()
+                      .Name("balsamwheel_config_apply_seconds")
+                      .Help("Upper bound of the time from the write of the "
+                            "configuration to when it came into force")
+                      .Register(*m_Registry)
+                      .Add({})),
       m_StoreEra(prometheus::BuildGauge()
                      .Name("balsamwheel_store_era")
                      .Help("Era of the store; rises when it loses writes")
@@ -111,8 +122,15 @@
   m_Gate.Add({{"state", "waiting"}}).Set(static_cast<double>(Waiting));
 }
 
-void RouterMetrics::configVersion(std::uint64_t Version) {
+void RouterMetrics::attemptCancelled(const std::string &State) {
+  m_Cancelled.Add({{"state", State}}).Increment();
+}
+
+void RouterMetrics::configApplied(std::uint64_t Version,
+                                  std::optional<Duration> Age) {
   m_Version.Set(static_cast<double>(Version));
+  if (Age)
+    m_ConfigAge.Set(static_cast<double>(Age->count()) / 1e6);
 }
 
 void RouterMetrics::storeEra(std::uint64_t Era) {
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -12,6 +12,7 @@
 #include <prometheus/registry.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,9 +31,14 @@
   /// \param Reason a short fixed text.
   void requestRefused(const std::string &Service, std::uint32_t Priority,
                       std::string_view Reason);
+  /// Counts an attempt that was cancelled, by what it was doing.
+  /// \param State a short fixed text.
+  void attemptCancelled(const std::string &State);
   void tableCall(const std::string &Call, const std::string &End);
   void gate(std::uint32_t Running, std::size_t Waiting);
-  void configVersion(std::uint64_t Version);
+  /// \param Age upper bound of the configuration's age when it came into force;
+  ///        none if it isn't known.
+  void configApplied(std::uint64_t Version, std::optional<Duration> Age);
   void storeEra(std::uint64_t Era);
   /// \param PerSecond the limit that the target names; 0 for none.
   void targetLimit(double PerSecond);
@@ -58,7 +64,9 @@
   prometheus::Family<prometheus::Counter> &m_TableCalls;
   prometheus::Family<prometheus::Counter> &m_PeerBytes;
   prometheus::Family<prometheus::Gauge> &m_Gate;
+  prometheus::Family<prometheus::Counter> &m_Cancelled;
   prometheus::Gauge &m_Version;
+  prometheus::Gauge &m_ConfigAge;
   prometheus::Gauge &m_StoreEra;
   prometheus::Gauge &m_TargetLimit;
   prometheus::Gauge &m_TargetCapacity;
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -265,6 +265,10 @@
       });
 }
 
+void Router::cancelPeerJob(TargetAgent::JobId Job) {
+  m_Metrics.attemptCancelled(toString(m_Agent.cancel(Job)));
+}
+
 void Router::sendPeerAnswer(std::uint64_t Link, std::uint64_t Stream,
                             const TargetJobResult &Result) {
   m_PeerJobs.erase({Link, Stream});
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -33,6 +33,20 @@
 
 } // namespace
 
+const char *toString(CancelledAttempt State) {
+  switch (State) {
+  case CancelledAttempt::Ended:
+    return "ended";
+  case CancelledAttempt::Waiting:
+    return "waiting";
+  case CancelledAttempt::Unsent:
+    return "unsent";
+  case CancelledAttempt::Sent:
+    return "sent";
+  }
+  return "";
+}
+
 TargetAgent::TargetAgent(EventLoop &Loop, EventLog &Log,
                          const RouterSettings &Settings,
                          const ExchangeFormat &Format,
@@ -434,20 +448,29 @@
                    std::move(Result))] { Done(std::move(*JobResult)); });
 }
 
-void TargetAgent::cancel(JobId Id) {
+CancelledAttempt TargetAgent::cancel(JobId Id) {
   auto Found = m_Jobs.find(Id);
   if (Found == m_Jobs.end())
-    return;
+    return CancelledAttempt::Ended;
   Job &Entry = Found->second;
-  if (!Entry.m_Sent) {
+  CancelledAttempt State = CancelledAttempt::Waiting;
+  if (Entry.m_Sent)
+    State = m_Client->isUnsent(Entry.m_Call) ? CancelledAttempt::Unsent
+                                             : CancelledAttempt::Sent;
+  m_Log.write(LogClass::Failure,
+              LogLine("attempt_cancelled")
+                  .add("request", Entry.m_Job.m_Id)
+                  .add("state", toString(State))
+                  .add("age", m_Loop.now() - Entry.m_Submitted));
+  if (State == CancelledAttempt::Waiting) {
     m_Gate.withdraw(Id);
     std::erase(m_AwaitingGrant, Id);
     m_Jobs.erase(Found);
-    return;
+    return State;
   }
   if (!Entry.m_Job.m_Idempotent) {
     Entry.m_Cancelled = true;
-    return;
+    return State;
   }
   forgetRunning(Entry.m_Job);
   m_Client->cancel(Entry.m_Call);
@@ -456,6 +479,7 @@
   measureEnd(Entry, CapacityEnd::Other);
   m_Jobs.erase(Found);
   sendQueued();
+  return State;
 }
 
 } // namespace balsamwheel
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -74,6 +74,20 @@
   std::optional<TargetIncarnation> m_LeavingTarget;
 };
 
+/// What cancel() has found.
+enum class CancelledAttempt : std::uint8_t {
+  /// The attempt had ended before.
+  Ended,
+  /// It waited at the gate or for its key.
+  Waiting,
+  /// The gate had passed it, but no byte of it was sent.
+  Unsent,
+  /// The target may be running it.
+  Sent,
+};
+
+const char *toString(CancelledAttempt State);
+
 struct TargetAgentOptions {
   TargetKeysOptions m_Keys;
   RequestGateOptions m_Gate;
@@ -135,7 +149,7 @@
   JobId submit(TargetJob Job, const KeyMap *Map, OnResult Done);
   /// Cancels a job whose caller has left or whose deadline has passed; its
   /// callback isn't called. A non-idempotent request that is running continues.
-  void cancel(JobId Job);
+  CancelledAttempt cancel(JobId Job);
   /// Sends the requests whose keys the last answered heartbeat has granted.
   void grantsChanged();
 
