Don't send a cancelled non-idempotent request that isn't sent yet

Cause: once the gate had passed a non-idempotent request to the HTTP client it ran to its end, also while it waited there for a connection, up to 800 ms. What may have run is left alone; what has not been sent is now dropped, and its slot is free at once. Evidence: the new test, in which the cancellation comes before the connection is open, sees one arrival without the change and none with it.

--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -468,7 +468,7 @@
     m_Jobs.erase(Found);
     return State;
   }
-  if (!Entry.m_Job.m_Idempotent) {
+  if (State == CancelledAttempt::Sent && !Entry.m_Job.m_Idempotent) {
     Entry.m_Cancelled = true;
     return State;
   }
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -148,7 +148,7 @@
 
   JobId submit(TargetJob Job, const KeyMap *Map, OnResult Done);
   /// Cancels a job whose caller has left or whose deadline has passed; its
-  /// callback isn't called. A non-idempotent request that is running continues.
+  /// callback isn't called. A non-idempotent request that was sent continues.
   CancelledAttempt cancel(JobId Job);
   /// Sends the requests whose keys the last answered heartbeat has granted.
   void grantsChanged();
--- /dev/null
+++ b/tests/unit-router-cancelled.cpp
@@ -0,0 +1,114 @@
+// Requests whose callers have left must not reach a target any more, wherever
+// they are when the news arrives.
+#include "link/peer_link.h"
+#include "router_rig.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace balsamwheel;
+using namespace balsamwheel::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A daemon with a target, and a peer whose frames the test writes.
+struct PeerRig : Rig {
+  PeerRig() : m_Remote(add("b", "plain")) {
+    configure(1);
+    m_Remote.sendHeartbeat();
+    REQUIRE(runUntil([&] { return m_Remote.m_Router->ready(); }));
+  }
+
+  struct Peer {
+    std::unique_ptr<PeerLink> m_Link;
+    std::size_t m_Answers = 0;
+    bool m_Ended = false;
+  };
+
+  std::unique_ptr<Peer> connect() {
+    auto Result = std::make_unique<Peer>();
+    Peer *Added = Result.get();
+    Added->m_Link = std::make_unique<PeerLink>(
+        m_Loop,
+        PeerLinkEvents{
+            .m_OnFrame =
+                [Added](auto Frame, const std::string &) {
+                  Added->m_Answers +=
+                      Frame->kind == LinkFrameKind::Answer ? 1 : 0;
+                },
+            .m_OnEnd = [Added](const char *) { Added->m_Ended = true; }});
+    REQUIRE(Added->m_Link->connect(m_Remote.m_Settings.m_Peers));
+    REQUIRE(runUntil([&] { return Added->m_Link->isOpen(); }));
+    Added->m_Link->send(frame(LinkFrameKind::Hello, 0));
+    return Result;
+  }
+
+  static LinkFrame frame(LinkFrameKind Kind, std::uint64_t Stream,
+                         Duration Ago = 0ms) {
+    LinkFrame Frame;
+    Frame.kind = Kind;
+    Frame.instance = "a";
+    Frame.service = "plain";
+    Frame.stream = Stream;
+    Frame.method = "GET";
+    Frame.target = "/read/1";
+    Frame.route = "read";
+    Frame.objective_left = Frame.deadline_left = Duration(4s).count();
+    Frame.sent_at = (bootNow() - Ago).time_since_epoch().count();
+    return Frame;
+  }
+
+  std::string metrics() const { return m_Remote.m_Metrics.toText(); }
+
+  Instance &m_Remote;
+};
+
+/// A blocking connection, whose bytes reach the kernel of the receiver at once.
+class RawSocket {
+public:
+  explicit RawSocket(const Endpoint &Remote)
+      : m_Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int BufferBytes = 1 << 20;
+    setsockopt(m_Socket, SOL_SOCKET, SO_SNDBUF, &BufferBytes,
+               sizeof(BufferBytes));
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(Remote.m_Port);
+    REQUIRE(::connect(m_Socket, reinterpret_cast<sockaddr *>(&Address),
+                      sizeof(Address)) == 0);
+  }
+  ~RawSocket() { close(m_Socket); }
+  RawSocket(const RawSocket &) = delete;
+  RawSocket &operator=(const RawSocket &) = delete;
+
+  void send(const std::string &Text) const {
+    REQUIRE(::send(m_Socket, Text.data(), Text.size(), 0) ==
+            static_cast<ssize_t>(Text.size()));
+  }
+
+private:
+  int m_Socket;
+};
+
+std::string encoded(const LinkFrame &Frame) { return encodeFrame(Frame, {}); }
+
+} // namespace
+
+TEST_CASE("a non-idempotent request was sent after its caller had left, while "
+          "the connection to the target was being opened") {
+  PeerRig Rig;
+  const auto Peer = Rig.connect();
+  LinkFrame Write = PeerRig::frame(LinkFrameKind::Request, 1);
+  Write.non_idempotent = true;
+  Write.target = "/write/1";
+  Write.route = "write";
+  Peer->m_Link->sendEncoded(encoded(Write) +
+                            encoded(PeerRig::frame(LinkFrameKind::Cancel, 1)));
+  Rig.runFor(300ms);
+  CHECK(Rig.m_Remote.m_Target.m_Arrivals == 0);
+}
