Read the cancellations behind a peer's request before passing it on

Cause: a daemon passed each request on as soon as it was parsed; with too little processor time the Cancel frame waits in the kernel right behind it, so the request ran first. Now all frames of a read are taken before its requests are passed on, and a request that was delayed by more than 100 ms waits until the connection has no unread input. In the usual case nothing waits. Evidence: both tests see one arrival too many without the change.

--- a/src/link/peer_link.cpp
+++ b/src/link/peer_link.cpp
@@ -152,6 +152,8 @@
   m_Input.erase(0, Consumed);
   if (m_Input.empty() && m_Input.capacity() > MaxRetainedInput)
     m_Input.shrink_to_fit();
+  if (m_Events.m_OnReadDone && m_Stream.isOpen())
+    m_Events.m_OnReadDone();
 }
 
 } // namespace balsamwheel
--- a/src/link/peer_link.h
+++ b/src/link/peer_link.h
@@ -32,6 +32,8 @@
   std::function<void(const LinkBeat &)> m_OnBeat;
   /// The connection failed or the peer closed it. Called at most once.
   std::function<void(const char *Why)> m_OnEnd;
+  /// All frames that one read has completed have been delivered.
+  std::function<void()> m_OnReadDone;
   /// All bytes that were sent have been handed to the kernel.
   std::function<void()> m_OnDrained;
 };
@@ -50,6 +52,9 @@
   void sendEncoded(std::string_view Text) { m_Stream.write(Text); }
   void close() { m_Stream.close(); }
   bool isOpen() const { return m_Stream.isOpen(); }
+  /// Whether the kernel holds input, or the connection's end, that hasn't been
+  /// read.
+  bool hasUnreadInput() const { return m_Stream.hasUnreadInput(); }
   /// Time at which bytes last arrived.
   TimePoint lastReceived() const { return m_LastReceived; }
   /// Bytes that haven't been written to the socket yet.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -48,6 +48,12 @@
                                               ACE_Event_Handler::DONT_CALL);
 }
 
+/// Whether one of the events, an error or a hang-up has occurred.
+bool pollNow(ACE_HANDLE Handle, short Events) {
+  pollfd Poll{.fd = Handle, .events = Events, .revents = 0};
+  return ::poll(&Poll, 1, 0) > 0;
+}
+
 ACE_INET_Addr toAceAddress(const Endpoint &Source) {
   return ACE_INET_Addr(Source.m_Port, Source.m_Host.c_str(), AF_INET);
 }
@@ -167,10 +173,9 @@
     m_Loop.reactor().cancel_wakeup(this, ACE_Event_Handler::READ_MASK);
 }
 
-bool Stream::closedByPeer() const {
-  pollfd Poll{.fd = m_Handle, .events = POLLRDHUP, .revents = 0};
-  return ::poll(&Poll, 1, 0) > 0;
-}
+bool Stream::closedByPeer() const { return pollNow(m_Handle, POLLRDHUP); }
+
+bool Stream::hasUnreadInput() const { return pollNow(m_Handle, POLLIN); }
 
 void Stream::endOutput() {
   if (m_Handle != ACE_INVALID_HANDLE)
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -73,6 +73,8 @@
   /// Returns whether the peer has closed the connection in order or reset it,
   /// even if unread input remains.
   bool closedByPeer() const;
+  /// Returns whether input, or the end of the connection, waits to be read.
+  bool hasUnreadInput() const;
   /// Starts to connect; the result is reported by an event.
   ///
   /// \returns false if no socket could be created or the attempt failed at
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -4,6 +4,7 @@
 #include "report_texts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace balsamwheel {
 
@@ -15,6 +16,9 @@
 /// A peer whose connection has this many unsent bytes gets no reports until
 /// they have been sent.
 constexpr std::size_t MaxPendingBytesForReport = std::size_t{256} << 10;
+/// A request that was delayed for longer is passed on only when all input of
+/// its connection has been read: a cancellation may stand behind it.
+constexpr Duration MaxDelayUnchecked = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -171,8 +175,9 @@
   PeerLinkEvents Events;
   Events.m_OnFrame = [this, Id](std::unique_ptr<LinkFrame> Frame,
                                 std::string Body) {
-    receivedInbound(Id, *Frame, std::move(Body));
+    receivedInbound(Id, std::move(Frame), std::move(Body));
   };
+  Events.m_OnReadDone = [this, Id] { passOnArrived(Id); };
   Events.m_OnEnd = [this, Id](const char *) { inboundEnded(Id); };
   Events.m_OnDrained = [this, Id] {
     if (m_LargeAnswerLink != Id)
@@ -186,12 +191,14 @@
     m_Inbound.erase(Id);
 }
 
-void PeerMesh::receivedInbound(std::uint64_t LinkId, LinkFrame &Frame,
+void PeerMesh::receivedInbound(std::uint64_t LinkId,
+                               std::unique_ptr<LinkFrame> Received,
                                std::string Body) {
   const auto Found = m_Inbound.find(LinkId);
   if (Found == m_Inbound.end())
     return; // Rejected because of an earlier frame.
   InboundPeer &Remote = Found->second;
+  const LinkFrame &Frame = *Received;
   switch (Frame.kind) {
   case LinkFrameKind::Hello: {
     if (!Frame.wanted.empty() &&
@@ -216,14 +223,23 @@
     return m_Events.m_OnPeerConnected(LinkId);
   }
   case LinkFrameKind::Request: {
-    const Duration Waited =
+    const Duration Delay =
         Remote.m_Delay.recordFrame(Frame.sent_at, m_Loop.now());
-    Frame.objective_left -= Waited.count();
-    Frame.deadline_left -= Waited.count();
-    return m_Events.m_OnRequest(LinkId, Frame, std::move(Body));
+    Remote.m_Arrived.push_back({.m_Frame = std::move(Received),
+                                .m_Body = std::move(Body),
+                                .m_Delay = Delay,
+                                .m_ReadAt = m_Loop.now()});
+    return;
+  }
+  case LinkFrameKind::Cancel: {
+    const std::size_t Erased =
+        std::erase_if(Remote.m_Arrived, [&](const ArrivedRequest &Each) {
+          return Each.m_Frame->stream == Frame.stream;
+        });
+    if (Erased == 0)
+      m_Events.m_OnCancel(LinkId, Frame.stream);
+    return;
   }
-  case LinkFrameKind::Cancel:
-    return m_Events.m_OnCancel(LinkId, Frame.stream);
   case LinkFrameKind::Ping: {
     LinkFrame Pong;
     Pong.kind = LinkFrameKind::Pong;
@@ -242,6 +258,27 @@
   }
 }
 
+void PeerMesh::passOnArrived(std::uint64_t LinkId) {
+  const auto Found = m_Inbound.find(LinkId);
+  if (Found == m_Inbound.end() || Found->second.m_Arrived.empty())
+    return;
+  InboundPeer &Remote = Found->second;
+  const bool Late =
+      std::any_of(Remote.m_Arrived.begin(), Remote.m_Arrived.end(),
+                  [](const ArrivedRequest &Each) {
+                    return Each.m_Delay > MaxDelayUnchecked;
+                  });
+  if (Late && Remote.m_Link->hasUnreadInput())
+    return;
+  std::vector<ArrivedRequest> Arrived = std::exchange(Remote.m_Arrived, {});
+  for (ArrivedRequest &Each : Arrived) {
+    const Duration Waited = Each.m_Delay + (m_Loop.now() - Each.m_ReadAt);
+    Each.m_Frame->objective_left -= Waited.count();
+    Each.m_Frame->deadline_left -= Waited.count();
+    m_Events.m_OnRequest(LinkId, *Each.m_Frame, std::move(Each.m_Body));
+  }
+}
+
 void PeerMesh::inboundEnded(std::uint64_t LinkId) {
   auto Node = m_Inbound.extract(LinkId);
   if (Node.empty())
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -195,6 +195,13 @@
     /// When the ping was sent that hasn't been answered yet.
     std::optional<TimePoint> m_PingSentAt;
   };
+  struct ArrivedRequest {
+    std::unique_ptr<LinkFrame> m_Frame;
+    std::string m_Body;
+    /// How long it was on the way.
+    Duration m_Delay;
+    TimePoint m_ReadAt;
+  };
   /// A connection that a peer has opened to this daemon.
   struct InboundPeer {
     std::unique_ptr<PeerLink> m_Link;
@@ -204,14 +211,19 @@
     LinkDelay m_Delay;
     bool m_TakesBeats = false;
     ReportSchedule m_Reports;
+    /// Requests that were read and not yet passed on, in order.
+    std::vector<ArrivedRequest> m_Arrived;
   };
 
   void connect(const InstanceName &Name, Peer &Remote);
   void disconnect(const InstanceName &Name, Peer &Remote, const char *Why);
   void received(const InstanceName &Name, LinkFrame &Frame, std::string Body);
   void accepted(ACE_HANDLE Handle);
-  void receivedInbound(std::uint64_t LinkId, LinkFrame &Frame,
+  void receivedInbound(std::uint64_t LinkId, std::unique_ptr<LinkFrame> Frame,
                        std::string Body);
+  /// Passes on the requests that were read, unless input that isn't read yet
+  /// may cancel them.
+  void passOnArrived(std::uint64_t LinkId);
   void inboundEnded(std::uint64_t LinkId);
   /// Starts sending the next large answer if none is being sent.
   void sendNextLarge();
--- a/tests/unit-router-cancelled.cpp
+++ b/tests/unit-router-cancelled.cpp
@@ -112,3 +112,33 @@
   Rig.runFor(300ms);
   CHECK(Rig.m_Remote.m_Target.m_Arrivals == 0);
 }
+
+TEST_CASE("a peer's request was sent to the target although its cancellation "
+          "had arrived with it") {
+  PeerRig Rig;
+  const auto Peer = Rig.connect();
+  // Leaves an open connection to the target.
+  Peer->m_Link->send(PeerRig::frame(LinkFrameKind::Request, 1));
+  REQUIRE(Rig.runUntil([&] { return Peer->m_Answers == 1; }));
+  REQUIRE(Rig.m_Remote.m_Target.m_Arrivals == 1);
+  Peer->m_Link->sendEncoded(encoded(PeerRig::frame(LinkFrameKind::Request, 2)) +
+                            encoded(PeerRig::frame(LinkFrameKind::Cancel, 2)));
+  Rig.runFor(300ms);
+  CHECK(Rig.m_Remote.m_Target.m_Arrivals == 1);
+}
+
+TEST_CASE("a delayed request was sent to the target although its cancellation "
+          "waited in the kernel") {
+  PeerRig Rig;
+  Rig.waitUntilServed(Rig.m_Remote, "/read/1");
+  const int Before = Rig.m_Remote.m_Target.m_Arrivals;
+  const RawSocket Peer(Rig.m_Remote.m_Settings.m_Peers);
+  Peer.send(encoded(PeerRig::frame(LinkFrameKind::Hello, 0)));
+  Rig.runFor(50ms);
+  LinkFrame Other = PeerRig::frame(LinkFrameKind::MapChecked, 0);
+  Other.target.assign(Stream::ReadSize, 'x');
+  Peer.send(encoded(PeerRig::frame(LinkFrameKind::Request, 1, 1s)) +
+            encoded(Other) + encoded(PeerRig::frame(LinkFrameKind::Cancel, 1)));
+  Rig.runFor(300ms);
+  CHECK(Rig.m_Remote.m_Target.m_Arrivals == Before);
+}
