--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -478,7 +478,8 @@
                   false);
   measureEnd(Entry, CapacityEnd::Other);
   m_Jobs.erase(Found);
-  sendQueued();
+  // Not at once: the present event may cancel those that wait, too.
+  m_Loop.post([this] { sendQueued(); });
   return State;
 }
 
