Close a peer's earlier connections when it opens another one

Cause: a connection that goes silent is noticed at its other end only when sent bytes stay unacknowledged for 4 s, while the sender notices it after 1.3 to 2.8 s, answers its callers and connects anew. A new connection of the same instance now ends the earlier ones, and all requests on them are cancelled. Evidence: in the new test the former connection stayed open without the change.

--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -216,6 +216,7 @@
     Remote.m_Service = ServiceName(Frame.service);
     Remote.m_TakesBeats = Frame.beats;
     Remote.m_Reports = ReportSchedule(isOwnDomain(Remote.m_Domain));
+    closeReplaced(LinkId, Remote.m_Instance);
     // A peer that can connect to this daemon is probably reachable, too.
     auto Known = m_Peers.find(Remote.m_Instance);
     if (Known != m_Peers.end() && !Known->second.m_Link)
@@ -279,6 +280,17 @@
   }
 }
 
+void PeerMesh::closeReplaced(std::uint64_t LinkId, const InstanceName &Peer) {
+  std::vector<std::uint64_t> Replaced;
+  for (const auto &[Id, Remote] : m_Inbound)
+    if (Id != LinkId && Remote.m_Instance == Peer)
+      Replaced.push_back(Id);
+  for (const std::uint64_t Id : Replaced) {
+    m_Inbound.at(Id).m_Link->close();
+    inboundEnded(Id);
+  }
+}
+
 void PeerMesh::inboundEnded(std::uint64_t LinkId) {
   auto Node = m_Inbound.extract(LinkId);
   if (Node.empty())
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -225,6 +225,9 @@
   /// may cancel them.
   void passOnArrived(std::uint64_t LinkId);
   void inboundEnded(std::uint64_t LinkId);
+  /// Closes the earlier connections of a peer that has opened another one: it
+  /// has given them up, and they may have failed without a sign here.
+  void closeReplaced(std::uint64_t LinkId, const InstanceName &Peer);
   /// Starts sending the next large answer if none is being sent.
   void sendNextLarge();
   void checkConnections();
--- a/tests/unit-router-cancelled.cpp
+++ b/tests/unit-router-cancelled.cpp
@@ -142,3 +142,21 @@
   Rig.runFor(300ms);
   CHECK(Rig.m_Remote.m_Target.m_Arrivals == Before);
 }
+
+TEST_CASE("requests of a connection that its peer had replaced went on "
+          "waiting") {
+  PeerRig Rig;
+  Rig.m_Remote.m_Target.m_Behaviour = [](const std::string &) {
+    return RawReply{.m_Silent = true};
+  };
+  const auto Former = Rig.connect();
+  // The target takes four at a time.
+  for (std::uint64_t Stream = 1; Stream <= 6; ++Stream)
+    Former->m_Link->send(PeerRig::frame(LinkFrameKind::Request, Stream));
+  REQUIRE(Rig.runUntil([&] { return Rig.m_Remote.m_Target.m_Arrivals == 4; }));
+  const auto Present = Rig.connect();
+  CHECK(Rig.runUntil([&] { return Former->m_Ended; }));
+  CHECK(Rig.metrics().find("state=\"waiting\"} 2") != std::string::npos);
+  CHECK(Rig.m_Remote.m_Target.m_Arrivals == 4);
+  CHECK_FALSE(Present->m_Ended);
+}
