Don't begin a request whose caller has already closed the connection

Cause: a daemon that is late reads the request first and the close after it. Each request that is complete is now begun only if the connection is still open, at the cost of one poll() a request. Evidence: the new test sees one arrival without the change and none with it.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -335,6 +335,12 @@
   case ParseState::Complete:
     break;
   }
+  // The request may have waited in the kernel for long, with the caller's close
+  // behind it.
+  if (m_Stream.closedByPeer()) {
+    onEnd();
+    return false;
+  }
   HttpRequest Request = m_Parser->take();
   m_Parser.reset();
   m_ParsedBytes = 0;
--- a/tests/unit-router-cancelled.cpp
+++ b/tests/unit-router-cancelled.cpp
@@ -160,3 +160,18 @@
   CHECK(Rig.m_Remote.m_Target.m_Arrivals == 4);
   CHECK_FALSE(Present->m_Ended);
 }
+
+TEST_CASE("a caller's request was sent although its close had arrived with "
+          "it") {
+  PeerRig Rig;
+  Rig.waitUntilServed(Rig.m_Remote, "/read/1");
+  const int Before = Rig.m_Remote.m_Target.m_Arrivals;
+  {
+    // The daemon runs on this thread, so it reads nothing before the close.
+    const RawSocket Caller(Rig.m_Remote.m_Settings.m_Callers);
+    Caller.send("GET /read/1 HTTP/1.1\r\nHost: h\r\n"
+                "X-Request-Id: left\r\nX-Deadline-Ms: 3000\r\n\r\n");
+  }
+  Rig.runFor(300ms);
+  CHECK(Rig.m_Remote.m_Target.m_Arrivals == Before);
+}
