Ask for operators' rows independently of own rows and of lost peers

Cause: a daemon has one request for rows outstanding, for both tables, and waits 1 s for its answer. Key maps change all the time, so a slow peer that was asked for own rows, or one that was lost meanwhile, held up the operators' row by 1 s, and by the next report. The new test's sequence, on the former code, asks after 1000 ms; now at once. Requests are counted for each table, those of a lost peer end with it, and each change counts from its own first report.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -205,6 +205,10 @@
                [this](const InstanceName &Peer) {
                  m_Selector.forget(Peer);
                  m_Quota.onPeerDown();
+                 if (Peer != m_LastAsked)
+                   return;
+                 m_RowCatchUp.onPeerLost();
+                 m_Loop.post([this] { requestMissingRows(); });
                }}),
       m_Follower(
           Loop, Log, Table,
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -226,7 +226,7 @@
 }
 
 void Router::applyRows(const LinkFrame &Rows) {
-  m_RowCatchUp.onRows();
+  m_RowCatchUp.onRows(Rows.operator_rows_wanted);
   for (const auto &Each : Rows.rows)
     applyPeerRow(rowFromWire(*Each));
   const RowsSeen Seen = rowsSeenOf(Rows);
--- a/src/router/row_catch_up.h
+++ b/src/router/row_catch_up.h
@@ -10,6 +10,7 @@
 #include "balsamwheel/detail/platform/table.h"
 
 #include <algorithm>
+#include <deque>
 #include <optional>
 
 namespace balsamwheel {
@@ -33,42 +34,40 @@
   Duration m_MaxWatchLag = std::chrono::milliseconds(1000);
   /// Time after which a request for rows that hasn't been answered is repeated.
   Duration m_AnswerTimeout = std::chrono::milliseconds(1000);
+  /// Maximum number of versions whose first report is remembered.
+  std::size_t m_MaxUnseen = 64;
 };
 
 /// Performs no I/O and reads no clock; not thread-safe. Invariant: at most one
-/// request is outstanding.
+/// request for operators' rows and one for own rows is outstanding; a request
+/// for the former asks for both.
 class RowCatchUp {
 public:
   explicit RowCatchUp(RowCatchUpOptions Options = {}) : m_Options(Options) {}
 
   /// Handles a peer's report of the rows that it knows.
   ///
-  /// \param TableReachable whether the last call to the operators' table
-  /// succeeded.
+  /// \param TableReachable whether this daemon gets operators' rows from the
+  /// table itself, and its last call succeeded.
   /// \returns the versions after which rows are to be requested; none if
   /// nothing is.
   std::optional<RowsSeen> onReport(const RowsSeen &Peer, const RowsSeen &Seen,
                                    bool TableReachable, TimePoint Now) {
-    if (Seen.m_Operators != m_LastSeen ||
-        Seen.m_Configuration != m_LastConfiguration) {
-      m_LastSeen = Seen.m_Operators;
-      m_LastConfiguration = Seen.m_Configuration;
-      m_Behind = false;
-    }
+    noteSeen(Seen);
+    noteReported(Peer, Seen, Now);
     const bool Behind = Peer.m_Operators > Seen.m_Operators ||
                         Peer.m_Configuration > Seen.m_Configuration;
-    if (Behind && !m_Behind)
-      m_BehindSince = Now;
-    m_Behind |= Behind;
     const bool WantsOperators =
-        Behind &&
-        (!TableReachable || Now - m_BehindSince >= m_Options.m_MaxWatchLag);
-    const bool WantsOwn = Peer.m_Own > Seen.m_Own;
-    if ((!WantsOperators && !WantsOwn) || Now < m_RequestExpiry)
+        Behind && Now >= m_OperatorsExpiry &&
+        (!TableReachable || Now - *behindSince() >= m_Options.m_MaxWatchLag);
+    const bool WantsOwn = Peer.m_Own > Seen.m_Own && Now >= m_OwnExpiry;
+    if (!WantsOperators && !WantsOwn)
       return std::nullopt;
-    m_RequestExpiry = Now + m_Options.m_AnswerTimeout;
+    m_OwnExpiry = Now + m_Options.m_AnswerTimeout;
     RowsSeen Wanted = Seen;
-    if (!WantsOperators) {
+    if (WantsOperators) {
+      m_OperatorsExpiry = m_OwnExpiry;
+    } else {
       Wanted.m_Operators = std::max(Peer.m_Operators, Seen.m_Operators);
       Wanted.m_Configuration =
           std::max(Peer.m_Configuration, Seen.m_Configuration);
@@ -76,28 +75,73 @@
     return Wanted;
   }
 
+  /// Forgets what this daemon knows now.
+  void noteSeen(const RowsSeen &Seen) {
+    while (!m_Unseen.empty() && m_Unseen.front().m_Version <= Seen.m_Operators)
+      m_Unseen.pop_front();
+    if (m_UnseenConfiguration &&
+        m_UnseenConfiguration->m_Version <= Seen.m_Configuration)
+      m_UnseenConfiguration.reset();
+  }
+
+  /// When a peer first reported the earliest change of the operators' table, or
+  /// the configuration, that this daemon doesn't know; none if it knows all.
+  std::optional<TimePoint> behindSince() const {
+    std::optional<TimePoint> Result;
+    if (!m_Unseen.empty())
+      Result = m_Unseen.front().m_ReportedAt;
+    if (m_UnseenConfiguration)
+      Result = std::min(Result.value_or(TimePoint::max()),
+                        m_UnseenConfiguration->m_ReportedAt);
+    return Result;
+  }
+
   /// Changes of a row have arrived that this daemon can't apply.
   ///
   /// \returns whether the row is to be requested.
   bool onGap(TimePoint Now) {
-    if (Now < m_RequestExpiry)
+    if (Now < m_OwnExpiry)
       return false;
-    m_RequestExpiry = Now + m_Options.m_AnswerTimeout;
+    m_OwnExpiry = Now + m_Options.m_AnswerTimeout;
     return true;
   }
 
-  /// Rows have arrived; they are taken as the answer to the request.
-  void onRows() { m_RequestExpiry = TimePoint(); }
+  /// Rows have arrived; they are taken as the answer to a request.
+  /// \param Operators whether the operators' rows are among them.
+  void onRows(bool Operators) {
+    m_OwnExpiry = TimePoint();
+    if (Operators)
+      m_OperatorsExpiry = TimePoint();
+  }
+
+  /// The peer that was asked is unreachable: nothing is outstanding any more.
+  void onPeerLost() { onRows(true); }
 
 private:
+  template <typename Version> struct Reported {
+    Version m_Version;
+    TimePoint m_ReportedAt;
+  };
+
+  void noteReported(const RowsSeen &Peer, const RowsSeen &Seen, TimePoint Now) {
+    if (Peer.m_Operators > Seen.m_Operators &&
+        (m_Unseen.empty() || Peer.m_Operators > m_Unseen.back().m_Version)) {
+      if (m_Unseen.size() < m_Options.m_MaxUnseen)
+        m_Unseen.push_back({Peer.m_Operators, Now});
+      else
+        m_Unseen.back().m_Version = Peer.m_Operators;
+    }
+    if (Peer.m_Configuration > Seen.m_Configuration && !m_UnseenConfiguration)
+      m_UnseenConfiguration = {Peer.m_Configuration, Now};
+  }
+
   RowCatchUpOptions m_Options;
-  StoreVersion m_LastSeen;
-  ConfigVersion m_LastConfiguration;
-  /// A peer has reported newer rows of the operators' table, or a newer
-  /// configuration, than this daemon knows.
-  bool m_Behind = false;
-  TimePoint m_BehindSince;
-  TimePoint m_RequestExpiry;
+  /// Versions of the operators' table that peers have reported and that this
+  /// daemon doesn't know; ascending.
+  std::deque<Reported<StoreVersion>> m_Unseen;
+  std::optional<Reported<ConfigVersion>> m_UnseenConfiguration;
+  TimePoint m_OperatorsExpiry;
+  TimePoint m_OwnExpiry;
 };
 
 } // namespace balsamwheel
--- a/tests/unit-row-catch-up.cpp
+++ b/tests/unit-row-catch-up.cpp
@@ -25,7 +25,7 @@
                          Start + Peer * 1ms))
       ++RequestCount;
   CHECK(RequestCount == 1);
-  CatchUp.onRows();
+  CatchUp.onRows(false);
   CHECK(CatchUp.onReport(versions(5, 10), versions(5, 9), true, Start + 100ms));
 }
 
@@ -98,3 +98,51 @@
   Peer.m_Own.m_Era = StoreEra(1);
   CHECK(CatchUp.onReport(Peer, versions(50, 90), true, Start));
 }
+
+TEST_CASE("row catch-up: operators' rows waited for the answer to a request "
+          "for own rows") {
+  RowCatchUp CatchUp;
+  CHECK(CatchUp.onReport(versions(5, 4), versions(5, 3), false, Start));
+  const auto Wanted =
+      CatchUp.onReport(versions(6, 4), versions(5, 3), false, Start + 10ms);
+  REQUIRE(Wanted);
+  CHECK(Wanted->m_Operators == versions(5, 0).m_Operators);
+  CatchUp.onRows(false);
+  CHECK(!CatchUp.onReport(versions(6, 3), versions(5, 3), false, Start + 20ms));
+  CatchUp.onRows(true);
+  CHECK(CatchUp.onReport(versions(6, 3), versions(5, 3), false, Start + 30ms));
+}
+
+TEST_CASE("row catch-up: operators' rows waited for the answer of a lost "
+          "peer") {
+  RowCatchUp CatchUp;
+  CHECK(CatchUp.onReport(versions(6, 3), versions(5, 3), false, Start));
+  CatchUp.onPeerLost();
+  CHECK(CatchUp.onReport(versions(6, 3), versions(5, 3), false, Start + 1ms));
+}
+
+TEST_CASE("row catch-up: each change counts from its own first report") {
+  RowCatchUp CatchUp;
+  CHECK_FALSE(CatchUp.behindSince());
+  CatchUp.onReport(versions(6, 0), versions(5, 0), true, Start);
+  CatchUp.onReport(versions(7, 0), versions(5, 0), true, Start + 100ms);
+  CHECK(CatchUp.behindSince() == Start);
+  // An older row has arrived meanwhile.
+  CatchUp.noteSeen(versions(6, 0));
+  CHECK(CatchUp.behindSince() == Start + 100ms);
+  CatchUp.onReport(versions(7, 0), versions(6, 0), true, Start + 200ms);
+  CHECK(CatchUp.behindSince() == Start + 100ms);
+  CatchUp.noteSeen(versions(7, 0));
+  CHECK_FALSE(CatchUp.behindSince());
+}
+
+TEST_CASE("row catch-up: many changes are remembered within bounds, from the "
+          "earliest") {
+  RowCatchUp CatchUp({.m_MaxUnseen = 2});
+  for (std::uint64_t Version = 6; Version < 20; ++Version)
+    CatchUp.onReport(versions(Version, 0), versions(5, 0), true,
+                     Start + Version * 1ms);
+  CHECK(CatchUp.behindSince() == Start + 6ms);
+  CatchUp.noteSeen(versions(18, 0));
+  CHECK(CatchUp.behindSince() == Start + 7ms);
+}
