Read the operators' table anew when peers know newer rows for 500 ms

Cause: a daemon whose watch hangs on a connection that has gone silent waited for the watch to end (up to 8.8 s), or asked a peer after 1 s and waited for its answer; nothing made it use a new connection to the store, which is reachable all the while. Now a daemon that has known for 500 ms of a change that it doesn't have reads the table on a new connection, and resumed watches begin on a new one.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -83,6 +83,9 @@
   /// Closes all connections. Calls in progress end as Broken, queued ones as
   /// NotSent.
   void reset();
+  /// Closes the idle connections: what has made another one fail may have
+  /// affected them, too.
+  void closeIdle();
   /// Returns how many connections were opened so far.
   std::uint64_t connectionsOpened() const { return m_ConnectionsOpened; }
 
@@ -97,9 +100,6 @@
 
   /// Starts queued calls while there are connections for them.
   void dispatch();
-  /// Closes the idle connections. Also used after a time-out: its cause may
-  /// have affected the idle connections, too.
-  void closeIdle();
   void remove(class HttpClientConnection *Connection);
 
   EventLoop &m_Loop;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -143,6 +143,9 @@
   void handleTableFresh(const InstanceName &Peer, const LinkFrame &Frame);
   /// Requests the rows that a peer knows and this daemon lacks.
   void requestMissingRows(const InstanceName &Peer, const RowsSeen &PeerSeen);
+  /// Reads the operators' table when peers have known newer rows for too long:
+  /// a watch or a peer may have failed without a sign.
+  void readNewerInTime();
   /// Likewise, of any peer.
   void requestMissingRows();
   /// Requests the rows that have changed after the given versions.
@@ -238,6 +241,8 @@
     std::int64_t m_AgeTime = 0;
   };
   Told m_Told;
+  /// See readNewerInTime().
+  bool m_ReadNewerScheduled = false;
   /// Peer whose rows were requested last.
   InstanceName m_LastAsked;
   bool m_Announced = false;
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -19,6 +19,9 @@
 /// A daemon that hears of no further watch has at least this time to read a
 /// change itself before it has to be in force.
 constexpr Duration OwnReadTime = std::chrono::milliseconds(700);
+/// A daemon that has been missing an operators' row for this long reads the
+/// table itself, on a new connection.
+constexpr Duration MaxBehind = std::chrono::milliseconds(500);
 
 link_wire::TableRowT rowToWire(const MirroredRow &Row) {
   link_wire::TableRowT Result;
@@ -70,12 +73,31 @@
       std::max(PeerSeen.m_Operators.m_Era, PeerSeen.m_Own.m_Era));
   const auto Missing = m_RowCatchUp.onReport(
       PeerSeen, Seen, m_Follower.follows(TableName::Operators), m_Loop.now());
+  readNewerInTime();
   if (!Missing)
     return;
   m_LastAsked = Peer;
   requestRows(Peer, *Missing);
 }
 
+void Router::readNewerInTime() {
+  const auto Since = m_RowCatchUp.behindSince();
+  if (!Since || m_ReadNewerScheduled)
+    return;
+  m_ReadNewerScheduled = true;
+  m_Loop.after(*Since + MaxBehind - m_Loop.now(), [this] {
+    m_ReadNewerScheduled = false;
+    m_RowCatchUp.noteSeen(rowsSeen());
+    const auto Since = m_RowCatchUp.behindSince();
+    if (!Since)
+      return;
+    if (m_Loop.now() - *Since >= MaxBehind)
+      m_Follower.readNewer(TableName::Operators);
+    else
+      readNewerInTime();
+  });
+}
+
 void Router::requestRows(const InstanceName &Peer, const RowsSeen &After) {
   LinkFrame Wanted;
   Wanted.kind = LinkFrameKind::RowsWanted;
--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -147,17 +147,31 @@
   Followed.m_Position =
       std::max(*Followed.m_Position, m_Mirror.seenVersion(Followed.m_Table));
   Followed.m_Resumed = true;
+  m_Service.renewConnections();
   startCall(Followed);
 }
 
+void TableFollower::readNewer(TableName Table) {
+  FollowedTable &Followed = followed(Table);
+  if (!Followed.m_Position || Followed.m_Rereads)
+    return;
+  Followed.m_Rereads = true;
+  Followed.m_Idle = false;
+  // Replies to the call in progress don't count any more.
+  ++Followed.m_Call;
+  m_Service.renewConnections();
+  startCallAfterPause(Followed);
+}
+
 void TableFollower::startCall(FollowedTable &Followed) {
   Followed.m_Idle = Followed.m_Position && Followed.m_Reachable &&
-                    Followed.m_Mode == FollowMode::FromPeers;
+                    Followed.m_Mode == FollowMode::FromPeers &&
+                    !Followed.m_Rereads;
   Followed.m_CallStartedAt = m_Loop.refreshNow();
   const std::uint64_t Call = ++Followed.m_Call;
   if (Followed.m_Idle)
     return;
-  if (!Followed.m_Position)
+  if (!Followed.m_Position || Followed.m_Rereads)
     m_Service.read(Followed.m_Table,
                    [this, &Followed, Call](const TableServiceReply &Reply) {
                      if (Followed.m_Call == Call)
@@ -179,6 +193,16 @@
   });
 }
 
+void TableFollower::startCallAfterPause(FollowedTable &Followed) {
+  const Duration Pause = Followed.m_PausedUntil - m_Loop.now();
+  if (Pause <= Duration::zero())
+    return startCall(Followed);
+  m_Loop.after(Pause, [this, &Followed, Call = Followed.m_Call] {
+    if (Followed.m_Call == Call)
+      startCall(Followed);
+  });
+}
+
 Duration TableFollower::watchWait(const FollowedTable &Followed) {
   if (Followed.m_Resumed)
     return m_Options.m_FirstWait;
@@ -239,7 +263,12 @@
   noteCurrent(Followed, Reply);
   const bool FirstInEra = Followed.m_ReadEra != m_Era;
   Followed.m_ReadEra = m_Era;
-  startCall(Followed);
+  Followed.m_Rereads = false;
+  Followed.m_PausedUntil = m_Loop.now() + bandwidthPause(Reply.m_Rows);
+  if (Followed.m_Mode == FollowMode::FromPeers)
+    startCall(Followed);
+  else
+    startCallAfterPause(Followed);
   if (FirstInEra && m_OnFirstRead)
     m_OnFirstRead(Followed.m_Table, m_Era);
 }
@@ -267,27 +296,27 @@
                       2 * m_Options.m_WaitForOthers;
   if (Followed.m_Mode == FollowMode::WatchForOthers && Timely && m_OnWatchDone)
     m_OnWatchDone(Followed.m_Table);
-  const Duration Pause = pauseAfter(Followed, Reply.m_Rows);
-  if (Pause <= Duration::zero())
-    return startCall(Followed);
-  startCallAfter(Followed, Pause);
+  Followed.m_PausedUntil = m_Loop.now() + pauseAfter(Followed, Reply.m_Rows);
+  startCallAfterPause(Followed);
 }
 
 Duration TableFollower::pauseAfter(const FollowedTable &Followed,
                                    const std::vector<MirroredRow> &Rows) const {
   if (Rows.empty())
     return Duration::zero();
-  const Duration MinWait = Followed.m_Table == TableName::Own
-                               ? m_Options.m_OwnTablePause
-                               : Duration::zero();
+  return std::max(Followed.m_Table == TableName::Own ? m_Options.m_OwnTablePause
+                                                     : Duration::zero(),
+                  bandwidthPause(Rows));
+}
+
+Duration
+TableFollower::bandwidthPause(const std::vector<MirroredRow> &Rows) const {
   if (m_Options.m_BytesPerSecond <= 0)
-    return MinWait;
-  const auto Bytes = static_cast<double>(bytesOf(Rows));
-  const Duration Pause(
-      static_cast<Duration::rep>(Bytes / m_Options.m_BytesPerSecond * 1e6));
-  return Pause < MinPause
-             ? MinWait
-             : std::max(MinWait, std::min(Pause, m_Options.m_MaxPause));
+    return Duration::zero();
+  const Duration Pause(static_cast<Duration::rep>(
+      static_cast<double>(bytesOf(Rows)) / m_Options.m_BytesPerSecond * 1e6));
+  return Pause < MinPause ? Duration::zero()
+                          : std::min(Pause, m_Options.m_MaxPause);
 }
 
 } // namespace balsamwheel
--- a/src/router/table_follower.h
+++ b/src/router/table_follower.h
@@ -79,6 +79,10 @@
   /// Tests whether the table is reachable, if it isn't watched: another call to
   /// it has failed. Until it is, it counts as unreachable.
   void probe(TableName Table);
+  /// Reads the table anew on a new connection, instead of a watch in progress:
+  /// others know newer rows. Pauses for the bandwidth are kept. Ignored while
+  /// the table is being read.
+  void readNewer(TableName Table);
   /// Whether this daemon watches the table and has reached it.
   bool follows(TableName Table) const {
     return !followed(Table).m_Idle && followed(Table).m_Reachable;
@@ -144,6 +148,11 @@
     bool m_Idle = false;
     /// No watch has succeeded since the table was idle.
     bool m_Resumed = false;
+    /// The next call, or the one in progress, reads the table although its
+    /// changes could be watched for.
+    bool m_Rereads = false;
+    /// The next call has to wait until then for the bandwidth.
+    TimePoint m_PausedUntil;
     TimePoint m_CallStartedAt;
   };
 
@@ -155,6 +164,8 @@
   }
   void startCall(FollowedTable &Followed);
   void startCallAfter(FollowedTable &Followed, Duration Delay);
+  /// Starts the next call when the pause has passed.
+  void startCallAfterPause(FollowedTable &Followed);
   /// Gives up the current call and reads the table again.
   void readAgain(FollowedTable &Followed);
   void applyAll(FollowedTable &Followed, const std::vector<MirroredRow> &Rows,
@@ -167,6 +178,8 @@
   /// Continues to follow a table that was idle, from the version up to which
   /// all changes are known.
   void resume(FollowedTable &Followed);
+  /// Delay after a reply with \p Rows for the bandwidth.
+  Duration bandwidthPause(const std::vector<MirroredRow> &Rows) const;
   /// Delay before the next watch, after one that returned \p Rows.
   Duration pauseAfter(const FollowedTable &Followed,
                       const std::vector<MirroredRow> &Rows) const;
--- a/src/router/table_service.h
+++ b/src/router/table_service.h
@@ -59,6 +59,9 @@
   virtual void watch(TableName Table, RowVersion After, Duration Wait,
                      OnReply Done) = 0;
   virtual void commit(OwnRowCommit Commit, OnReply Done) = 0;
+  /// Makes the next calls on new connections: open ones may have failed without
+  /// a sign.
+  virtual void renewConnections() {}
 };
 
 } // namespace balsamwheel
--- a/tests/unit-router-peers.cpp
+++ b/tests/unit-router-peers.cpp
@@ -223,3 +223,28 @@
   Rig.runFor(2500ms);
   CHECK(Watches());
 }
+
+TEST_CASE("a configuration wasn't in force while the daemon's watch hung and "
+          "no peer answered") {
+  Rig Rig;
+  Instance &B = Rig.add("b", "plain");
+  Rig.configure(1);
+  B.sendHeartbeat();
+  Rig.waitUntilServed(B, "/read/1");
+  SilentPeers Peers(Rig, "elsewhere", 2);
+  REQUIRE(Rig.runUntil([&] { return Peers.m_Links.size() == 2; }));
+  B.m_Table.m_ReplyDelay = 60s;
+  Rig.configure(2, R"(,{"Name":"new","Prefix":"/new/","Kind":"safe",
+    "TimeoutS":2,"TargetLatencyS":1,"MaxAttempts":1,"Service":"plain"})");
+  std::function<void()> Tell = [&] {
+    LinkFrame Report;
+    Report.kind = LinkFrameKind::Report;
+    Report.gate = std::make_unique<link_wire::GateStateT>();
+    Report.sees_table = true;
+    Report.operator_rows_seen = Rig.m_Rows.m_Version;
+    Peers.send(Report);
+    Rig.m_Loop.after(200ms, Tell);
+  };
+  Tell();
+  Rig.waitUntilServed(B, "/new/1");
+}
--- a/tests/unit-table-follower.cpp
+++ b/tests/unit-table-follower.cpp
@@ -242,3 +242,27 @@
   REQUIRE(Table.m_Calls.size() == 6);
   CHECK(Table.m_Calls[5].m_Wait >= 2s);
 }
+
+TEST_CASE("a watch that hung kept a daemon from rows that others knew") {
+  EventLoop Loop({.m_MaxSleep = 5ms});
+  EventLog Log(Loop, {.m_Output = -1});
+  ScriptedTable Table;
+  std::vector<std::string> Applied;
+  TableFollower Follower(Loop, Log, Table, {}, 1, [&](const MirroredRow &Row) {
+    Applied.push_back(*Row.m_Value);
+  });
+  Follower.start();
+  Table.m_Calls[0].m_Done(replyWith(at(0, 90), "first"));
+  REQUIRE(Table.m_Calls.size() == 3);
+  Follower.readNewer(TableName::Operators);
+  REQUIRE(Table.m_Calls.size() == 4);
+  CHECK_FALSE(Table.m_Calls[3].m_After);
+  Follower.readNewer(TableName::Operators);
+  CHECK(Table.m_Calls.size() == 4);
+  // Late, and of an older state than the read.
+  Table.m_Calls[2].m_Done(replyWith(at(0, 95), "late"));
+  Table.m_Calls[3].m_Done(replyWith(at(0, 99), "second"));
+  CHECK(Applied == std::vector<std::string>{"first", "second"});
+  REQUIRE(Table.m_Calls.size() == 5);
+  CHECK(Table.m_Calls[4].m_After == RowVersion(99));
+}
