Read large configurations from the table, and only their last version

Cause: a configuration of 1400 routes is some 280 KB. The two watchers of a failure domain sent it to 17 others, which takes a link of 10 Mbit/s 2 to 4 s; and a watch that pauses for the bandwidth returns each version that was written meanwhile, so the pause saved nothing. Now a daemon that hears of a newer version of a configuration of 64 KB or more reads it from the table itself, over its own link, and a pause, of at most 500 ms, ends in a read if a newer version is known. The new test fails without the change by its first case.

--- a/src/router/router.h
+++ b/src/router/router.h
@@ -143,6 +143,7 @@
   void handleTableFresh(const InstanceName &Peer, const LinkFrame &Frame);
   /// Requests the rows that a peer knows and this daemon lacks.
   void requestMissingRows(const InstanceName &Peer, const RowsSeen &PeerSeen);
+  bool hasLargeConfiguration() const;
   /// Reads the operators' table when peers have known newer rows for too long:
   /// a watch or a peer may have failed without a sign.
   void readNewerInTime();
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -22,6 +22,8 @@
 /// A daemon that has been missing an operators' row for this long reads the
 /// table itself, on a new connection.
 constexpr Duration MaxBehind = std::chrono::milliseconds(500);
+/// Size in bytes from which on a configuration isn't requested from peers.
+constexpr std::size_t LargeRowBytes = std::size_t{64} << 10;
 
 link_wire::TableRowT rowToWire(const MirroredRow &Row) {
   link_wire::TableRowT Result;
@@ -71,8 +73,11 @@
   const RowsSeen Seen = rowsSeen();
   m_Follower.noteEra(
       std::max(PeerSeen.m_Operators.m_Era, PeerSeen.m_Own.m_Era));
-  const auto Missing = m_RowCatchUp.onReport(
-      PeerSeen, Seen, m_Follower.follows(TableName::Operators), m_Loop.now());
+  m_Follower.noteHeard(PeerSeen.m_Operators);
+  const bool ReadsItself =
+      m_Follower.follows(TableName::Operators) || hasLargeConfiguration();
+  const auto Missing =
+      m_RowCatchUp.onReport(PeerSeen, Seen, ReadsItself, m_Loop.now());
   readNewerInTime();
   if (!Missing)
     return;
@@ -80,10 +85,20 @@
   requestRows(Peer, *Missing);
 }
 
+bool Router::hasLargeConfiguration() const {
+  return m_RoutesRow.m_Value && m_RoutesRow.m_Value->size() >= LargeRowBytes;
+}
+
 void Router::readNewerInTime() {
   const auto Since = m_RowCatchUp.behindSince();
   if (!Since || m_ReadNewerScheduled)
     return;
+  // Peers would send a large row over one link to many.
+  const bool AtOnce = hasLargeConfiguration() &&
+                      !m_Follower.follows(TableName::Operators) &&
+                      m_Follower.isReachable(TableName::Operators);
+  if (AtOnce)
+    m_Follower.readNewer(TableName::Operators);
   m_ReadNewerScheduled = true;
   m_Loop.after(*Since + MaxBehind - m_Loop.now(), [this] {
     m_ReadNewerScheduled = false;
--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -198,8 +198,11 @@
   if (Pause <= Duration::zero())
     return startCall(Followed);
   m_Loop.after(Pause, [this, &Followed, Call = Followed.m_Call] {
-    if (Followed.m_Call == Call)
-      startCall(Followed);
+    if (Followed.m_Call != Call)
+      return;
+    if (Followed.m_Table == TableName::Operators && Followed.m_Position)
+      Followed.m_Rereads = Followed.m_Rereads || m_Heard > *Followed.m_Position;
+    startCall(Followed);
   });
 }
 
--- a/src/router/table_follower.h
+++ b/src/router/table_follower.h
@@ -40,7 +40,7 @@
   /// Large rows that change often are then read less often.
   double m_BytesPerSecond = 0;
   /// Maximum delay between two watches because of the bandwidth limit.
-  Duration m_MaxPause = std::chrono::milliseconds(700);
+  Duration m_MaxPause = std::chrono::milliseconds(500);
   /// Delay between two watches of the daemons' own table after a change.
   /// Daemons also tell each other of their changes.
   Duration m_OwnTablePause = std::chrono::milliseconds(400);
@@ -83,6 +83,10 @@
   /// others know newer rows. Pauses for the bandwidth are kept. Ignored while
   /// the table is being read.
   void readNewer(TableName Table);
+  /// Reports the version of the operators' table that another daemon knows.
+  void noteHeard(StoreVersion Operators) {
+    m_Heard = std::max(m_Heard, Operators);
+  }
   /// Whether this daemon watches the table and has reached it.
   bool follows(TableName Table) const {
     return !followed(Table).m_Idle && followed(Table).m_Reachable;
@@ -164,7 +168,9 @@
   }
   void startCall(FollowedTable &Followed);
   void startCallAfter(FollowedTable &Followed, Duration Delay);
-  /// Starts the next call when the pause has passed.
+  /// Starts the next call when the pause has passed. A watch returns each
+  /// version of a row that was written meanwhile, a read only the last one: it
+  /// is chosen if there is a newer one.
   void startCallAfterPause(FollowedTable &Followed);
   /// Gives up the current call and reads the table again.
   void readAgain(FollowedTable &Followed);
@@ -200,6 +206,8 @@
   TableMirror m_Mirror;
   RowAges m_Ages;
   std::optional<Current> m_Current;
+  /// Latest version of the operators' table that others have reported.
+  StoreVersion m_Heard;
   std::size_t m_Watchers = 1;
   pcg32 m_Random;
   StoreEra m_Era;
--- a/tests/unit-table-follower.cpp
+++ b/tests/unit-table-follower.cpp
@@ -266,3 +266,27 @@
   REQUIRE(Table.m_Calls.size() == 5);
   CHECK(Table.m_Calls[4].m_After == RowVersion(99));
 }
+
+TEST_CASE("each version of a large row was transferred, also those that had "
+          "been replaced") {
+  EventLoop Loop({.m_MaxSleep = 5ms});
+  EventLog Log(Loop, {.m_Output = -1});
+  ScriptedTable Table;
+  TableFollower Follower(Loop, Log, Table, {.m_BytesPerSecond = 1e6}, 1,
+                         [](const MirroredRow &) {});
+  Follower.start();
+  Table.m_Calls[0].m_Done(replyWith(at(0, 90), "first"));
+  Table.m_Calls[2].m_Done(replyWith(at(0, 95), std::string(100000, 'x')));
+  REQUIRE(Table.m_Calls.size() == 3);
+  bool Newer = false;
+  SUBCASE("a newer version is known") {
+    Newer = true;
+    Follower.noteHeard(at(0, 96));
+  }
+  SUBCASE("no newer version is known") { Follower.noteHeard(at(0, 95)); }
+  Loop.run([&] {
+    if (Table.m_Calls.size() == 4)
+      Loop.stop();
+  });
+  CHECK(Table.m_Calls[3].m_After.has_value() != Newer);
+}
