--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -69,6 +69,16 @@
         doctest::Approx(1.25e6));
 }
 
+TEST_CASE("a settings file that doesn't say so was read as the first start of "
+          "the system") {
+  auto File = settings();
+  std::string Problem;
+  File.erase("Bootstrap");
+  CHECK_FALSE(parseSettings(File.dump(), Problem)->m_SystemStart);
+  File["Bootstrap"] = true;
+  CHECK(parseSettings(File.dump(), Problem)->m_SystemStart);
+}
+
 TEST_CASE("room is shared by priority where the contracts hold pressure, and "
           "no contract has the capacity measured") {
   std::string Problem;
