Check in the soak that requests end with their callers

Some callers leave before the deadline. More than three requests of an episode that reach a target over half a second after that, by daemons in touch, are a violation. The settings tell the first start from later ones, as on the platform: had shown two holders of a key because each start was called the first.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -30,6 +30,8 @@
 # interval is late by more than the second time.
 STALL_CHECK_S = 0.05
 STALL_S = 0.5
+# Share of the callers that leave before the deadline.
+LEAVING_SHARE = 0.15
 
 
 class Daemon:
@@ -51,7 +53,7 @@
         await self.peer_proxy.start("127.0.0.1")
         await self.target.start()
         self.path = os.path.join(self.fleet.folder, f"{self.name}.json")
-        settings = {
+        self.settings = {
             "NodeName": self.name,
             "Zone": self.fleet.zone(self.name),
             "Ip": self.host,
@@ -74,10 +76,12 @@
             ],
             "Platform": {"Address": f"127.0.0.1:{self.store_proxy.port}"},
         }
-        with open(self.path, "w", encoding="utf-8") as file:
-            json.dump(settings, file)
 
     async def start(self):
+        # Only the first start is one of the whole system.
+        bootstrap = self.process is None
+        with open(self.path, "w", encoding="utf-8") as file:
+            json.dump(self.settings | {"Bootstrap": bootstrap}, file)
         log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
         # The daemon learns the limit again from the next answer.
         if self.target.limit is not None:
@@ -232,6 +236,8 @@
             )
         except (OSError, web.Broken, asyncio.TimeoutError) as error:
             self.oracle.count(f"no answer: {type(error).__name__}")
+            if isinstance(error, asyncio.TimeoutError):
+                self.oracle.record_left(request, daemon.name)
             return None
         self.oracle.check_answer(request, unsafe, status, fields, text)
         return status
@@ -248,7 +254,11 @@
         while True:
             daemon = self.random.choice(list(self.daemons.values()))
             kind = self.random.choice(("read", "write", "key", "key", "keywrite"))
-            task = asyncio.create_task(self.request(daemon, kind, self.draw_key()))
+            leaves = self.random.random() < LEAVING_SHARE
+            patience = self.random.uniform(0.01, 0.8) if leaves else 3.5
+            task = asyncio.create_task(
+                self.request(daemon, kind, self.draw_key(), patience)
+            )
             pending.add(task)
             task.add_done_callback(pending.discard)
             await asyncio.sleep(self.random.expovariate(rate))
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -13,6 +13,10 @@
 MAX_STRETCH_S = 5
 # A request may be this long on its way when a limit is reached.
 IN_FLIGHT_S = 1.0
+# How long after a caller has left its request may reach a target, and how many
+# requests may do so later.
+LEFT_S = 0.5
+MAX_LATE = 3
 
 
 class Disturbances:
@@ -49,6 +53,8 @@
         self.counts = {}
         self.disturbances = Disturbances()
         self.evacuated = {}  # failure domain -> when the operator was answered
+        self.left = {}  # request id -> entrance, and when its caller has left
+        self.late = []  # requests that reached a target too long after that
 
     def fail(self, text):
         if len(self.violations) < 20:
@@ -87,6 +93,20 @@
             daemon, since
         ) and self.disturbances.none_since("store", since)
 
+    def record_left(self, request, entrance):
+        self.left[request] = entrance, time.monotonic()
+        self.count("caller left")
+
+    def check_left(self, request, daemon, arrived):
+        """Checks that a request reaches a target while its caller waits for it."""
+        entrance, since = self.left.get(request, (None, arrived))
+        if arrived - since <= LEFT_S:
+            return
+        if self.in_touch(entrance) and self.in_touch(daemon):
+            self.late.append(f"{request} from {entrance}: {arrived - since:.3f} s")
+            if len(self.late) > MAX_LATE:
+                self.fail(f"arrived at {daemon} after the callers had left: {self.late}")
+
     def record_evacuation(self, domain, evacuated):
         if evacuated:
             self.evacuated.setdefault(domain, time.monotonic())
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -114,6 +114,7 @@
         self.fleet.oracle.check_domain(
             self.fleet.zone(self.name), self.name, incarnation
         )
+        self.fleet.oracle.check_left(request, self.name, self.fleet.arrival_time())
         self.arrivals.append(time.monotonic())
         if self.limit is not None:
             self.fleet.oracle.record_arrival(
