Watch for stalls in the soak from the start of an episode

Trace: the first grant of the key was lost, and was repeated 7.4 s after the start; the target answered 200 and didn't hold it, again and again, as its holds counted from the creation of the fleet. The time of a call's arrival is taken from the check for stalls, which began only after the first wait, so a start that took longer than a hold could never end. No fault of the daemons: their log shows the refused keys granted anew every 0.25 to 0.5 s.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -199,6 +199,7 @@
 
     async def watch_stalls(self):
         """Records stalls of this process, in which store and targets stand still."""
+        self.last_loop_check = time.monotonic()
         while True:
             await asyncio.sleep(STALL_CHECK_S)
             now = time.monotonic()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,9 +24,10 @@
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     fleet = Fleet(program, seed, folder, net)
     await fleet.start()
+    stalls = asyncio.create_task(fleet.watch_stalls())
     await fleet.wait_until_served(SERVED_LIMIT_S)
     traffic = [
-        asyncio.create_task(fleet.watch_stalls()),
+        stalls,
         asyncio.create_task(fleet.generate_load(rate=120)),
         asyncio.create_task(fleet.check_route_versions()),
     ]
