Count one crash once for a request that was broken off several times

Callers: requests were refused for ten minutes as crashing targets after a single crash. Trace: one target_crashed with five runs of one digest counts 2, 3, 4 and 5 crashes. A target that ends breaks off what it runs, and what is sent to it again, within milliseconds; each run that began after the last one had broken off counted as another crash. The runs of one digest at one crash are now one. The new test isn't served without the change.

--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -431,9 +431,21 @@
     return;
   const TimePoint Last = Broken.back().m_CrashedAt;
   std::vector<CrashedRun> Runs;
-  for (const CrashedRun &Each : Broken)
-    if (Last - Each.m_CrashedAt <= CrashSpread)
+  for (const CrashedRun &Each : Broken) {
+    if (Last - Each.m_CrashedAt > CrashSpread)
+      continue;
+    // A target that ends may break off the same request several times.
+    const auto Same =
+        std::find_if(Runs.begin(), Runs.end(), [&](const CrashedRun &Known) {
+          return Known.m_Digest == Each.m_Digest;
+        });
+    if (Same == Runs.end()) {
       Runs.push_back(Each);
+      continue;
+    }
+    Same->m_StartedAt = std::min(Same->m_StartedAt, Each.m_StartedAt);
+    Same->m_CrashedAt = std::max(Same->m_CrashedAt, Each.m_CrashedAt);
+  }
   m_CrashReported = true;
   m_Callbacks.m_OnCrash(Runs);
 }
--- a/tests/unit-router-crashes.cpp
+++ b/tests/unit-router-crashes.cpp
@@ -116,3 +116,28 @@
   Breaks = false;
   Rig.waitUntilServed(A, "/read/same");
 }
+
+TEST_CASE("one crash counted several times for a request that the target had "
+          "broken off several times while it ended") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "plain");
+  std::atomic<bool> Ending = true;
+  A.m_Target.m_Behaviour =
+      [&](const std::string &Request) -> std::optional<RawReply> {
+    if (!Ending || !Request.starts_with("GET /read/same "))
+      return std::nullopt;
+    return RawReply{.m_Bytes = "HTTP/1.1 200 OK\r\n", .m_Close = true};
+  };
+  Rig.startServing();
+  for (int Each = 0; Each < 4; ++Each)
+    Rig.call(A, "/read/same");
+  A.m_Target.setRefusing(true);
+  Rig.runFor(50ms);
+  Rig.call(A, "/read/other");
+  Rig.call(A, "/read/other");
+  Ending = false;
+  A.m_Target.setRefusing(false);
+  Rig.runFor(600ms);
+  A.sendHeartbeat();
+  Rig.waitUntilServed(A, "/read/same");
+}
