--- a/src/router/row_catch_up.h
+++ b/src/router/row_catch_up.h
@@ -75,7 +75,7 @@
     return Wanted;
   }
 
-  /// Forgets what this daemon knows now.
+  /// Forgets the reports of what this daemon knows by now.
   void noteSeen(const RowsSeen &Seen) {
     while (!m_Unseen.empty() && m_Unseen.front().m_Version <= Seen.m_Operators)
       m_Unseen.pop_front();
