Free the keys of an ended target only after they are revoked

Callers saw two targets serve the same keys (OWNER): the heartbeats of a target stay away until its hold has run out, its daemon and the planner each commit a map in which its keys are free, and the commits get no answer. The target returns and is granted its keys again in the same version of the row; then one of the commits takes effect, as its condition still holds.

Cause: that the hold has run out was checked by the writer and isn't part of the condition of the write. It can stop being true without a new version of the row.

Ruled out: a late answer to a heartbeat (the hold counts from its sending), an authority that lasts too long, a commit from an older map (rejected with 412).

Change: the planner revokes the keys of an ended owner, as it does with those of a lost one. Nobody is granted revoked keys, so in that version the end of the hold is final; the owner's daemon then frees them, or the planner when the revocation wait is over. If the owner returns, its keys return to it in a new version, and commits made from the one before fail.

Tests, both seen to fail with the former rule: "two targets held the keys that a late commit freed" (whole routers) and "keys of a silent owner became free in a version in which it could be granted them again" (planner).

The former unit test of plans that converge asked the planner to free the keys of ended owners by itself; it now includes what their daemons do. freeOwnedBy() has no user any more; the test of restored maps calls freeEnded() in its place.

--- a/include/balsamwheel/detail/keyspace/key_planner.h
+++ b/include/balsamwheel/detail/keyspace/key_planner.h
@@ -30,7 +30,8 @@
   NoNewKeys,
   /// Alive, but has to release its keys with a handover.
   Leaving,
-  /// Certainly holds no keys any more.
+  /// Held no keys when this was observed. It may be granted the keys of its
+  /// owned spans again afterwards.
   Ended,
   /// Unreachable; it is unknown which keys it holds.
   Lost,
@@ -67,15 +68,19 @@
   /// Returns the next state of the map; equal to \p Map when there is nothing
   /// to do.
   ///
-  /// Rules, in order: the keys of ended owners become free; the keys of lost
-  /// owners are revoked; a release is cancelled if the next owner can't get
-  /// keys any more; revoked keys become free when the revocation wait is over,
-  /// or return to their owner if it is reachable again before; unconfirmed keys
-  /// become free when the revocation wait is over; leaving owners
-  /// release their keys to next owners; free keys go to the target with the
-  /// least load relative to its capacity; if few other changes are pending
-  /// (none with less than eight targets) and the loads differ too much from the
-  /// fair share, the most loaded targets release their hottest keys.
+  /// Rules, in order: the keys of ended and of lost owners are revoked; a
+  /// release is cancelled if the next owner can't get keys any more; revoked
+  /// keys become free when the revocation wait is over, or return to their
+  /// owner if it is reachable again before; unconfirmed keys become free when
+  /// the revocation wait is over; leaving owners release their keys to next
+  /// owners; free keys go to the target with the least load relative to its
+  /// capacity; if few other changes are pending (none with less than eight
+  /// targets) and the loads differ too much from the fair share, the most
+  /// loaded targets release their hottest keys.
+  ///
+  /// No key of an ended owner becomes free in the version in which it may still
+  /// be granted to that owner: a commit may take effect long after the owner
+  /// has returned, if the row is unchanged. See freeEnded().
   ///
   /// Complexity: linear in the spans, plus slices times candidates.
   KeyMap plan(const KeyMap &Map, const std::vector<KeyCandidate> &Candidates,
@@ -122,8 +127,19 @@
 KeyMap confirmHeld(const KeyMap &Map, const KeyOwner &Owner,
                    const std::vector<HeldSpan> &Held);
 
-/// Makes all keys of \p Owner free; to be called when its hold has certainly
-/// ended, without a handover.
-KeyMap freeOwnedBy(const KeyMap &Map, const KeyOwner &Owner);
+/// What the daemon of an instance knows of the targets that have run there.
+struct EndedTargets {
+  InstanceName m_Instance;
+  /// None of them holds keys.
+  bool m_All = false;
+  /// Those that were started earlier have ended; none if no target is known.
+  std::optional<TargetIncarnation> m_Present;
+};
+
+/// Makes the revoked keys of targets whose holds have ended free, without a
+/// handover. To be called by the daemon of the instance: it is the only one
+/// that grants keys to these targets, and grants none that it sees revoked, so
+/// that the result stays true for as long as the row has the version of \p Map.
+KeyMap freeEnded(const KeyMap &Map, const EndedTargets &Ended);
 
 } // namespace balsamwheel
--- a/src/keyspace/key_planner.cpp
+++ b/src/keyspace/key_planner.cpp
@@ -371,15 +371,16 @@
                       Span.m_State == SpanState::Releasing;
     const bool Lapsed =
         Span.m_State == SpanState::Unconfirmed && waitIsOver(Span, Now);
-    if (Lapsed || (Held && Owner == TargetCondition::Ended))
+    if (Lapsed)
       Span.m_State = SpanState::Free;
-    else if (Held && Owner == TargetCondition::Lost)
+    else if (Held && (Owner == TargetCondition::Ended ||
+                      Owner == TargetCondition::Lost))
       Span.m_State = SpanState::Revoked;
     else if (Span.m_State == SpanState::Releasing &&
              Builder.condition(Span.m_NextOwner) != TargetCondition::Eligible)
       Span.m_State = SpanState::Owned;
     else if (Span.m_State == SpanState::Revoked) {
-      if (Owner == TargetCondition::Ended || waitIsOver(Span, Now))
+      if (waitIsOver(Span, Now))
         Span.m_State = SpanState::Free;
       else if (Owner == TargetCondition::Eligible ||
                Owner == TargetCondition::Leaving)
@@ -497,11 +498,16 @@
   return Result;
 }
 
-KeyMap freeOwnedBy(const KeyMap &Map, const KeyOwner &Owner) {
+KeyMap freeEnded(const KeyMap &Map, const EndedTargets &Ended) {
   KeyMap Result = Map;
   for (KeySpan Span : Map.spans()) {
-    if (Span.m_Owner != Owner || Span.m_State == SpanState::Free ||
-        Span.m_State == SpanState::Unconfirmed)
+    if (Span.m_State != SpanState::Revoked ||
+        Span.m_Owner.m_Instance != Ended.m_Instance)
+      continue;
+    const bool Earlier =
+        Ended.m_Present &&
+        Span.m_Owner.m_Target.m_StartTimeMs < Ended.m_Present->m_StartTimeMs;
+    if (!Ended.m_All && !Earlier)
       continue;
     Span.m_State = SpanState::Free;
     Result.assign(Span);
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -122,6 +122,8 @@
 }
 
 KeyMap KeyCoordinator::desired() const {
+  // The commit may take effect long after this. Its condition is only the row's
+  // version, so each change has to stay right for as long as that stands.
   KeyMap Next = *m_Map;
   const TimePoint Now = m_Loop.now();
   if (const auto Self = m_Agent.owner()) {
@@ -129,13 +131,12 @@
       Next = confirmHeld(Next, *Self, m_Agent.keys()->held());
     if (!m_Agent.leaving())
       Next = adoptEarlierIncarnations(Next, {*Self});
-    if (m_Agent.condition() == TargetCondition::Ended)
-      Next = freeOwnedBy(Next, *Self);
     Next = reissueFences(Next, *Self, m_Agent.keys()->refusedGrants());
     for (const ReleasedSpan &Each : m_Agent.keys()->completedReleases(Next))
       Next = completeRelease(Next, *Self, Each.m_First, Each.m_Last,
                              Each.m_HandoverToken);
   }
+  Next = freeEnded(Next, m_Agent.endedTargets());
   if (Now - m_StartedAt < m_Options.m_StartupDelay ||
       !m_Callbacks.m_IsPlanner())
     return Next;
--- a/src/router/key_coordinator.h
+++ b/src/router/key_coordinator.h
@@ -8,6 +8,12 @@
 // less than the authority duration ago has found the row unchanged, so a
 // revocation is binding for it once that time has passed.
 //
+// A commit without an answer may take effect late, also one that an earlier run
+// of this daemon has sent. A version in which a target may be granted a key is
+// therefore never followed by one in which the key is free, unless the target
+// has released it: the key is revoked first. In that version nobody grants it,
+// so what its owner's daemon finds out about its hold can't change any more.
+//
 // When the store has returned to an earlier copy, the planner restores the
 // latest known map in the row of the new era. It may lack changes that were in
 // force, so it gives no authority over any key until the daemon of the owner
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -170,6 +170,12 @@
                               : TargetCondition::Eligible;
 }
 
+EndedTargets TargetAgent::endedTargets() const {
+  return {.m_Instance = m_Settings.m_Instance,
+          .m_All = condition() == TargetCondition::Ended,
+          .m_Present = m_Target};
+}
+
 void TargetAgent::decaySliceRates(Duration Interval) {
   const double Seconds = static_cast<double>(Interval.count()) / 1e6;
   const auto Factor =
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -169,6 +169,9 @@
   TargetKeys *keys() { return m_Keys.get(); }
   std::optional<KeyOwner> owner() const;
   TargetCondition condition() const;
+  /// The targets on this instance that hold no keys, and can't be granted those
+  /// that the map doesn't assign to them.
+  EndedTargets endedTargets() const;
   GateReport gateReport() const;
   /// Requests per second that the target can complete. Changes slowly.
   double capacity() const;
--- a/tests/fake_table_service.h
+++ b/tests/fake_table_service.h
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <list>
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace balsamwheel::tests {
 
@@ -128,6 +130,33 @@
   void commit(OwnRowCommit Commit, OnReply Done) override {
     if (m_Unreachable)
       return reply(Done, {.m_Error = "down"});
+    if (m_PerformLate && Commit.m_Value) {
+      m_LateCommits.push_back(std::move(Commit));
+      return reply(Done, {.m_CallOutcome = TableCallOutcome::Unanswered,
+                          .m_Error = "no answer in time"});
+    }
+    reply(Done, perform(std::move(Commit)));
+  }
+
+  /// Performs the commits that were left unanswered, if their conditions still
+  /// hold.
+  void performLate() {
+    for (OwnRowCommit &Each : std::exchange(m_LateCommits, {}))
+      perform(std::move(Each));
+  }
+
+  bool m_Unreachable = false;
+  /// How long the replies to watches are on the way.
+  Duration m_ReplyDelay{0};
+  /// The next watch is told that the history it asks for has been dropped.
+  bool m_HistoryLost = false;
+  int m_OperatorsReads = 0;
+  /// While set, commits that write get no answer and aren't performed.
+  bool m_PerformLate = false;
+  std::vector<OwnRowCommit> m_LateCommits;
+
+private:
+  TableServiceReply perform(OwnRowCommit Commit) {
     const auto Found = m_Rows.m_Rows.find({TableName::Own, Commit.m_Key});
     const RowVersion Known = Found == m_Rows.m_Rows.end()
                                  ? RowVersion()
@@ -136,24 +165,16 @@
       TableServiceReply Conflict{.m_CallOutcome = TableCallOutcome::Conflict};
       if (Found != m_Rows.m_Rows.end())
         Conflict.m_Rows.push_back(Found->second);
-      return reply(Done, std::move(Conflict));
+      return Conflict;
     }
     TableServiceReply Ok{.m_CallOutcome = TableCallOutcome::Ok};
     if (Commit.m_Value) {
       m_Rows.put(TableName::Own, Commit.m_Key.value(), Commit.m_Value);
       Ok.m_Rows.push_back(m_Rows.m_Rows.at({TableName::Own, Commit.m_Key}));
     }
-    reply(Done, std::move(Ok));
+    return Ok;
   }
 
-  bool m_Unreachable = false;
-  /// How long the replies to watches are on the way.
-  Duration m_ReplyDelay{0};
-  /// The next watch is told that the history it asks for has been dropped.
-  bool m_HistoryLost = false;
-  int m_OperatorsReads = 0;
-
-private:
   void reply(const OnReply &Done, TableServiceReply Reply) {
     m_Rows.m_Loop.post([Done, Reply = std::move(Reply)] { Done(Reply); });
   }
--- a/tests/unit-key-planner.cpp
+++ b/tests/unit-key-planner.cpp
@@ -48,7 +48,18 @@
   return Sum;
 }
 
-/// Plans and completes planned moves until nothing changes.
+/// Does what the daemons of targets that have ended do with their keys.
+KeyMap freeKeysOfEnded(KeyMap Map,
+                       const std::vector<KeyCandidate> &Candidates) {
+  for (const KeyCandidate &Each : Candidates)
+    if (Each.m_Condition == TargetCondition::Ended)
+      Map = freeEnded(Map,
+                      {.m_Instance = Each.m_Owner.m_Instance, .m_All = true});
+  return Map;
+}
+
+/// Plans, completes planned moves and frees the keys of ended targets until
+/// nothing changes.
 KeyMap settle(const KeyPlanner &Planner, KeyMap Map,
               const std::vector<KeyCandidate> &Candidates,
               const SliceLoads &Loads, int *Moves = nullptr) {
@@ -62,6 +73,7 @@
         if (Moves)
           ++*Moves;
       }
+    Next = freeKeysOfEnded(Next, Candidates);
     if (Next == Map)
       return Map;
     Map = Next;
@@ -99,6 +111,48 @@
   CHECK(keysOf(AfterWait, owner(0)) + keysOf(AfterWait, owner(2)) == KeyCount);
 }
 
+TEST_CASE("keys of a silent owner became free in a version in which it could "
+          "be granted them again") {
+  const KeyPlanner Planner({});
+  const KeyMap Map = settle(Planner, KeyMap(), eligible(3), NoLoad);
+  std::vector<KeyCandidate> Silent = eligible(3);
+  Silent[1].m_Condition = TargetCondition::Ended;
+  const KeyMap Next = Planner.plan(Map, Silent, NoLoad, Start);
+  REQUIRE(keysOf(Map, owner(1)) > 0);
+  for (const KeySpan &Span : Map.spans()) {
+    const bool Silent = Span.m_Owner == owner(1);
+    CHECK(Next.find(Span.m_First).m_State ==
+          (Silent ? SpanState::Revoked : SpanState::Owned));
+    CHECK(Next.find(Span.m_First).m_Owner == Span.m_Owner);
+  }
+  // Neither the planner's word for it nor the owner's daemon makes them free
+  // before they are revoked.
+  CHECK(Planner.plan(Next, Silent, NoLoad, Start) == Next);
+  CHECK(freeKeysOfEnded(Map, Silent) == Map);
+  const KeyMap Freed = freeKeysOfEnded(Next, Silent);
+  CHECK(keysOf(Planner.plan(Freed, Silent, NoLoad, Start), owner(0)) +
+            keysOf(Planner.plan(Freed, Silent, NoLoad, Start), owner(2)) ==
+        KeyCount);
+}
+
+TEST_CASE("only the daemon of an instance frees the revoked keys of its "
+          "earlier targets") {
+  KeyMap Map;
+  Map.assign({.m_First = 0,
+              .m_Last = 65535,
+              .m_State = SpanState::Revoked,
+              .m_Owner = owner(1, 5)});
+  const auto Freed = [&](int Instance, std::int64_t Present) {
+    return freeEnded(Map, {.m_Instance = owner(Instance).m_Instance,
+                           .m_Present = owner(Instance, Present).m_Target}) !=
+           Map;
+  };
+  CHECK(Freed(1, 6));
+  CHECK_FALSE(Freed(1, 5));
+  CHECK_FALSE(Freed(1, 4));
+  CHECK_FALSE(Freed(2, 6));
+}
+
 TEST_CASE("a new planner waits the full revocation wait again") {
   KeyPlanner NewPlanner({.m_RevocationWait = 9s});
   KeyMap Map;
--- a/tests/unit-key-restore.cpp
+++ b/tests/unit-key-restore.cpp
@@ -94,7 +94,7 @@
 
 TEST_CASE("the end or restart of a named owner frees no unconfirmed keys") {
   KeyMap Map = restoreMap(twoOwners(), StoreEra(2));
-  CHECK(freeOwnedBy(Map, A) == Map);
+  CHECK(freeEnded(Map, {.m_Instance = A.m_Instance, .m_All = true}) == Map);
   KeyOwner Restarted = A;
   Restarted.m_Target.m_StartTimeMs = 2;
   CHECK(adoptEarlierIncarnations(Map, {Restarted}) == Map);
@@ -109,7 +109,9 @@
 
 TEST_CASE("keys held with another fence, or that were free, stay unconfirmed") {
   KeyMap Copy = twoOwners();
-  Copy = freeOwnedBy(Copy, B);
+  KeySpan Free = Copy.find(40000);
+  Free.m_State = SpanState::Free;
+  Copy.assign(Free);
   const KeyMap Map = restoreMap(Copy, StoreEra(2));
   CHECK(Map.find(40000).m_State == SpanState::Unconfirmed);
   std::vector<HeldSpan> Held = heldIn(Copy, A);
--- a/tests/unit-router-keys.cpp
+++ b/tests/unit-router-keys.cpp
@@ -99,6 +99,75 @@
 
 namespace {
 
+/// Whether a target that was granted \p Left and one that was granted \p Right
+/// hold a key in common.
+bool shareKeys(const std::vector<GrantSpan> &Left,
+               const std::vector<GrantSpan> &Right) {
+  return std::any_of(Left.begin(), Left.end(), [&](const GrantSpan &One) {
+    return std::any_of(Right.begin(), Right.end(), [&](const GrantSpan &Two) {
+      return One.m_First <= Two.m_Last && Two.m_First <= One.m_Last;
+    });
+  });
+}
+
+} // namespace
+
+TEST_CASE("two targets held the keys that a late commit freed") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "keyed");
+  Instance &B = Rig.add("b", "keyed");
+  for (Instance *Each : {&A, &B}) {
+    Each->m_Settings.m_MaxHold = 500ms;
+    Each->restartRouter(Rig.m_Loop, Rig.m_Log);
+  }
+  Rig.configure(1);
+  std::vector<GrantSpan> HeldByA;
+  std::vector<GrantSpan> HeldByB;
+  const auto SendHeartbeat = [](Instance &To, std::vector<GrantSpan> &Held) {
+    const HeartbeatReply Reply = To.sendHeartbeat();
+    if (Reply.m_Grants)
+      Held = *Reply.m_Grants;
+  };
+  // Until no grants of an earlier daemon can be valid any more.
+  const TimePoint Start = bootNow();
+  REQUIRE(Rig.runUntil([&] {
+    SendHeartbeat(A, HeldByA);
+    SendHeartbeat(B, HeldByB);
+    return bootNow() - Start > 4500ms;
+  }));
+  REQUIRE_FALSE(HeldByA.empty());
+  REQUIRE_FALSE(HeldByB.empty());
+  A.m_Table.m_PerformLate = true;
+  B.m_Table.m_PerformLate = true;
+  REQUIRE(Rig.runUntil([&] {
+    SendHeartbeat(A, HeldByA);
+    return !A.m_Table.m_LateCommits.empty();
+  }));
+  // B is back, and gets its keys again: the map is still the same.
+  REQUIRE(Rig.runUntil([&] {
+    HeldByB.clear();
+    SendHeartbeat(B, HeldByB);
+    return !HeldByB.empty();
+  }));
+  A.m_Table.performLate();
+  B.m_Table.performLate();
+  A.m_Table.m_PerformLate = false;
+  B.m_Table.m_PerformLate = false;
+  for (int Round = 0; Round < 10; ++Round) {
+    Rig.runFor(30ms);
+    SendHeartbeat(A, HeldByA);
+    CHECK_FALSE(shareKeys(HeldByA, HeldByB));
+  }
+  REQUIRE(Rig.runUntil([&] {
+    SendHeartbeat(A, HeldByA);
+    SendHeartbeat(B, HeldByB);
+    CHECK_FALSE(shareKeys(HeldByA, HeldByB));
+    return !HeldByB.empty();
+  }));
+}
+
+namespace {
+
 constexpr Duration EvacuationLimit = 5s;
 
 void evacuate(Rig &Rig, Instance &Of) {
