Use no connection to a target twice for the same request id

Callers saw a request that may run once run twice (TWICE); with a 503 in place of the 421 one could be told "not run" of a request that ran (REFUSED). A target wrote a refusal a second time where the next answer is expected, and the entrance had meanwhile sent the request again, with the same id, on the same connection. The second copy counted as the refusal of the second attempt, which ran.

Cause: the id is all that tells the answers on a connection apart, and attempts at the same target share it.

Ruled out: copies of other requests' answers (dropped by their id), copies on an idle connection or in the same read (the connection is closed), the frames between daemons (numbered).

Change: a connection remembers hashes of the ids that it has carried and isn't used for one of them again; it is closed after 1000. So an answer with an id belongs to the only attempt with that id on its connection, whatever its status and whenever it comes. When all connections of the pool are open and none can be used, the one that has been idle for longest is closed, no longer all.

Tests, seen to fail without the check: "the second copy of a refusal counted as the answer to the next attempt with the same id", "an id that comes back closes one idle connection, not all". Tests that reused connections gave all their calls one id; they now give each its own, as callers have to.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,8 @@
 // Connection pool of one endpoint and the calls on its connections.
 #include "http_client.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -44,14 +46,24 @@
     return m_Stream.connect(Server);
   }
   bool idle() const { return !m_Call; }
-  bool usedSince(TimePoint Time) const { return m_IdleSince >= Time; }
+  TimePoint idleSince() const { return m_IdleSince; }
+  /// Whether the connection may carry a call now. Two ids with the same hash
+  /// only cost another connection.
+  bool isUsableFor(const HttpCall &Call, std::uint32_t IdHash) const {
+    return idle() && m_IdleSince >= m_Loop.now() - Call.m_MaxIdle &&
+           (Call.m_IdHeader.empty() ||
+            std::find(m_CarriedIds.begin(), m_CarriedIds.end(), IdHash) ==
+                m_CarriedIds.end());
+  }
   HttpClient::CallId callId() const {
     return m_Call ? m_Call->m_Id : HttpClient::CallId();
   }
 
   bool requestSent() const { return m_RequestSent; }
 
-  void start(HttpClient::PendingCall Call) {
+  void start(HttpClient::PendingCall Call, std::uint32_t IdHash) {
+    if (!Call.m_Call.m_IdHeader.empty())
+      m_CarriedIds.push_back(IdHash);
     m_Call = std::make_unique<HttpClient::PendingCall>(std::move(Call));
     m_Input.clear();
     m_SkippedAnswers = 0;
@@ -144,8 +156,10 @@
     }
     // After surplus bytes, or with a part of the request still unsent, the
     // connection can't be reused.
-    const bool Reusable = Answer.m_KeepAlive && m_Input.empty() &&
-                          m_Stream.isOpen() && m_Stream.pendingBytes() == 0;
+    const bool Reusable =
+        Answer.m_KeepAlive && m_Input.empty() && m_Stream.isOpen() &&
+        m_Stream.pendingBytes() == 0 &&
+        m_CarriedIds.size() < m_Client.m_Options.m_MaxIdsPerConnection;
     const auto ServerTimeout =
         keepAliveTimeout(Answer.m_Headers.get("Keep-Alive"));
     const std::unique_ptr<HttpClient::PendingCall> Done = std::move(m_Call);
@@ -185,6 +199,8 @@
   std::string m_Input;
   EventLoop::TimerId m_Timer;
   TimePoint m_IdleSince;
+  /// Hashes of the ids of all calls so far.
+  std::vector<std::uint32_t> m_CarriedIds;
   /// Answers skipped by the current call.
   int m_SkippedAnswers = 0;
   /// The current call's request was written to the stream.
@@ -210,17 +226,16 @@
 
 void HttpClient::dispatch() {
   while (!m_Queue.empty()) {
-    // Skips connections that have been idle for longer than the call allows:
-    // the longer ago the last use, the more likely the server has closed it.
-    const TimePoint LastUse = m_Loop.now() - m_Queue.front().m_Call.m_MaxIdle;
+    const HttpCall &Next = m_Queue.front().m_Call;
+    const auto IdHash = static_cast<std::uint32_t>(
+        XXH3_64bits(Next.m_Id.data(), Next.m_Id.size()));
     auto Idle = std::find_if(m_Connections.begin(), m_Connections.end(),
                              [&](const auto &Connection) {
-                               return Connection->idle() &&
-                                      Connection->usedSince(LastUse);
+                               return Connection->isUsableFor(Next, IdHash);
                              });
     if (Idle == m_Connections.end() &&
         m_Connections.size() >= m_Options.m_MaxConnections)
-      closeIdle();
+      closeLongestIdle();
     if (Idle == m_Connections.end()) {
       if (m_Connections.size() >= m_Options.m_MaxConnections)
         return;
@@ -240,10 +255,20 @@
     }
     PendingCall Call = std::move(m_Queue.front());
     m_Queue.pop_front();
-    (*Idle)->start(std::move(Call));
+    (*Idle)->start(std::move(Call), IdHash);
   }
 }
 
+void HttpClient::closeLongestIdle() {
+  HttpClientConnection *Longest = nullptr;
+  for (const auto &Connection : m_Connections)
+    if (Connection->idle() &&
+        (!Longest || Connection->idleSince() < Longest->idleSince()))
+      Longest = Connection.get();
+  if (Longest)
+    Longest->shutDown();
+}
+
 void HttpClient::closeIdle() {
   std::vector<HttpClientConnection *> Idle;
   for (const auto &Connection : m_Connections)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -39,7 +39,9 @@
   Duration m_MaxIdle = std::chrono::hours(1);
   /// Name of the header that identifies the request in its answer. An answer
   /// whose value isn't m_Id is a late or duplicate one of an earlier request
-  /// and is dropped. If empty, any answer is accepted.
+  /// and is dropped. A request that is sent again with the same id uses another
+  /// connection than before, so that no answer to the earlier attempt is taken
+  /// for one to the later. If empty, any answer is accepted.
   std::string m_IdHeader;
   /// Expected value of the header m_IdHeader.
   std::string m_Id;
@@ -59,11 +61,15 @@
   /// A connection whose server states a time-out in Keep-Alive is closed this
   /// much earlier than stated.
   Duration m_IdleMargin = std::chrono::milliseconds(800);
+  /// A connection is closed after this many calls with ids; bounds the memory
+  /// for the ids that it has carried.
+  std::size_t m_MaxIdsPerConnection = 1000;
 };
 
 /// Calls wait in order while all connections are busy.
 ///
-/// Invariant: each call ends exactly once, by its callback or by cancel().
+/// Invariants: each call ends exactly once, by its callback or by cancel(); no
+/// connection carries two calls with the same id.
 class HttpClient {
 public:
   using CallId = StrongId<struct HttpCallIdTag, std::uint64_t>;
@@ -100,6 +106,8 @@
 
   /// Starts queued calls while there are connections for them.
   void dispatch();
+  /// Closes the connection that has been idle for longest, if any is idle.
+  void closeLongestIdle();
   void remove(class HttpClientConnection *Connection);
 
   EventLoop &m_Loop;
--- a/tests/unit-http-loop.cpp
+++ b/tests/unit-http-loop.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 using namespace balsamwheel;
 using namespace balsamwheel::tests;
 using namespace std::chrono_literals;
@@ -19,9 +21,15 @@
 HttpCall makeCall(const std::string &Id, Duration Timeout = 5s) {
   HttpCall Call{.m_Timeout = Timeout, .m_IdHeader = "X-Id", .m_Id = Id};
   Call.m_Request = {.m_Method = "GET", .m_Target = "/"};
+  Call.m_Request.m_Headers.add("X-Id", Id);
   return Call;
 }
 
+std::string idOf(const std::string &Request) {
+  const std::size_t First = Request.find("X-Id: ") + 6;
+  return Request.substr(First, Request.find("\r\n", First) - First);
+}
+
 /// Makes one call to a scripted server and returns its result.
 HttpCallResult callOnce(RawServer::Script Script, Duration Timeout = 5s) {
   RawServer Server(std::move(Script));
@@ -118,12 +126,86 @@
   CHECK(Bodies == std::vector<std::string>{"first", "second"});
 }
 
+TEST_CASE("the second copy of a refusal counted as the answer to the next "
+          "attempt with the same id") {
+  // On one connection, the refusal of the first attempt comes again in place of
+  // the answer to the second.
+  std::map<int, int> RequestsOn;
+  RawServer Server([&](const std::string &Request, int Connection) {
+    const std::string Refusal =
+        "HTTP/1.1 421 X\r\nX-Id: " + idOf(Request) +
+        "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    if (++RequestsOn[Connection] > 1)
+      return RawReply{.m_Bytes =
+                          Refusal + makeAnswer(idOf(Request), "ran").m_Bytes};
+    return Connection == 0 ? RawReply{.m_Bytes = Refusal}
+                           : makeAnswer(idOf(Request), "ran");
+  });
+  EventLoop Loop({});
+  HttpClient Client(Loop, *Endpoint::fromText(Server.address()), {});
+  std::vector<unsigned> Statuses;
+  Client.call(makeCall("1"), [&](HttpCallResult First) {
+    Statuses.push_back(First.m_Answer.m_Status);
+    Client.call(makeCall("1"), [&](HttpCallResult Second) {
+      Statuses.push_back(Second.m_Answer.m_Status);
+    });
+  });
+  runUntil(Loop, [&] { return Statuses.size() == 2; });
+  CHECK(Statuses == std::vector<unsigned>{421, 200});
+  CHECK(Client.connectionsOpened() == 2);
+}
+
+TEST_CASE("an id that comes back closes one idle connection, not all") {
+  RawServer Server([](const std::string &Request, int) {
+    return makeAnswer(idOf(Request), "x");
+  });
+  EventLoop Loop({});
+  HttpClient Client(Loop, *Endpoint::fromText(Server.address()),
+                    {.m_MaxConnections = 2});
+  int Done = 0;
+  const auto Call = [&](const std::string &Id) {
+    Client.call(makeCall(Id), [&](HttpCallResult Result) {
+      CHECK(Result.m_CallOutcome == HttpCallOutcome::Answered);
+      ++Done;
+    });
+  };
+  for (const int Opened : {1, 2, 3}) {
+    Call("1");
+    runUntil(Loop, [&] { return Done == Opened; });
+    CHECK(Client.connectionsOpened() == static_cast<std::uint64_t>(Opened));
+  }
+  Call("2");
+  Call("3");
+  runUntil(Loop, [&] { return Done == 5; });
+  CHECK(Client.connectionsOpened() == 3);
+}
+
+TEST_CASE("a connection is closed after its maximum number of ids") {
+  RawServer Server([](const std::string &Request, int) {
+    return makeAnswer(idOf(Request), "x");
+  });
+  EventLoop Loop({});
+  HttpClient Client(Loop, *Endpoint::fromText(Server.address()),
+                    {.m_MaxIdsPerConnection = 3});
+  int Done = 0;
+  std::function<void()> Next = [&] {
+    Client.call(makeCall(std::to_string(Done)), [&](HttpCallResult) {
+      if (++Done < 7)
+        Next();
+    });
+  };
+  Next();
+  runUntil(Loop, [&] { return Done == 7; });
+  CHECK(Client.connectionsOpened() == 3);
+}
+
 TEST_CASE("connections are reused, except after Connection: close") {
   bool Close = false;
-  RawServer Server([&](const std::string &, int) {
-    RawReply Reply = makeAnswer("1", "x");
+  RawServer Server([&](const std::string &Request, int) {
+    RawReply Reply = makeAnswer(idOf(Request), "x");
     if (Close)
-      Reply = {.m_Bytes = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n"
+      Reply = {.m_Bytes = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(Request) +
+                          "\r\nConnection: close\r\n"
                           "Content-Length: 0\r\n\r\n"};
     return Reply;
   });
@@ -132,7 +214,7 @@
   int RemainingCalls = 4;
   std::function<void()> Next = [&] {
     Close = RemainingCalls == 3;
-    Client.call(makeCall("1"), [&](HttpCallResult) {
+    Client.call(makeCall(std::to_string(RemainingCalls)), [&](HttpCallResult) {
       if (--RemainingCalls > 0)
         Next();
     });
@@ -144,8 +226,9 @@
 
 TEST_CASE("a call does not use a connection that was idle longer than its "
           "m_MaxIdle") {
-  RawServer Server(
-      [](const std::string &, int) { return makeAnswer("1", "x"); });
+  RawServer Server([](const std::string &Request, int) {
+    return makeAnswer(idOf(Request), "x");
+  });
   EventLoop Loop({});
   HttpClient Client(Loop, *Endpoint::fromText(Server.address()), {});
   int Done = 0;
@@ -154,12 +237,12 @@
   runUntil(Loop, [&] { return Done == 1; });
   const TimePoint FirstIdleEnd = bootNow() + 100ms;
   runUntil(Loop, [&] { return bootNow() > FirstIdleEnd; });
-  Client.call(makeCall("1"), Count);
+  Client.call(makeCall("2"), Count);
   runUntil(Loop, [&] { return Done == 2; });
   CHECK(Client.connectionsOpened() == 1);
   const TimePoint SecondIdleEnd = bootNow() + 100ms;
   runUntil(Loop, [&] { return bootNow() > SecondIdleEnd; });
-  HttpCall Limited = makeCall("1");
+  HttpCall Limited = makeCall("3");
   Limited.m_MaxIdle = 50ms;
   Client.call(std::move(Limited), Count);
   runUntil(Loop, [&] { return Done == 3; });
@@ -168,34 +251,36 @@
 
 TEST_CASE("a time-out also closes the idle connections") {
   int Requests = 0;
-  RawServer Server([&](const std::string &, int) {
+  RawServer Server([&](const std::string &Request, int) {
     ++Requests;
-    return Requests == 3 ? RawReply{.m_Silent = true} : makeAnswer("1", "x");
+    return Requests == 3 ? RawReply{.m_Silent = true}
+                         : makeAnswer(idOf(Request), "x");
   });
   EventLoop Loop({});
   HttpClient Client(Loop, *Endpoint::fromText(Server.address()), {});
   int Done = 0;
   const auto Count = [&](HttpCallResult) { ++Done; };
   Client.call(makeCall("1"), Count);
-  Client.call(makeCall("1"), Count);
+  Client.call(makeCall("2"), Count);
   runUntil(Loop, [&] { return Done == 2; });
   CHECK(Client.connectionsOpened() == 2);
-  Client.call(makeCall("1", 200ms), Count);
+  Client.call(makeCall("3", 200ms), Count);
   runUntil(Loop, [&] { return Done == 3; });
-  Client.call(makeCall("1"), Count);
+  Client.call(makeCall("4"), Count);
   runUntil(Loop, [&] { return Done == 4; });
   CHECK(Client.connectionsOpened() == 3);
 }
 
 TEST_CASE("calls wait in the queue while all connections are busy") {
-  RawServer Server(
-      [](const std::string &, int) { return makeAnswer("1", "x"); });
+  RawServer Server([](const std::string &Request, int) {
+    return makeAnswer(idOf(Request), "x");
+  });
   EventLoop Loop({});
   HttpClient Client(Loop, *Endpoint::fromText(Server.address()),
                     {.m_MaxConnections = 1});
   int Done = 0;
   for (int Count = 0; Count < 5; ++Count)
-    Client.call(makeCall("1"), [&](HttpCallResult Result) {
+    Client.call(makeCall(std::to_string(Count)), [&](HttpCallResult Result) {
       CHECK(Result.m_CallOutcome == HttpCallOutcome::Answered);
       ++Done;
     });
