Tell a second revocation of the same keys from the first

A planner frees revoked keys when it has seen their revocation for the revocation wait. It knew a revocation by its keys and fencing token, which are the same when the keys return to their owner and are revoked again. Suspected by the review; shown by a unit test only.

Change: a revoked span names the version of the row that its revocation replaced. A version has at most one successor, so no two revocations of a key share it. The row has these versions apart from the spans, and only while something is revoked.

Test: "a planner that missed the return of an owner took its second revocation for the first". Without the version in the identity of a revocation the keys are free when the first one's wait is over.

--- a/include/balsamwheel/detail/keyspace/key_map.h
+++ b/include/balsamwheel/detail/keyspace/key_map.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balsamwheel/detail/core/ids.h"
+#include "balsamwheel/detail/platform/table.h"
 
 #include <algorithm>
 #include <compare>
@@ -64,6 +65,9 @@
   /// Handover token that the present owner got with the keys; empty when the
   /// previous owner was lost.
   std::string m_HandoverToken;
+  /// Version of the row that the revocation was committed to replace: tells two
+  /// revocations of the same keys apart. 0 if not SpanState::Revoked.
+  RowVersion m_RevokedFrom;
 
   std::uint32_t size() const { return std::uint32_t{m_Last} - m_First + 1; }
   bool operator==(const KeySpan &) const = default;
--- a/include/balsamwheel/detail/keyspace/key_planner.h
+++ b/include/balsamwheel/detail/keyspace/key_planner.h
@@ -91,11 +91,12 @@
     KeyIndex m_First;
     KeyIndex m_Last;
     Epoch m_Fence;
+    RowVersion m_RevokedFrom;
     auto operator<=>(const RevocationId &) const = default;
   };
 
   static RevocationId revocationId(const KeySpan &Span) {
-    return {Span.m_First, Span.m_Last, Span.m_Fence};
+    return {Span.m_First, Span.m_Last, Span.m_Fence, Span.m_RevokedFrom};
   }
 
   /// Whether no earlier hold of the keys can still be valid.
@@ -127,6 +128,13 @@
 KeyMap confirmHeld(const KeyMap &Map, const KeyOwner &Owner,
                    const std::vector<HeldSpan> &Held);
 
+/// Marks the spans of \p Next that aren't revoked in \p Map as revoked from
+/// \p Version, the row version of \p Map, and removes the marks of spans that
+/// aren't revoked any more. To be called before \p Next is committed: a planner
+/// that has missed the versions between two revocations of the same keys would
+/// count the wait from the first one.
+KeyMap markRevocations(KeyMap Next, const KeyMap &Map, RowVersion Version);
+
 /// What the daemon of an instance knows of the targets that have run there.
 struct EndedTargets {
   InstanceName m_Instance;
--- a/src/keyspace/key_map.cpp
+++ b/src/keyspace/key_map.cpp
@@ -40,15 +40,22 @@
 std::string encode(const std::vector<KeySpan> &Spans, std::uint64_t LastFence) {
   OwnerTable Owners;
   json Encoded = json::array();
-  for (const KeySpan &Span : Spans)
+  // Indices of revoked spans, and the versions that the revocations replaced.
+  json Revocations = json::array();
+  for (const KeySpan &Span : Spans) {
+    if (Span.m_RevokedFrom != RowVersion())
+      Revocations.push_back({Encoded.size(), Span.m_RevokedFrom.value()});
     Encoded.push_back(
         {Span.m_First, Span.m_Last, static_cast<int>(Span.m_State),
          Owners.indexOf(Span.m_Owner), Owners.indexOf(Span.m_NextOwner),
          Span.m_Fence.value(), Span.m_HandoverToken});
-  return json{{"last_fence", LastFence},
+  }
+  json Result{{"last_fence", LastFence},
               {"owners", std::move(Owners.encoded())},
-              {"spans", std::move(Encoded)}}
-      .dump();
+              {"spans", std::move(Encoded)}};
+  if (!Revocations.empty())
+    Result["revocations"] = std::move(Revocations);
+  return Result.dump();
 }
 
 struct DecodedSpans {
@@ -86,6 +93,11 @@
            .m_Fence = Epoch(Each.at(5).get<std::uint64_t>()),
            .m_HandoverToken = Each.at(6).get<std::string>()});
     }
+    if (const auto Revocations = Encoded.find("revocations");
+        Revocations != Encoded.end())
+      for (const json &Each : *Revocations)
+        Result.m_Spans.at(Each.at(0).get<std::size_t>()).m_RevokedFrom =
+            RowVersion(Each.at(1).get<std::uint64_t>());
     return Result;
   } catch (const json::exception &) {
     return std::nullopt;
@@ -98,7 +110,8 @@
   return Left.m_State == Right.m_State && Left.m_Owner == Right.m_Owner &&
          Left.m_NextOwner == Right.m_NextOwner &&
          Left.m_Fence == Right.m_Fence &&
-         Left.m_HandoverToken == Right.m_HandoverToken;
+         Left.m_HandoverToken == Right.m_HandoverToken &&
+         Left.m_RevokedFrom == Right.m_RevokedFrom;
 }
 
 bool coversAllKeys(const std::vector<KeySpan> &Spans) {
--- a/src/keyspace/key_planner.cpp
+++ b/src/keyspace/key_planner.cpp
@@ -471,6 +471,7 @@
   for (KeySpan Span : Earlier.spans()) {
     Span.m_State = SpanState::Unconfirmed;
     Span.m_NextOwner = {};
+    Span.m_RevokedFrom = {};
     Result.assign(Span);
   }
   Result.normalize();
@@ -498,6 +499,23 @@
   return Result;
 }
 
+KeyMap markRevocations(KeyMap Next, const KeyMap &Map, RowVersion Version) {
+  const std::vector<KeySpan> Spans = Next.spans();
+  for (KeySpan Span : Spans) {
+    const bool Revoked = Span.m_State == SpanState::Revoked;
+    // No commit joins spans that were revoked with others, so the first key
+    // tells for all.
+    const bool Before =
+        Map.find(Span.m_First).m_State == SpanState::Revoked && Revoked;
+    if (Before || (!Revoked && Span.m_RevokedFrom == RowVersion()))
+      continue;
+    Span.m_RevokedFrom = Revoked ? Version : RowVersion();
+    Next.assign(Span);
+  }
+  Next.normalize();
+  return Next;
+}
+
 KeyMap freeEnded(const KeyMap &Map, const EndedTargets &Ended) {
   KeyMap Result = Map;
   for (KeySpan Span : Map.spans()) {
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -159,7 +159,7 @@
     return;
   }
   if (m_Loop.now() >= m_Backoff.nextAttempt() || m_Callbacks.m_IsPlanner()) {
-    const KeyMap Next = desired();
+    const KeyMap Next = markRevocations(desired(), *m_Map, m_Version);
     if (Next != *m_Map)
       return commit(m_MapEra, m_Version, Next.toText());
   }
--- a/tests/unit-key-planner.cpp
+++ b/tests/unit-key-planner.cpp
@@ -135,6 +135,51 @@
         KeyCount);
 }
 
+TEST_CASE("a planner that missed the return of an owner took its second "
+          "revocation for the first") {
+  KeyPlanner Planner({.m_RevocationWait = 9s});
+  const KeyMap Map = settle(Planner, KeyMap(), eligible(3), NoLoad);
+  std::vector<KeyCandidate> Lost = eligible(3);
+  Lost[1].m_Condition = TargetCondition::Lost;
+  const KeyMap First = markRevocations(Planner.plan(Map, Lost, NoLoad, Start),
+                                       Map, RowVersion(10));
+  Planner.observe(First, Start);
+  const KeyMap Returned =
+      markRevocations(KeyPlanner({}).plan(First, eligible(3), NoLoad, Start),
+                      First, RowVersion(11));
+  CHECK(Returned == Map);
+  const KeyMap Second =
+      markRevocations(KeyPlanner({}).plan(Returned, Lost, NoLoad, Start),
+                      Returned, RowVersion(12));
+  CHECK(Second != First);
+  // It sees neither the return nor any version until then.
+  Planner.observe(Second, Start + 8s);
+  CHECK(Planner.plan(Second, Lost, NoLoad, Start + 16s) == Second);
+  CHECK(Planner.plan(Second, Lost, NoLoad, Start + 17s) != Second);
+}
+
+TEST_CASE("an unchanged revocation keeps the version that it replaced") {
+  const KeyPlanner Planner({});
+  const KeyMap Map = settle(Planner, KeyMap(), eligible(3), NoLoad);
+  std::vector<KeyCandidate> Lost = eligible(3);
+  Lost[1].m_Condition = TargetCondition::Lost;
+  const KeyMap First = markRevocations(Planner.plan(Map, Lost, NoLoad, Start),
+                                       Map, RowVersion(10));
+  CHECK(markRevocations(First, First, RowVersion(11)) == First);
+  CHECK(KeyMap::fromText(First.toText()) == First);
+  CHECK(Map.withChanges(First.changesSince(Map)) == First);
+  // Those of another target are revoked later, and are told apart.
+  Lost[2].m_Condition = TargetCondition::Lost;
+  const KeyMap Both = markRevocations(Planner.plan(First, Lost, NoLoad, Start),
+                                      First, RowVersion(11));
+  for (const KeySpan &Span : Both.spans()) {
+    const RowVersion Expected = Span.m_Owner == owner(1)   ? RowVersion(10)
+                                : Span.m_Owner == owner(2) ? RowVersion(11)
+                                                           : RowVersion();
+    CHECK(Span.m_RevokedFrom == Expected);
+  }
+}
+
 TEST_CASE("only the daemon of an instance frees the revoked keys of its "
           "earlier targets") {
   KeyMap Map;
