Reject what other writers put into rows and heartbeats value by value

Here a heartbeat with a deeply nested field ended the daemon: the JSON library copies values by recursion, and the decoder copied. One row with a field of another type made a whole reply unreadable, which was asked for again for ever. A member row with a host name blocked the event loop in a look-up. Numbers beyond their types were taken for others, and a key map row of an era to come replaced the one in force. On the way: the rows behind a page that is full by its size were never read, and a deadline near 2^63 overflowed.

Cause: decoders that trust the depth, type and range of foreign data.

Change: core/json_fields.h, used for rows of every table, heartbeats, configurations and settings. A row that can't be read is left out and logged; the others hold. Endpoints are IPv4 literals with a port. Pages end where the store says so (HasMore).

--- a/src/keyspace/key_map.cpp
+++ b/src/keyspace/key_map.cpp
@@ -1,11 +1,10 @@
 // Map of key spans and its encoding as a table row.
 #include "balsamwheel/detail/keyspace/key_map.h"
 
-#include <nlohmann/json.hpp>
+#include "core/json_fields.h"
 
 #include <algorithm>
 #include <map>
-#include <stdexcept>
 
 namespace balsamwheel {
 
@@ -63,45 +62,53 @@
   std::uint64_t m_LastFence = 0;
 };
 
+KeySpan decodeSpan(const json &Row, const std::vector<KeyOwner> &Owners) {
+  if (!Row.is_array() || Row.size() != 7 || !Row[6].is_string())
+    throw JsonFieldError("a span of another form");
+  const auto OwnerAt = [&](const json &Index) {
+    const int Number =
+        integerFrom<int>(Index, NoOwner, static_cast<int>(Owners.size()) - 1);
+    return Number == NoOwner ? KeyOwner()
+                             : Owners[static_cast<std::size_t>(Number)];
+  };
+  return {.m_First = integerFrom<KeyIndex>(Row[0]),
+          .m_Last = integerFrom<KeyIndex>(Row[1]),
+          .m_State = static_cast<SpanState>(integerFrom<int>(
+              Row[2], 0, static_cast<int>(SpanState::Unconfirmed))),
+          .m_Owner = OwnerAt(Row[3]),
+          .m_NextOwner = OwnerAt(Row[4]),
+          .m_Fence = Epoch(integerFrom<std::uint64_t>(Row[5])),
+          .m_HandoverToken = Row[6].get<std::string>()};
+}
+
 /// Decodes what encode() returns; none if it isn't valid.
 std::optional<DecodedSpans> decode(const std::string &Text) {
   try {
-    const json Encoded = json::parse(Text);
+    const json Encoded = parseForeignJson(Text);
     std::vector<KeyOwner> Owners;
-    for (const json &Each : Encoded.at("owners"))
+    for (const json &Each : arrayAt(Encoded, "owners")) {
+      if (!Each.is_array() || Each.size() != 3 || !Each[0].is_string() ||
+          !Each[1].is_string())
+        return std::nullopt;
       Owners.push_back(
-          {.m_Instance = InstanceName(Each.at(0).get<std::string>()),
-           .m_Target = {.m_Id = Each.at(1).get<std::string>(),
-                        .m_StartTimeMs = Each.at(2).get<std::int64_t>()}});
-    const auto OwnerAt = [&](const json &Index) {
-      const int Number = Index.get<int>();
-      return Number == NoOwner ? KeyOwner()
-                               : Owners.at(static_cast<std::size_t>(Number));
-    };
-    DecodedSpans Result{.m_LastFence =
-                            Encoded.at("last_fence").get<std::uint64_t>()};
-    for (const json &Each : Encoded.at("spans")) {
-      const int State = Each.at(2).get<int>();
-      if (State < 0 || State > static_cast<int>(SpanState::Unconfirmed))
+          {.m_Instance = InstanceName(Each[0].get<std::string>()),
+           .m_Target = {.m_Id = Each[1].get<std::string>(),
+                        .m_StartTimeMs = integerFrom<std::int64_t>(Each[2])}});
+    }
+    DecodedSpans Result{.m_LastFence = integerFrom<std::uint64_t>(
+                            fieldAt(Encoded, "last_fence"))};
+    for (const json &Each : arrayAt(Encoded, "spans"))
+      Result.m_Spans.push_back(decodeSpan(Each, Owners));
+    for (const json &Each : arrayAt(Encoded, "revocations")) {
+      if (!Each.is_array() || Each.size() != 2 || Result.m_Spans.empty())
         return std::nullopt;
-      Result.m_Spans.push_back(
-          {.m_First = Each.at(0).get<KeyIndex>(),
-           .m_Last = Each.at(1).get<KeyIndex>(),
-           .m_State = static_cast<SpanState>(State),
-           .m_Owner = OwnerAt(Each.at(3)),
-           .m_NextOwner = OwnerAt(Each.at(4)),
-           .m_Fence = Epoch(Each.at(5).get<std::uint64_t>()),
-           .m_HandoverToken = Each.at(6).get<std::string>()});
+      const auto Index =
+          integerFrom<std::size_t>(Each[0], 0, Result.m_Spans.size() - 1);
+      Result.m_Spans[Index].m_RevokedFrom =
+          RowVersion(integerFrom<std::uint64_t>(Each[1]));
     }
-    if (const auto Revocations = Encoded.find("revocations");
-        Revocations != Encoded.end())
-      for (const json &Each : *Revocations)
-        Result.m_Spans.at(Each.at(0).get<std::size_t>()).m_RevokedFrom =
-            RowVersion(Each.at(1).get<std::uint64_t>());
     return Result;
-  } catch (const json::exception &) {
-    return std::nullopt;
-  } catch (const std::out_of_range &) {
+  } catch (const JsonFieldError &) {
     return std::nullopt;
   }
 }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,6 +5,7 @@
 #include <ace/OS_NS_sys_socket.h>
 #include <ace/Reactor.h>
 
+#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -70,9 +71,14 @@
     return std::nullopt;
   const std::string_view Port = Text.substr(Colon + 1);
   Endpoint Result{.m_Host = std::string(Text.substr(0, Colon))};
+  // A name would be looked up when it is used, which blocks the event loop.
+  in_addr Parsed{};
+  if (inet_pton(AF_INET, Result.m_Host.c_str(), &Parsed) != 1)
+    return std::nullopt;
   auto [End, Error] =
       std::from_chars(Port.data(), Port.data() + Port.size(), Result.m_Port);
-  if (Error != std::errc() || End != Port.data() + Port.size())
+  if (Error != std::errc() || End != Port.data() + Port.size() ||
+      Result.m_Port == 0)
     return std::nullopt;
   return Result;
 }
--- a/src/quota/shares.cpp
+++ b/src/quota/shares.cpp
@@ -5,7 +5,7 @@
 #include <functional>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "core/json_fields.h"
 
 namespace balsamwheel {
 
@@ -29,8 +29,10 @@
 std::optional<UnitMap> decode(const json &Encoded) {
   UnitMap Result;
   std::uint64_t Sum = 0;
+  if (!Encoded.is_object())
+    return std::nullopt;
   for (const auto &[Name, Count] : Encoded.items()) {
-    const auto Units = Count.get<std::uint32_t>();
+    const auto Units = integerFrom<std::uint32_t>(Count);
     Sum += Units;
     Result.emplace(Name, Units);
   }
@@ -70,17 +72,18 @@
 
 std::optional<SharesRow> SharesRow::fromText(const std::string &Text) {
   try {
-    const json Encoded = json::parse(Text);
-    auto Units = decode(Encoded.at("units"));
-    auto Earlier = decode(Encoded.at("earlier"));
-    if (!Units || !Earlier)
+    const json Encoded = parseForeignJson(Text);
+    auto Units = decode(fieldAt(Encoded, "units"));
+    auto Earlier = decode(fieldAt(Encoded, "earlier"));
+    const json &Settled = fieldAt(Encoded, "settled");
+    if (!Units || !Earlier || !Settled.is_boolean())
       return std::nullopt;
-    return SharesRow{.m_Revision = SharesRevision(
-                         Encoded.at("revision").get<std::uint64_t>()),
+    return SharesRow{.m_Revision = SharesRevision(integerFrom<std::uint64_t>(
+                         fieldAt(Encoded, "revision"))),
                      .m_Units = std::move(*Units),
-                     .m_Settled = Encoded.at("settled").get<bool>(),
+                     .m_Settled = Settled.get<bool>(),
                      .m_Earlier = std::move(*Earlier)};
-  } catch (const json::exception &) {
+  } catch (const JsonFieldError &) {
     return std::nullopt;
   }
 }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -1,7 +1,7 @@
 // Construction and stop of the daemon's router, and its handling of table rows.
 #include "router.h"
 
-#include <nlohmann/json.hpp>
+#include "core/json_fields.h"
 
 #include <algorithm>
 
@@ -58,18 +58,17 @@
 
 std::optional<Member> parseMemberRow(const MirroredRow &Row) {
   try {
-    const json Json = json::parse(*Row.m_Value);
-    const auto Address =
-        Endpoint::fromText(Json.at("address").get<std::string>());
-    if (!Address)
+    const json Json = parseForeignJson(*Row.m_Value);
+    const auto Address = Endpoint::fromText(textAt(Json, "address"));
+    const std::string Instance =
+        Row.m_Key.value().substr(std::string_view(MemberPrefix).size());
+    if (!Address || Instance.empty())
       return std::nullopt;
-    return Member{
-        .m_Instance = InstanceName(
-            Row.m_Key.value().substr(std::string_view(MemberPrefix).size())),
-        .m_Domain = DomainName(Json.at("domain").get<std::string>()),
-        .m_Service = ServiceName(Json.at("service").get<std::string>()),
-        .m_Address = *Address};
-  } catch (const json::exception &) {
+    return Member{.m_Instance = InstanceName(Instance),
+                  .m_Domain = DomainName(textAt(Json, "domain")),
+                  .m_Service = ServiceName(textAt(Json, "service")),
+                  .m_Address = *Address};
+  } catch (const JsonFieldError &) {
     return std::nullopt;
   }
 }
@@ -426,6 +425,9 @@
 
 void Router::keyMapChanged(const MirroredRow &Row) {
   const KeyMapRowId Id = *parseKeyMapRow(Row.m_Key);
+  // No daemon writes a row of an era that hasn't begun.
+  if (Id.m_Era > Row.m_Version.m_Era)
+    return;
   auto Known = m_KeyMaps.find(Id.m_Service);
   // A row of an earlier era in the store is at most what was known of it then.
   const auto Age = std::pair(Id.m_Era, Row.m_Version.m_Version);
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -22,6 +22,8 @@
 /// A daemon that has been missing an operators' row for this long reads the
 /// table itself, on a new connection.
 constexpr Duration MaxBehind = std::chrono::milliseconds(500);
+/// Longest time that a peer's request can have left.
+constexpr Duration MaxTimeLeft = std::chrono::hours(24);
 /// Size in bytes from which on a configuration isn't requested from peers.
 constexpr std::size_t LargeRowBytes = std::size_t{64} << 10;
 
@@ -299,10 +301,14 @@
   const KeyMap *Map = keyMap(m_Settings.m_Service);
   if (Frame.key >= 0 && Map)
     Job.m_Key = static_cast<KeyIndex>(Frame.key);
-  Job.m_Objective = m_Loop.now() + Duration(Frame.objective_left);
-  Job.m_Deadline = m_Loop.now() + Duration(Frame.deadline_left);
+  const auto After = [&](std::int64_t Left) {
+    return m_Loop.now() + std::clamp(Duration(Left), -MaxTimeLeft, MaxTimeLeft);
+  };
+  Job.m_Objective = After(Frame.objective_left);
+  Job.m_Deadline = After(Frame.deadline_left);
   const std::uint64_t Stream = Frame.stream;
-  if (Frame.service != m_Settings.m_Service.value())
+  if (Frame.service != m_Settings.m_Service.value() ||
+      Frame.key >= static_cast<std::int64_t>(KeyCount))
     return sendPeerAnswer(Link, Stream, {.m_Reason = Reason::UnknownService});
   m_PeerJobs[{Link, Stream}] = m_Agent.submit(
       std::move(Job), Map, [this, Link, Stream](const TargetJobResult &Result) {
--- a/src/router/table_service.h
+++ b/src/router/table_service.h
@@ -33,6 +33,8 @@
   StoreVersion m_Version;
   /// The store's clock when it had m_Version; none if the answer shows none.
   std::optional<StoreTime> m_Time;
+  /// The reply to a read contains only the first rows.
+  bool m_HasMore = false;
   const char *m_Error = "";
 };
 
--- a/tests/unit-store-client.cpp
+++ b/tests/unit-store-client.cpp
@@ -159,6 +159,52 @@
         std::string::npos);
 }
 
+TEST_CASE("one row that can't be read hid all others of its reply") {
+  const char *OddRows[] = {"1",
+                           "null",
+                           "[]",
+                           R"({"Key":"k"})",
+                           R"({"Table":"op","Key":7,"Ver":5})",
+                           R"({"Table":"op","Key":"k","Ver":"5"})",
+                           R"({"Table":"op","Key":"k","Ver":-5})",
+                           R"({"Table":"op","Key":"k","Ver":1e300})"};
+  for (const std::string Odd : OddRows) {
+    CAPTURE(Odd);
+    StoreRig Rig([&](const std::string &, int) {
+      return answer(
+          "200 OK",
+          R"({"Rows":[{"Table":"op","Key":"a","Value":"e30=","Ver":1},)" + Odd +
+              R"(,{"Table":"op","Key":"b","Value":"e30=","Ver":3}],"Ver":4})");
+    });
+    const TableServiceReply Reply = Rig.run([](auto &Store, auto Done) {
+      Store.watch(TableName::Operators, RowVersion(), 1ms, Done);
+    });
+    CHECK(Reply.m_CallOutcome == TableCallOutcome::Ok);
+    CHECK(Reply.m_Version.m_Version == RowVersion(4));
+    REQUIRE(Reply.m_Rows.size() == 2);
+    CHECK(Reply.m_Rows[1].m_Key == RowKey("b"));
+  }
+}
+
+TEST_CASE("rows behind a page that was full by its size weren't read") {
+  StoreRig Rig([](const std::string &Request, int) {
+    const bool First = Request.find("From=") == std::string::npos;
+    return answer(
+        "200 OK",
+        First
+            ? R"({"Rows":[{"Table":"balsamwheel","Key":"a","Value":"e30=","Ver":1}],
+                "Ver":4,"HasMore":true})"
+            : R"({"Rows":[{"Table":"balsamwheel","Key":"a","Value":"e30=","Ver":1},
+                {"Table":"balsamwheel","Key":"b","Value":"e30=","Ver":2}],
+                "Ver":4,"HasMore":false})");
+  });
+  const TableServiceReply Reply =
+      Rig.run([](auto &Store, auto Done) { Store.read(TableName::Own, Done); });
+  CHECK(Reply.m_CallOutcome == TableCallOutcome::Ok);
+  REQUIRE_FALSE(Reply.m_Rows.empty());
+  CHECK(Reply.m_Rows.back().m_Key == RowKey("b"));
+}
+
 TEST_CASE("replies carry the era of the store, errors included") {
   StoreRig Rig([](const std::string &Request, int) {
     RawReply Reply = Request.starts_with("POST")
