Grant keys by calls only while a connection to the incarnation is open

A target took keys with the fencing token of its predecessor (OWNER): after a crash its daemon repeated the grant, and the next incarnation got it before its first heartbeat.

Cause: nothing in a grant names the incarnation; it goes to whoever listens.

Change: the daemon keeps a connection that carries nothing, opened when a heartbeat of the incarnation arrives, and sends grants only while it is open. It ends with the process, and so do the grants in progress. Ruled out: waiting for a heartbeat only after a refused connection; a target can be back before the next grant is due.

Test, seen to fail without the check: "a repeated grant reached the next incarnation before its first heartbeat".

--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -94,6 +94,7 @@
   bool isOpen() const {
     return m_Handle != ACE_INVALID_HANDLE && !m_Connecting;
   }
+  bool isConnecting() const { return m_Connecting; }
   /// Returns the number of bytes in the output buffer.
   std::size_t pendingBytes() const { return m_Output.size() - m_SentBytes; }
   /// Returns the size of the output buffer, with bytes that were already sent.
--- a/src/router/target_keys.cpp
+++ b/src/router/target_keys.cpp
@@ -10,7 +10,7 @@
 HttpClientOptions clientOptions(const TargetKeysOptions &Options) {
   HttpClientOptions Result;
   Result.m_MaxConnections = Options.m_Holds.m_MaxCalls;
-  Result.m_TcpUserTimeout = std::chrono::seconds(1);
+  Result.m_TcpUserTimeout = Options.m_TcpUserTimeout;
   Result.m_ConnectTimeout = Options.m_Holds.m_GrantTimeout;
   // Longer than the interval between two renewals.
   Result.m_IdleTimeout = 2 * Options.m_Holds.m_RenewInterval;
@@ -41,9 +41,22 @@
     : m_Loop(Loop), m_Log(Log), m_Format(Format), m_Self(std::move(Self)),
       m_Options(Options), m_Callbacks(std::move(Callbacks)),
       m_Ledger(HoldLedger(Options.m_Holds.m_Holds, m_Self)),
-      m_EarlierGrantsEnd(EarlierGrantsEnd),
+      m_EarlierGrantsEnd(EarlierGrantsEnd), m_Address(Target), m_Presence(Loop),
       m_Grants(Loop, Target, clientOptions(Options)),
-      m_Releases(Loop, Target, clientOptions(Options)) {}
+      m_Releases(Loop, Target, clientOptions(Options)) {
+  m_Presence.setTcpUserTimeout(Options.m_TcpUserTimeout);
+  m_Presence.setEvents({.m_OnOpen = [this] { update(); },
+                        .m_OnEnd =
+                            [this](StreamEndReason) {
+                              m_Log.write(
+                                  LogClass::StateChange,
+                                  LogLine("target_connection_ended")
+                                      .add("target", m_Self.m_Target.m_Id));
+                              // Grants that have begun wait for a connection,
+                              // which the next incarnation could accept.
+                              m_Grants.reset();
+                            }});
+}
 
 TargetKeys::~TargetKeys() { m_Loop.cancel(m_Timer); }
 
@@ -62,15 +75,22 @@
   if (ByCalls) {
     m_Grants.reset();
     m_Releases.reset();
+    m_Presence.close();
     m_Loop.cancel(m_Timer);
     m_Ledger.emplace<HoldLedger>(m_Options.m_Holds.m_Holds, m_Self);
     return;
   }
   m_Ledger.emplace<CallHoldLedger>(m_Options.m_Holds, m_Self,
                                    m_EarlierGrantsEnd);
+  watchPresence();
   tick();
 }
 
+void TargetKeys::watchPresence() {
+  if (!m_Presence.isOpen() && !m_Presence.isConnecting())
+    m_Presence.connect(m_Address);
+}
+
 void TargetKeys::tick() {
   m_Timer = m_Loop.after(m_Options.m_CheckInterval, [this] { tick(); });
   update();
@@ -79,6 +99,8 @@
 void TargetKeys::report(const HoldReport &Report) {
   if (HoldLedger *Ledger = std::get_if<HoldLedger>(&m_Ledger))
     Ledger->report(Report);
+  else
+    watchPresence();
 }
 
 std::optional<std::vector<GrantSpan>> TargetKeys::grants(const KeyMap &Map,
@@ -94,8 +116,8 @@
     return;
   while (true) {
     const TimePoint Now = m_Loop.refreshNow();
-    const auto Started =
-        Ledger->nextCall(*Map, m_Callbacks.m_MayGrant(Now), Now);
+    const bool MayGrant = m_Presence.isOpen() && m_Callbacks.m_MayGrant(Now);
+    const auto Started = Ledger->nextCall(*Map, MayGrant, Now);
     if (!Started)
       return;
     send(*Started);
--- a/src/router/target_keys.h
+++ b/src/router/target_keys.h
@@ -20,6 +20,9 @@
   /// Maximum time for the answer to a release, which the target sends when the
   /// work on the released keys has ended.
   Duration m_ReleaseTimeout = std::chrono::seconds(4);
+  /// A connection to the target fails when sent data stays unacknowledged for
+  /// this long.
+  Duration m_TcpUserTimeout = std::chrono::seconds(1);
   /// Interval at which the state of grants is checked.
   Duration m_CheckInterval = std::chrono::milliseconds(250);
 };
@@ -36,8 +39,12 @@
   std::function<void()> m_OnReleased;
 };
 
-/// State of one incarnation of the target. Invariant: a call is sent only in
-/// the event in which the ledger has decided on it.
+/// State of one incarnation of the target.
+///
+/// Invariants: a call is sent only in the event in which the ledger has decided
+/// on it; a grant is sent only while a connection stays open that was opened
+/// when a heartbeat of the incarnation arrived: nothing in a grant names the
+/// incarnation, so the next one to listen at the address would take it.
 class TargetKeys {
 public:
   /// \param EarlierGrantsEnd until then the target may hold any keys, granted
@@ -76,6 +83,8 @@
 
 private:
   void tick();
+  /// Opens the connection that shows that the incarnation is still there.
+  void watchPresence();
   void send(const CallHoldLedger::StartedCall &Started);
   void callEnded(const CallHoldLedger::StartedCall &Started,
                  const HttpCallResult &Result);
@@ -89,6 +98,9 @@
   std::variant<HoldLedger, CallHoldLedger> m_Ledger;
   /// Of grants under another grant mode, or by a previous daemon.
   TimePoint m_EarlierGrantsEnd;
+  Endpoint m_Address;
+  /// Carries nothing; ends when the incarnation does.
+  Stream m_Presence;
   HttpClient m_Grants;
   HttpClient m_Releases;
   EventLoop::TimerId m_Timer;
--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -64,6 +64,11 @@
 
   /// While set, new connections are refused.
   void setRefusing(bool Refusing) { m_Server.setRefusing(Refusing); }
+  /// Ends the connections and refuses new ones, like the end of its process.
+  void crash() {
+    m_Server.setRefusing(true);
+    m_Server.dropConnections();
+  }
   Endpoint endpoint() const { return *Endpoint::fromText(m_Server.address()); }
 
   std::atomic<int> m_Arrivals = 0;
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -50,6 +50,10 @@
   /// While set, new connections are refused; takes effect within 20 ms.
   void setRefusing(bool Refusing) { m_Refusing = Refusing; }
 
+  /// Closes all connections, as the end of its process does; takes effect
+  /// within 20 ms.
+  void dropConnections() { m_DropConnections = true; }
+
   /// "HOST:PORT" on which it listens.
   std::string address() const { return "127.0.0.1:" + std::to_string(m_Port); }
 
@@ -85,6 +89,11 @@
 
   void run() {
     while (!m_Stop) {
+      if (m_DropConnections.exchange(false)) {
+        for (const Client &Connection : m_Clients)
+          close(Connection.m_Socket);
+        m_Clients.clear();
+      }
       if (m_Refusing && m_ListenSocket >= 0) {
         close(m_ListenSocket);
         m_ListenSocket = -1;
@@ -148,6 +157,7 @@
   int m_NextNumber = 0;
   std::atomic<bool> m_Stop{false};
   std::atomic<bool> m_Refusing{false};
+  std::atomic<bool> m_DropConnections = false;
   mutable std::mutex m_Mutex;
   std::vector<std::string> m_Requests;
   std::vector<Client> m_Clients;
--- a/tests/unit-router-grants.cpp
+++ b/tests/unit-router-grants.cpp
@@ -91,6 +91,26 @@
   waitUntilKeyServed(Rig, A);
 }
 
+TEST_CASE("a repeated grant reached the next incarnation before its first "
+          "heartbeat") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "keyed");
+  const KeyedTarget Keyed(A.m_Target);
+  configureCalls(Rig);
+  waitUntilKeyServed(Rig, A);
+  A.m_Target.crash();
+  Rig.runFor(700ms);
+  const int Grants = Keyed.m_Grants;
+  // The next incarnation listens, and its first heartbeat is late.
+  A.m_Target.setRefusing(false);
+  Rig.runFor(4s);
+  CHECK(Keyed.m_Grants == Grants);
+  A.m_TargetStartTimeMs = 2;
+  A.m_Sequence = 0;
+  waitUntilKeyServed(Rig, A);
+  CHECK(Keyed.m_Grants > Grants);
+}
+
 TEST_CASE("the second copy of a release's answer completed the next release") {
   // Answers without an id: nothing tells two calls on one connection apart.
   std::map<int, int> Calls;
