Bound the memory for the bodies of requests, and hold each body once

Two callers that sent 60 MiB each, within MaxBodyBytes, took a daemon beyond its 260 MB; it was ended with the requests of all other callers (LOST, Fault).

Cause: nothing bounded the bodies of all requests together, and each was held up to four times: for a retry, for the target, encoded, and in the output; buffers that grow by doubling took as much again.

Change: copies of a request share its body, and the output of a connection refers to it; a peer's frame is received into memory of its size, which becomes the body. Bodies above 64 KiB take at most half of the process's memory together, those of peers' requests included. One without room is refused at once with 503 and Retry-After, before it is read; what the caller still sends is dropped, so that it reads the answer. A peer answers "not run", and the entrance tries another target.

Ruled out: refusing by size alone. A body within MaxBodyBytes has to be served while there is room.

--- a/src/link/peer_link.cpp
+++ b/src/link/peer_link.cpp
@@ -1,8 +1,10 @@
 // Framing and verification on the connections between daemons.
 #include "peer_link.h"
 
+#include <algorithm>
 #include <array>
 #include <cstring>
+#include <utility>
 
 namespace balsamwheel {
 
@@ -37,20 +39,28 @@
 
 } // namespace
 
-std::string encodeFrame(const LinkFrame &Frame, std::string_view Body) {
+namespace {
+
+/// Encodes a frame and the lengths before it, for a body of the given size.
+std::string encodeHead(const LinkFrame &Frame, std::size_t BodySize) {
   flatbuffers::FlatBufferBuilder Builder(512);
   Builder.Finish(link_wire::Frame::Pack(Builder, &Frame));
   std::string Text;
-  Text.reserve(LengthsSize + Builder.GetSize() + Body.size());
+  Text.reserve(LengthsSize + Builder.GetSize());
   appendLength(Text, Builder.GetSize());
-  appendLength(Text, Body.size());
+  appendLength(Text, BodySize);
   // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
   Text.append(reinterpret_cast<const char *>(Builder.GetBufferPointer()),
               Builder.GetSize());
-  Text.append(Body);
   return Text;
 }
 
+} // namespace
+
+std::string encodeFrame(const LinkFrame &Frame, std::string_view Body) {
+  return encodeHead(Frame, Body.size()).append(Body);
+}
+
 std::string encodeBeatFrame(const LinkBeat &Beat) {
   const std::string Parts = encodeBeat(Beat);
   std::string Text;
@@ -58,8 +68,8 @@
   return Text + Parts;
 }
 
-PeerLink::PeerLink(EventLoop &Loop, PeerLinkEvents Events)
-    : m_Loop(Loop), m_Events(std::move(Events)), m_Stream(Loop),
+PeerLink::PeerLink(EventLoop &Loop, PeerLinkEvents Events, BodyRoom *Room)
+    : m_Loop(Loop), m_Events(std::move(Events)), m_Stream(Loop), m_Room(Room),
       m_LastReceived(Loop.now()) {
   m_Stream.setEvents(
       {.m_OnOpen =
@@ -88,6 +98,12 @@
   return Text.size();
 }
 
+std::size_t PeerLink::sendShared(const LinkFrame &Frame, const HttpBody &Body) {
+  const std::string Head = encodeHead(Frame, Body.size());
+  m_Stream.write(Head, Body);
+  return Head.size() + Body.size();
+}
+
 void PeerLink::fail(const char *Why) {
   m_Stream.close();
   if (m_Events.m_OnEnd)
@@ -125,8 +141,16 @@
     fail("a frame is too large");
     return false;
   }
-  if (m_Input.size() - Consumed < LengthsSize + FrameSize + BodySize)
+  m_BodyRefused =
+      m_BodyRefused || (m_Room && !m_Room->extend(m_Reservation, BodySize));
+  const std::size_t Kept = m_BodyRefused ? 0 : BodySize;
+  const std::size_t Size = LengthsSize + FrameSize + Kept;
+  if (m_Input.size() - Consumed < Size) {
+    // Growing step by step would take the memory of a large body twice.
+    if (Size > BodyRoom::SmallBodyBytes)
+      m_Input.reserve(Consumed + Size + Stream::ReadSize);
     return false;
+  }
   // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
   const auto *Bytes =
       reinterpret_cast<const std::uint8_t *>(Start + LengthsSize);
@@ -136,15 +160,39 @@
     return false;
   }
   std::unique_ptr<LinkFrame> Frame(link_wire::GetFrame(Bytes)->UnPack());
-  std::string Body(Start + LengthsSize + FrameSize, BodySize);
-  Consumed += LengthsSize + FrameSize + BodySize;
+  LinkBody Body{.m_Reservation = std::move(m_Reservation),
+                .m_Dropped = m_BodyRefused};
+  m_Reservation = {};
+  if (std::exchange(m_BodyRefused, false))
+    m_BytesToDrop = BodySize;
+  Body.m_Text = takeBody(Consumed, Consumed + LengthsSize + FrameSize, Kept);
+  const std::size_t Dropped =
+      std::min(m_BytesToDrop, m_Input.size() - Consumed);
+  Consumed += Dropped;
+  m_BytesToDrop -= Dropped;
   m_Events.m_OnFrame(std::move(Frame), std::move(Body));
   return m_Stream.isOpen();
 }
 
+std::string PeerLink::takeBody(std::size_t &Consumed, std::size_t First,
+                               std::size_t Size) {
+  Consumed = First + Size;
+  if (Size <= BodyRoom::SmallBodyBytes)
+    return m_Input.substr(First, Size);
+  // A large body keeps the memory of the input.
+  std::string Rest = m_Input.substr(Consumed);
+  std::string Body = std::exchange(m_Input, std::move(Rest));
+  Consumed = 0;
+  Body.resize(First + Size);
+  Body.erase(0, First);
+  return Body;
+}
+
 void PeerLink::received(std::string_view Bytes) {
   m_LastReceived = m_Loop.now();
-  m_Input.append(Bytes);
+  const std::size_t Dropped = std::min(m_BytesToDrop, Bytes.size());
+  m_BytesToDrop -= Dropped;
+  m_Input.append(Bytes.substr(Dropped));
   std::size_t Consumed = 0;
   while (m_Input.size() - Consumed >= BeatLengthSize &&
          deliverFrame(Consumed)) {
--- a/src/link/peer_link.h
+++ b/src/link/peer_link.h
@@ -25,9 +25,18 @@
 /// Encodes a beat for the wire.
 std::string encodeBeatFrame(const LinkBeat &Beat);
 
+/// Body of a frame.
+struct LinkBody {
+  std::string m_Text;
+  BodyReservation m_Reservation;
+  /// There was no room for the body; it has been dropped.
+  bool m_Dropped = false;
+};
+
 struct PeerLinkEvents {
   std::function<void()> m_OnOpen;
-  std::function<void(std::unique_ptr<LinkFrame>, std::string Body)> m_OnFrame;
+  /// \param Body empty if it was dropped for lack of room.
+  std::function<void(std::unique_ptr<LinkFrame>, LinkBody Body)> m_OnFrame;
   /// May be empty; beats are then ignored.
   std::function<void(const LinkBeat &)> m_OnBeat;
   /// The connection failed or the peer closed it. Called at most once.
@@ -42,12 +51,16 @@
 /// and verified.
 class PeerLink {
 public:
-  PeerLink(EventLoop &Loop, PeerLinkEvents Events);
+  /// \param Room for the bodies of the peer's frames; null means no limit. Must
+  ///        outlive the link.
+  PeerLink(EventLoop &Loop, PeerLinkEvents Events, BodyRoom *Room = nullptr);
 
   bool connect(const Endpoint &Address) { return m_Stream.connect(Address); }
   bool adopt(ACE_HANDLE Handle) { return m_Stream.adopt(Handle); }
   /// \returns the number of bytes on the wire.
   std::size_t send(const LinkFrame &Frame, std::string_view Body = {});
+  /// The same; the body isn't copied.
+  std::size_t sendShared(const LinkFrame &Frame, const HttpBody &Body);
   /// Sends what encodeFrame() or encodeBeatFrame() returned.
   void sendEncoded(std::string_view Text) { m_Stream.write(Text); }
   void close() { m_Stream.close(); }
@@ -68,11 +81,20 @@
   /// Likewise for a beat of the given size.
   bool deliverBeat(std::size_t &Consumed, std::size_t Size);
   void fail(const char *Why);
+  /// Takes the body of a frame out of the input, which ends before \p Consumed.
+  std::string takeBody(std::size_t &Consumed, std::size_t First,
+                       std::size_t Size);
 
   EventLoop &m_Loop;
   PeerLinkEvents m_Events;
   Stream m_Stream;
   std::string m_Input;
+  /// For the body of the frame at the start of the input.
+  BodyRoom *m_Room;
+  BodyReservation m_Reservation;
+  bool m_BodyRefused = false;
+  /// Bytes of a refused body that are still to be dropped.
+  std::size_t m_BytesToDrop = 0;
   TimePoint m_LastReceived;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -102,7 +102,8 @@
 
   void sendRequest() {
     m_RequestSent = true;
-    m_Stream.write(m_Call->m_Call.m_Request.toText());
+    const HttpRequest &Request = m_Call->m_Call.m_Request;
+    m_Stream.write(Request.headToText(), Request.m_Body);
   }
 
   void resetParser() {
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -149,6 +149,7 @@
   m_Input.clear();
   m_Parser.reset();
   m_ParsedBytes = 0;
+  m_BodyReservation = {};
   if (m_Pipeline)
     m_Pipeline->m_Arrivals.clear();
   // What comes now is dropped, so that the caller's end is noticed.
@@ -184,9 +185,18 @@
   if (!m_SentAhead)
     return close();
   m_Stream.endOutput();
-  m_Loop.after(LingerTime, [this, Alive = alive()] {
-    if (!Alive.expired())
+  linger(m_Loop.now() + m_Server.m_Options.m_IdleTimeout);
+}
+
+void HttpServerConnection::linger(TimePoint Limit) {
+  m_Loop.after(LingerTime, [this, Limit, Alive = alive()] {
+    if (Alive.expired())
+      return;
+    const TimePoint Now = m_Loop.now();
+    if (Now >= Limit || Now - m_LastDropped >= LingerTime)
       close();
+    else
+      linger(Limit);
   });
 }
 
@@ -237,12 +247,14 @@
   if (!RequestStarted)
     return close();
   m_Input.clear(); // All that was sent has been read.
-  fail(408);
+  fail(emptyAnswer(408));
 }
 
 void HttpServerConnection::onData(std::string_view Bytes) {
-  if (m_Finished)
+  if (m_Finished) {
+    m_LastDropped = m_Loop.now();
     return;
+  }
   if (!m_Parser || m_Parser->headersComplete())
     m_LastActive = m_Loop.now();
   m_Input.append(Bytes);
@@ -321,27 +333,32 @@
   m_ParsedBytes += Taken;
   const TimePoint ReceivedAt = takeArrival(Taken);
   switch (State) {
-  case ParseState::NeedMore:
-    return false;
   case ParseState::HeadersTooLarge:
-    fail(431);
+    fail(emptyAnswer(431));
     return false;
   case ParseState::BodyTooLarge:
-    fail(413);
+    fail(emptyAnswer(413));
     return false;
   case ParseState::Malformed:
-    fail(400);
+    fail(emptyAnswer(400));
     return false;
+  case ParseState::NeedMore:
   case ParseState::Complete:
     break;
   }
+  if (!reserveBody()) {
+    fail(m_Server.m_Options.m_NoRoomAnswer());
+    return false;
+  }
+  if (State == ParseState::NeedMore)
+    return false;
   // The request may have waited in the kernel for long, with the caller's close
   // behind it.
   if (m_Stream.closedByPeer()) {
     onEnd();
     return false;
   }
-  HttpRequest Request = m_Parser->take();
+  HttpRequest Request = m_Parser->take(std::move(m_BodyReservation));
   m_Parser.reset();
   m_ParsedBytes = 0;
   begin(std::move(Request), ReceivedAt);
@@ -361,12 +378,26 @@
   m_Server.m_Handler(std::move(Exchange));
 }
 
-void HttpServerConnection::fail(unsigned Status) {
+bool HttpServerConnection::reserveBody() {
+  BodyRoom *Room = m_Server.m_Options.m_BodyRoom;
+  if (!Room)
+    return true;
+  const std::size_t Size = m_Parser->bodySize();
+  // A body without an announced length grows by doubling.
+  return Size <= m_BodyReservation.bytes() ||
+         Room->extend(m_BodyReservation,
+                      std::max(Size, 2 * m_BodyReservation.bytes()));
+}
+
+void HttpServerConnection::fail(HttpAnswer Answer) {
   dropInput();
+  // What the caller still sends is dropped, so that it reads the answer.
+  m_SentAhead = true;
+  Answer.m_KeepAlive = false;
   if (m_First)
-    pipeline().m_Followers.push_back({.m_Answer = emptyAnswer(Status)});
+    pipeline().m_Followers.push_back({.m_Answer = std::move(Answer)});
   else
-    writeAnswers(emptyAnswer(Status), false);
+    writeAnswers(std::move(Answer), false);
 }
 
 HttpServerConnection::Pipeline &HttpServerConnection::pipeline() {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -94,8 +94,11 @@
   /// Whether the next request may be read and begun now.
   bool mayBeginNext() const;
   void begin(HttpRequest Request, TimePoint ReceivedAt);
-  /// Answers what can't be parsed; nothing is read any more.
-  void fail(unsigned Status);
+  /// Answers a request that isn't begun; nothing is read any more.
+  void fail(HttpAnswer Answer);
+  /// Reserves memory for the body that is being received.
+  /// \returns false if there is none.
+  bool reserveBody();
   /// Writes the answer of the first request, with those behind it that are
   /// ready.
   void writeAnswers(HttpAnswer Answer, bool NoBody);
@@ -108,6 +111,8 @@
   /// the caller has, or after some time: unread input would reset the
   /// connection, and answers on their way would be lost.
   void closeAfterLast();
+  /// Closes the connection once the caller sends nothing more, or at \p Limit.
+  void linger(TimePoint Limit);
   /// Detaches all unanswered exchanges and returns them.
   Exchanges detachAll();
   /// Tells the holders of detached exchanges.
@@ -138,10 +143,14 @@
   std::unique_ptr<HttpRequestParser> m_Parser;
   /// Bytes that m_Parser has taken from m_Input.
   std::size_t m_ParsedBytes = 0;
+  /// Of the request that is being received.
+  BodyReservation m_BodyReservation;
   /// The earliest request that isn't answered.
   std::shared_ptr<HttpExchange> m_First;
   std::unique_ptr<Pipeline> m_Pipeline;
   TimePoint m_LastActive;
+  /// When bytes were last received and dropped.
+  TimePoint m_LastDropped;
   /// No more requests are read from the caller.
   bool m_Finished = false;
   /// The last answer has been written.
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -147,19 +147,29 @@
         .append("\r\n");
 }
 
-std::string HttpRequest::toText() const {
+HttpBody::HttpBody(std::string Text, BodyReservation Reservation) {
+  if (!Text.empty())
+    m_Held = std::make_shared<const Held>(Held{
+        .m_Text = std::move(Text), .m_Reservation = std::move(Reservation)});
+}
+
+std::string HttpRequest::headToText() const {
   std::string Text;
-  Text.reserve(256 + m_Target.size() + m_Body.size());
+  Text.reserve(256 + m_Target.size());
   Text.append(m_Method).append(" ").append(m_Target).append(" HTTP/1.1\r\n");
   m_Headers.appendTo(Text);
   if (!m_Body.empty() || (m_Method != "GET" && m_Method != "HEAD"))
     Text.append("Content-Length: ")
         .append(std::to_string(m_Body.size()))
         .append("\r\n");
-  Text.append("\r\n").append(m_Body);
+  Text.append("\r\n");
   return Text;
 }
 
+std::string HttpRequest::toText() const {
+  return headToText().append(std::string_view(m_Body));
+}
+
 std::string HttpAnswer::toText() const {
   std::string Text;
   Text.reserve(256 + m_Body.size());
@@ -197,15 +207,23 @@
   return m_Impl->m_Parser.is_header_done();
 }
 
-HttpRequest HttpRequestParser::take() {
+std::size_t HttpRequestParser::bodySize() const {
+  if (!headersComplete())
+    return 0;
+  const auto Announced = m_Impl->m_Parser.content_length();
+  return Announced ? static_cast<std::size_t>(*Announced)
+                   : m_Impl->m_Parser.get().body().size();
+}
+
+HttpRequest HttpRequestParser::take(BodyReservation Reservation) {
   const bool KeepAlive = m_Impl->m_Parser.keep_alive();
   auto Message = m_Impl->m_Parser.release();
-  HttpRequest Result{.m_Method =
-                         std::string(toStringView(Message.method_string())),
-                     .m_Target = std::string(toStringView(Message.target())),
-                     .m_Headers = copyHeaders(Message),
-                     .m_Body = std::move(Message.body()),
-                     .m_KeepAlive = KeepAlive};
+  HttpRequest Result{
+      .m_Method = std::string(toStringView(Message.method_string())),
+      .m_Target = std::string(toStringView(Message.target())),
+      .m_Headers = copyHeaders(Message),
+      .m_Body = HttpBody(std::move(Message.body()), std::move(Reservation)),
+      .m_KeepAlive = KeepAlive};
   return Result;
 }
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -1,6 +1,8 @@
 // HTTP/1.1 requests and answers: values, serialisation and parsers.
 #pragma once
 
+#include "body_room.h"
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,14 +39,48 @@
   std::vector<HttpHeader> m_All;
 };
 
+/// Body of a request. Copies share it, so that a request that is kept for a
+/// retry, waits for a connection and is being sent takes its memory once.
+class HttpBody {
+public:
+  HttpBody() = default;
+  /// \param Reservation ends with the last copy.
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  HttpBody(std::string Text, BodyReservation Reservation = {});
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  HttpBody(const char *Text) : HttpBody(std::string(Text)) {}
+
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  operator std::string_view() const {
+    return m_Held ? std::string_view(m_Held->m_Text) : std::string_view();
+  }
+  std::size_t size() const { return m_Held ? m_Held->m_Text.size() : 0; }
+  bool empty() const { return size() == 0; }
+  /// Returns the body as text that can be changed; complexity: linear.
+  std::string toText() const { return std::string(std::string_view(*this)); }
+  bool operator==(std::string_view Other) const {
+    return std::string_view(*this) == Other;
+  }
+
+private:
+  struct Held {
+    std::string m_Text;
+    BodyReservation m_Reservation;
+  };
+  /// Null for an empty body.
+  std::shared_ptr<const Held> m_Held;
+};
+
 struct HttpRequest {
   std::string m_Method;
   std::string m_Target;
   HttpHeaders m_Headers;
-  std::string m_Body;
+  HttpBody m_Body;
   /// The caller keeps the connection open after the answer.
   bool m_KeepAlive = true;
 
+  /// Serialises the request with a Content-Length header, without its body.
+  std::string headToText() const;
   /// Serialises the request with a Content-Length header.
   std::string toText() const;
 };
@@ -84,8 +120,12 @@
   /// bytes that remain belong to the next message.
   ParseState feed(std::string &Buffer);
   bool headersComplete() const;
+  /// Returns the size of the body that the headers announce, or what has been
+  /// received of it if they don't; 0 before headersComplete().
+  std::size_t bodySize() const;
   /// Moves the request out; only after Complete.
-  HttpRequest take();
+  /// \param Reservation for the memory of its body.
+  HttpRequest take(BodyReservation Reservation = {});
 
 private:
   class Impl;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -69,6 +69,10 @@
   /// When it is reached, a new connection evicts those that have been idle the
   /// longest, and is closed if none is idle.
   std::size_t m_MaxConnections = 2048;
+  /// For the bodies of requests; null means no limit. Must outlive the server.
+  BodyRoom *m_BodyRoom = nullptr;
+  /// Makes the answer to a request whose body finds no room.
+  std::function<HttpAnswer()> m_NoRoomAnswer;
 };
 
 /// Accepts connections on one address and passes each request to a handler.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -20,6 +20,8 @@
 constexpr int ListenBacklog = 511;
 /// Sent bytes are freed beyond this number once they are half of the buffer.
 constexpr std::size_t MinCompactedBytes = 65536;
+/// A smaller body is copied behind its head, so that both are sent together.
+constexpr std::size_t MinSharedBytes = 16384;
 /// An empty output buffer with a larger capacity (bytes) is freed.
 constexpr std::size_t MaxIdleOutputCapacity = 4096;
 
@@ -124,27 +126,61 @@
     m_Loop.reactor().cancel_wakeup(this, ACE_Event_Handler::WRITE_MASK);
 }
 
+void Stream::append(std::string_view Bytes) {
+  if (m_Output.empty() || !m_Output.back().m_Body.empty())
+    m_Output.emplace_back();
+  m_Output.back().m_Bytes.append(Bytes);
+  m_PendingBytes += Bytes.size();
+}
+
 void Stream::write(std::string_view Bytes) {
   if (m_Handle == ACE_INVALID_HANDLE)
     return;
   compact();
-  m_Output.append(Bytes);
+  append(Bytes);
+  if (!m_Connecting)
+    flush();
+}
+
+void Stream::write(std::string_view Head, const HttpBody &Body) {
+  if (Body.size() < MinSharedBytes)
+    return write(std::string(Head).append(std::string_view(Body)));
+  if (m_Handle == ACE_INVALID_HANDLE)
+    return;
+  compact();
+  append(Head);
+  m_Output.back().m_Body = Body;
+  m_PendingBytes += Body.size();
   if (!m_Connecting)
     flush();
 }
 
 void Stream::compact() {
-  if (m_SentBytes < MinCompactedBytes || m_SentBytes < m_Output.size() / 2)
+  if (m_Output.empty() || m_SentBytes < MinCompactedBytes)
     return;
-  m_Output = m_Output.substr(m_SentBytes);
+  std::string &Bytes = m_Output.front().m_Bytes;
+  if (m_SentBytes < Bytes.size() / 2 || m_SentBytes > Bytes.size())
+    return;
+  Bytes = Bytes.substr(m_SentBytes);
   m_SentBytes = 0;
 }
 
 void Stream::flush() {
   const std::size_t Before = pendingBytes();
-  while (m_SentBytes < m_Output.size()) {
-    const ssize_t Sent = ::send(m_Handle, m_Output.data() + m_SentBytes,
-                                m_Output.size() - m_SentBytes, MSG_NOSIGNAL);
+  while (m_PendingBytes > 0) {
+    const OutputPart &Part = m_Output.front();
+    if (m_SentBytes == Part.size()) {
+      m_Output.pop_front();
+      m_SentBytes = 0;
+      continue;
+    }
+    const bool InBody = m_SentBytes >= Part.m_Bytes.size();
+    const std::string_view Next =
+        InBody ? std::string_view(Part.m_Body)
+                     .substr(m_SentBytes - Part.m_Bytes.size())
+               : std::string_view(Part.m_Bytes).substr(m_SentBytes);
+    const ssize_t Sent =
+        ::send(m_Handle, Next.data(), Next.size(), MSG_NOSIGNAL);
     if (Sent < 0 && errno == EINTR)
       continue;
     if (Sent < 0) {
@@ -157,10 +193,17 @@
       return;
     }
     m_SentBytes += static_cast<std::size_t>(Sent);
+    m_PendingBytes -= static_cast<std::size_t>(Sent);
   }
-  m_Output.clear();
-  if (m_Output.capacity() > MaxIdleOutputCapacity)
-    m_Output.shrink_to_fit();
+  // Keeps the capacity of a small buffer.
+  while (m_Output.size() > 1)
+    m_Output.pop_front();
+  if (!m_Output.empty() &&
+      (m_Output.front().m_Bytes.capacity() > MaxIdleOutputCapacity ||
+       !m_Output.front().m_Body.empty()))
+    m_Output.clear();
+  else if (!m_Output.empty())
+    m_Output.front().m_Bytes.clear();
   m_SentBytes = 0;
   watchWritable(false);
   if (m_CloseWhenDrained)
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "event_loop.h"
+#include "http_message.h"
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -84,6 +86,8 @@
   bool adopt(ACE_HANDLE Handle);
   /// Sends \p Bytes, or buffers what the kernel doesn't take yet.
   void write(std::string_view Bytes);
+  /// Sends a head and a body; the body isn't copied.
+  void write(std::string_view Head, const HttpBody &Body);
   /// Tells the peer that no more follows (FIN); input is still reported. The
   /// output buffer must be empty.
   void endOutput();
@@ -96,9 +100,9 @@
   }
   bool isConnecting() const { return m_Connecting; }
   /// Returns the number of bytes in the output buffer.
-  std::size_t pendingBytes() const { return m_Output.size() - m_SentBytes; }
+  std::size_t pendingBytes() const { return m_PendingBytes; }
   /// Returns the size of the output buffer, with bytes that were already sent.
-  std::size_t bufferedBytes() const { return m_Output.size(); }
+  std::size_t bufferedBytes() const { return m_PendingBytes + m_SentBytes; }
 
   ACE_HANDLE get_handle() const override { return m_Handle; }
   int handle_input(ACE_HANDLE) override;
@@ -112,6 +116,8 @@
   void flush();
   /// Frees the sent part of a buffer that never becomes empty.
   void compact();
+  /// Appends \p Bytes to the output.
+  void append(std::string_view Bytes);
   void end(StreamEndReason Reason);
   bool completeConnect();
 
@@ -125,9 +131,18 @@
   Duration m_TcpUserTimeout = std::chrono::seconds(4);
   int m_SendBufferBytes = 0;
   std::uint32_t m_DrainMark = 0;
-  std::string m_Output;
-  /// Bytes of m_Output that were passed to the kernel.
+  /// A part of the output: own bytes, and a shared body behind them.
+  struct OutputPart {
+    std::string m_Bytes;
+    HttpBody m_Body;
+
+    std::size_t size() const { return m_Bytes.size() + m_Body.size(); }
+  };
+  std::deque<OutputPart> m_Output;
+  /// Bytes of the first part that were passed to the kernel.
   std::size_t m_SentBytes = 0;
+  /// Bytes of all parts that weren't.
+  std::size_t m_PendingBytes = 0;
 };
 
 /// Listens on one address and accepts connections.
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -79,8 +79,8 @@
     sendTo(Remote, Hello);
   };
   Events.m_OnFrame = [this, Name](std::unique_ptr<LinkFrame> Frame,
-                                  std::string Body) {
-    received(Name, *Frame, std::move(Body));
+                                  LinkBody Body) {
+    received(Name, *Frame, std::move(Body.m_Text));
   };
   Events.m_OnBeat = [this, Name](const LinkBeat &Beat) {
     receivedBeat(Name, Beat);
@@ -174,7 +174,7 @@
   const std::uint64_t Id = ++m_LastLink;
   PeerLinkEvents Events;
   Events.m_OnFrame = [this, Id](std::unique_ptr<LinkFrame> Frame,
-                                std::string Body) {
+                                LinkBody Body) {
     receivedInbound(Id, std::move(Frame), std::move(Body));
   };
   Events.m_OnReadDone = [this, Id] { passOnArrived(Id); };
@@ -186,14 +186,15 @@
     sendNextLarge();
   };
   InboundPeer &Added = m_Inbound[Id];
-  Added.m_Link = std::make_unique<PeerLink>(m_Loop, std::move(Events));
+  Added.m_Link = std::make_unique<PeerLink>(m_Loop, std::move(Events),
+                                            m_Options.m_BodyRoom);
   if (!Added.m_Link->adopt(Handle))
     m_Inbound.erase(Id);
 }
 
 void PeerMesh::receivedInbound(std::uint64_t LinkId,
                                std::unique_ptr<LinkFrame> Received,
-                               std::string Body) {
+                               LinkBody Body) {
   const auto Found = m_Inbound.find(LinkId);
   if (Found == m_Inbound.end())
     return; // Rejected because of an earlier frame.
@@ -226,10 +227,13 @@
   case LinkFrameKind::Request: {
     const Duration Delay =
         Remote.m_Delay.recordFrame(Frame.sent_at, m_Loop.now());
-    Remote.m_Arrived.push_back({.m_Frame = std::move(Received),
-                                .m_Body = std::move(Body),
-                                .m_Delay = Delay,
-                                .m_ReadAt = m_Loop.now()});
+    Remote.m_Arrived.push_back(
+        {.m_Frame = std::move(Received),
+         .m_Body =
+             HttpBody(std::move(Body.m_Text), std::move(Body.m_Reservation)),
+         .m_BodyDropped = Body.m_Dropped,
+         .m_Delay = Delay,
+         .m_ReadAt = m_Loop.now()});
     return;
   }
   case LinkFrameKind::Cancel: {
@@ -253,7 +257,7 @@
   case LinkFrameKind::QuotaLend:
   case LinkFrameKind::QuotaAsk:
     return m_Events.m_OnQuotaQuestion(LinkId, Remote.m_Instance, Frame.kind,
-                                      Body);
+                                      Body.m_Text);
   default:
     return;
   }
@@ -276,7 +280,10 @@
     const Duration Waited = Each.m_Delay + (m_Loop.now() - Each.m_ReadAt);
     Each.m_Frame->objective_left -= Waited.count();
     Each.m_Frame->deadline_left -= Waited.count();
-    m_Events.m_OnRequest(LinkId, *Each.m_Frame, std::move(Each.m_Body));
+    if (Each.m_BodyDropped)
+      m_Events.m_OnRequestWithoutRoom(LinkId, Each.m_Frame->stream);
+    else
+      m_Events.m_OnRequest(LinkId, *Each.m_Frame, std::move(Each.m_Body));
   }
 }
 
@@ -409,7 +416,7 @@
 }
 
 std::uint64_t PeerMesh::request(const InstanceName &Name, LinkFrame Frame,
-                                std::string_view Body, OnReply Done) {
+                                const HttpBody &Body, OnReply Done) {
   auto Found = m_Peers.find(Name);
   if (Found == m_Peers.end() || !Found->second.m_Up)
     return 0;
@@ -419,7 +426,8 @@
   Found->second.m_Pending.emplace(
       Frame.stream,
       PendingRequest{.m_OnReply = std::move(Done), .m_SentAt = m_Loop.now()});
-  sendTo(Found->second, Frame, Body);
+  m_Traffic.add(Frame.kind, isOwnDomain(Found->second.m_Member.m_Domain),
+                Found->second.m_Link->sendShared(Frame, Body));
   return Frame.stream;
 }
 
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -57,13 +57,19 @@
   Duration m_PingTimeout = std::chrono::milliseconds(1300);
   Duration m_MinReconnectDelay = std::chrono::milliseconds(100);
   Duration m_MaxReconnectDelay = std::chrono::seconds(2);
+  /// For the bodies of peers' requests; null means no limit. Must outlive the
+  /// mesh.
+  BodyRoom *m_BodyRoom = nullptr;
 };
 
 struct PeerMeshEvents {
   /// A peer's request; it is answered by answer() or answerLarge() with the
   /// same link.
-  std::function<void(std::uint64_t LinkId, LinkFrame &, std::string Body)>
+  std::function<void(std::uint64_t LinkId, LinkFrame &, HttpBody Body)>
       m_OnRequest;
+  /// A peer's request whose body has found no room.
+  std::function<void(std::uint64_t LinkId, std::uint64_t Stream)>
+      m_OnRequestWithoutRoom;
   std::function<void(std::uint64_t LinkId, std::uint64_t Stream)> m_OnCancel;
   /// A peer's connection has ended: its requests are to be cancelled.
   std::function<void(std::uint64_t LinkId)> m_OnInboundClosed;
@@ -149,7 +155,7 @@
   /// \returns the stream, or 0 when the peer isn't up: then nothing was sent
   /// and the callback isn't called.
   std::uint64_t request(const InstanceName &Peer, LinkFrame Frame,
-                        std::string_view Body, OnReply Done);
+                        const HttpBody &Body, OnReply Done);
   void cancel(const InstanceName &Peer, std::uint64_t Stream);
   void answer(std::uint64_t LinkId, const LinkFrame &Frame,
               std::string_view Body);
@@ -197,7 +203,8 @@
   };
   struct ArrivedRequest {
     std::unique_ptr<LinkFrame> m_Frame;
-    std::string m_Body;
+    HttpBody m_Body;
+    bool m_BodyDropped = false;
     /// How long it was on the way.
     Duration m_Delay;
     TimePoint m_ReadAt;
@@ -220,7 +227,7 @@
   void received(const InstanceName &Name, LinkFrame &Frame, std::string Body);
   void accepted(ACE_HANDLE Handle);
   void receivedInbound(std::uint64_t LinkId, std::unique_ptr<LinkFrame> Frame,
-                       std::string Body);
+                       LinkBody Body);
   /// Passes on the requests that were read, unless input that isn't read yet
   /// may cancel them.
   void passOnArrived(std::uint64_t LinkId);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -29,6 +29,12 @@
 constexpr Duration ProcessExitMargin = std::chrono::milliseconds(400);
 /// Answers that aren't sent yet may take the memory divided by this.
 constexpr std::size_t AnswersDivisor = 4;
+/// The bodies of all requests may take the memory divided by this.
+constexpr std::size_t BodiesDivisor = 2;
+/// When a caller whose body has found no room may return.
+constexpr Duration BodyRetryAfter = std::chrono::seconds(1);
+/// Reason of these refusals, in metrics.
+constexpr std::string_view NoRoomForBody = "no_room_for_body";
 /// Number of daemons that watch the daemons' own table directly.
 constexpr std::ptrdiff_t OwnTableWatchers = 3;
 /// Number of daemons in a failure domain that watch the operators' table for
@@ -96,19 +102,14 @@
   return Options;
 }
 
-HttpServerOptions callerOptions(const RouterSettings &Settings) {
-  HttpServerOptions Options;
-  Options.m_MaxConnections = Settings.m_MaxHandles / CallerHandlesDivisor;
-  return Options;
-}
-
 } // namespace
 
 Router::Router(EventLoop &Loop, RouterSettings Settings,
                const ExchangeFormat &Format, const OperatorRows &Operators,
                TableService &Table, RouterMetrics &Metrics, EventLog &Log)
-    : m_Loop(Loop), m_Log(Log), m_Settings(std::move(Settings)),
-      m_Operators(Operators), m_Table(Table), m_Selector({}), m_Suspects({}),
+    : m_Loop(Loop), m_Log(Log), m_Format(Format),
+      m_Settings(std::move(Settings)), m_Operators(Operators), m_Table(Table),
+      m_Selector({}), m_Suspects({}),
       m_Agent(
           Loop, Log, m_Settings, Format, agentOptions(m_Settings), m_Suspects,
           {.m_Keys = {.m_Map = [this] { return keyMap(m_Settings.m_Service); },
@@ -129,12 +130,22 @@
                },
            .m_OnSuspectCompleted =
                [this](RequestDigest Digest) { onSuspectCompleted(Digest); }}),
+      m_BodyRoom(m_Settings.m_MemoryLimit / BodiesDivisor),
       m_Mesh(
-          Loop, Log, m_Settings, {},
+          Loop, Log, m_Settings, {.m_BodyRoom = &m_BodyRoom},
           {.m_OnRequest =
-               [this](std::uint64_t Link, LinkFrame &Frame, std::string Body) {
+               [this](std::uint64_t Link, LinkFrame &Frame, HttpBody Body) {
                  handlePeerRequest(Link, Frame, std::move(Body));
                },
+           .m_OnRequestWithoutRoom =
+               [this](std::uint64_t Link, std::uint64_t Stream) {
+                 m_Metrics.requestRefused(m_Settings.m_Service.value(), 0,
+                                          NoRoomForBody);
+                 sendPeerAnswer(Link, Stream,
+                                {.m_Outcome = Outcome::Wait,
+                                 .m_Reason = Reason::Overloaded,
+                                 .m_RetryAfter = BodyRetryAfter});
+               },
            .m_OnCancel =
                [this](std::uint64_t Link, std::uint64_t Stream) {
                  if (auto Job = m_PeerJobs.extract({Link, Stream}))
@@ -238,7 +249,7 @@
                },
            .m_LargeAnswersRefusedFor =
                [this] { return m_AnswerRoom.refusedFor(heldAnswerBytes()); }}),
-      m_Callers(Loop, callerOptions(m_Settings),
+      m_Callers(Loop, callerOptions(),
                 [this](std::shared_ptr<HttpExchange> Exchange) {
                   m_Entrance.accept(std::move(Exchange));
                 }),
@@ -248,6 +259,21 @@
 
 Router::~Router() = default;
 
+HttpServerOptions Router::callerOptions() {
+  HttpServerOptions Options;
+  Options.m_MaxConnections = m_Settings.m_MaxHandles / CallerHandlesDivisor;
+  Options.m_BodyRoom = &m_BodyRoom;
+  Options.m_NoRoomAnswer = [this] {
+    m_Metrics.requestRefused("", 0, NoRoomForBody);
+    m_Log.write(
+        LogClass::Failure,
+        LogLine("body_refused")
+            .add("reserved", static_cast<std::int64_t>(m_BodyRoom.reserved())));
+    return m_Format.notRunAnswer(RefusalKind::Unavailable, BodyRetryAfter);
+  };
+  return Options;
+}
+
 bool Router::start() {
   if (!m_Mesh.listen() || !m_Callers.listen(m_Settings.m_Callers))
     return false;
@@ -368,7 +394,7 @@
   m_RoutesRow = Row;
   m_Metrics.configApplied(m_Routes->version().value(), Age);
   const CallerLimits &Limits = m_Routes->limits();
-  HttpServerOptions Options = callerOptions(m_Settings);
+  HttpServerOptions Options = callerOptions();
   Options.m_Limits = {.m_MaxHeaderBytes = Limits.m_MaxHeaderBytes,
                       .m_MaxBodyBytes = Limits.m_MaxBodyBytes};
   Options.m_HeaderTimeout = Limits.m_HeaderTimeout;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -54,6 +54,8 @@
   /// \returns whether the process can exit.
   bool stopped();
   /// Whether requests of callers can be accepted.
+  /// Bytes reserved for the bodies of requests.
+  std::size_t reservedForBodies() const { return m_BodyRoom.reserved(); }
   bool ready() const;
   /// Handles a heartbeat of the local target.
   HeartbeatReply onHeartbeat(const TargetHeartbeat &Heartbeat);
@@ -111,8 +113,8 @@
   void handleReport(const InstanceName &Peer, const LinkFrame &Report);
   void handleBeat(const InstanceName &Peer, const LinkBeat &Beat);
   void cancelPeerJob(TargetAgent::JobId Job);
-  void handlePeerRequest(std::uint64_t Link, LinkFrame &Frame,
-                         std::string Body);
+  void handlePeerRequest(std::uint64_t Link, LinkFrame &Frame, HttpBody Body);
+  HttpServerOptions callerOptions();
   void sendPeerAnswer(std::uint64_t Link, std::uint64_t Stream,
                       const TargetJobResult &Result);
   LinkFrame rowsFor(const LinkFrame &Wanted) const;
@@ -200,12 +202,15 @@
 
   EventLoop &m_Loop;
   EventLog &m_Log;
+  const ExchangeFormat &m_Format;
   const RouterSettings m_Settings;
   const OperatorRows &m_Operators;
   TableService &m_Table;
   TargetSelector m_Selector;
   CrashSuspects m_Suspects;
   TargetAgent m_Agent;
+  /// Outlives what holds reservations in it.
+  BodyRoom m_BodyRoom;
   PeerMesh m_Mesh;
   RowCatchUp m_RowCatchUp;
   TableFollower m_Follower;
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -283,7 +283,7 @@
 }
 
 void Router::handlePeerRequest(std::uint64_t Link, LinkFrame &Frame,
-                               std::string Body) {
+                               HttpBody Body) {
   TargetJob Job;
   Job.m_Request.m_Method = std::move(Frame.method);
   Job.m_Request.m_Target = std::move(Frame.target);
--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -168,9 +168,10 @@
 
   std::shared_ptr<std::optional<HttpCallResult>>
   start(Instance &Entrance, const std::string &Path, const std::string &Method,
-        int Key = -1, const std::string &Id = "") {
+        int Key = -1, const std::string &Id = "",
+        const std::string &Body = "") {
     HttpCall Call{.m_Timeout = 5s};
-    Call.m_Request = {.m_Method = Method, .m_Target = Path};
+    Call.m_Request = {.m_Method = Method, .m_Target = Path, .m_Body = Body};
     HttpHeaders &Headers = Call.m_Request.m_Headers;
     Headers.add("Host", "h");
     ++m_LastRequestId;
--- a/tests/unit-peer-mesh.cpp
+++ b/tests/unit-peer-mesh.cpp
@@ -18,7 +18,7 @@
           m_Links.push_back(std::make_unique<PeerLink>(
               m_Rig.m_Loop,
               PeerLinkEvents{.m_OnFrame = [](std::unique_ptr<LinkFrame>,
-                                             const std::string &) {},
+                                             const LinkBody &) {},
                              .m_OnEnd = [](const char *) {}}));
           m_Links.back()->adopt(Handle);
           LinkFrame Report;
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -188,7 +188,7 @@
                            .m_HandoverToken = "token"}};
   const HttpRequest Grant = Format.holdRequest(Call, 4s);
   CHECK(Grant.m_Target == "/v1/grant");
-  CHECK(nlohmann::json::parse(Grant.m_Body) ==
+  CHECK(nlohmann::json::parse(Grant.m_Body.toText()) ==
         nlohmann::json{{"From", 4096},
                        {"Target", 8191},
                        {"fence", 12},
@@ -197,7 +197,7 @@
   Call.m_Kind = HoldCallKind::Release;
   const HttpRequest Release = Format.holdRequest(Call, 4s);
   CHECK(Release.m_Target == "/v1/release");
-  CHECK(nlohmann::json::parse(Release.m_Body) ==
+  CHECK(nlohmann::json::parse(Release.m_Body.toText()) ==
         nlohmann::json{{"From", 4096}, {"Target", 8191}, {"fence", 12}});
   const auto Outcome = [&](HoldCallKind Kind, const HttpAnswer &Answer) {
     return Format.holdAnswer(Kind, Answer).m_Outcome;
--- a/tests/unit-router-cancelled.cpp
+++ b/tests/unit-router-cancelled.cpp
@@ -36,7 +36,7 @@
         m_Loop,
         PeerLinkEvents{
             .m_OnFrame =
-                [Added](auto Frame, const std::string &) {
+                [Added](auto Frame, const LinkBody &) {
                   Added->m_Answers +=
                       Frame->kind == LinkFrameKind::Answer ? 1 : 0;
                 },
--- a/tests/unit-router-peers.cpp
+++ b/tests/unit-router-peers.cpp
@@ -34,7 +34,7 @@
         Rig.m_Loop,
         PeerLinkEvents{
             .m_OnFrame =
-                [&](std::unique_ptr<LinkFrame> Frame, const std::string &) {
+                [&](std::unique_ptr<LinkFrame> Frame, const LinkBody &) {
                   RequestCount += Frame->kind == LinkFrameKind::Request ? 1 : 0;
                 },
             .m_OnEnd = [&](const char *) { ++ClosedCount; }}));
@@ -83,7 +83,7 @@
     Observed &Entry = *Result;
     PeerLinkEvents Events;
     Events.m_OnFrame = [&Entry](std::unique_ptr<LinkFrame> Frame,
-                                const std::string &) {
+                                const LinkBody &) {
       Entry.m_Reports += Frame->kind == LinkFrameKind::Report ? 1 : 0;
     };
     Events.m_OnEnd = [&Entry](const char *) { ++Entry.m_Ended; };
@@ -112,7 +112,7 @@
   REQUIRE(Rig.runUntil([&] { return Remote.m_Router->ready(); }));
 
   std::vector<std::unique_ptr<LinkFrame>> Answers;
-  PeerLink Link(Rig.m_Loop, {.m_OnFrame = [&](auto Frame, std::string) {
+  PeerLink Link(Rig.m_Loop, {.m_OnFrame = [&](auto Frame, const LinkBody &) {
                   if (Frame->kind == LinkFrameKind::Answer)
                     Answers.push_back(std::move(Frame));
                 }});
@@ -152,7 +152,7 @@
           m_Links.push_back(std::make_unique<PeerLink>(
               m_Rig.m_Loop,
               PeerLinkEvents{.m_OnFrame = [](std::unique_ptr<LinkFrame>,
-                                             const std::string &) {}}));
+                                             const LinkBody &) {}}));
           REQUIRE(m_Links.back()->adopt(Handle));
         }) {
     REQUIRE(m_Acceptor.listen(m_Address));
--- a/tests/unit-router-reports.cpp
+++ b/tests/unit-router-reports.cpp
@@ -173,17 +173,16 @@
   REQUIRE(Rig.runUntil([&] { return Remote.m_Router->ready(); }));
   int Reports = 0;
   std::vector<LinkBeat> Beats;
-  PeerLink Link(
-      Rig.m_Loop,
-      {.m_OnFrame =
-           [&](std::unique_ptr<LinkFrame> Frame, const std::string &) {
-             Reports += Frame->kind == LinkFrameKind::Report ? 1 : 0;
-           },
-       .m_OnBeat =
-           [&](const LinkBeat &Beat) {
-             CHECK(Reports > 0);
-             Beats.push_back(Beat);
-           }});
+  PeerLink Link(Rig.m_Loop,
+                {.m_OnFrame =
+                     [&](std::unique_ptr<LinkFrame> Frame, const LinkBody &) {
+                       Reports += Frame->kind == LinkFrameKind::Report ? 1 : 0;
+                     },
+                 .m_OnBeat =
+                     [&](const LinkBeat &Beat) {
+                       CHECK(Reports > 0);
+                       Beats.push_back(Beat);
+                     }});
   REQUIRE(Link.connect(Remote.m_Settings.m_Peers));
   LinkFrame Hello;
   Hello.kind = LinkFrameKind::Hello;
