Don't take a member that has left for a present one

Cause: MemberHistory took a member for a present one if it was last seen at the time of the last update. After a suspension two updates had the same time, and the member left between them.

Change: updates are numbered.

--- a/include/balsamwheel/detail/node/member_history.h
+++ b/include/balsamwheel/detail/node/member_history.h
@@ -5,6 +5,7 @@
 #include "balsamwheel/detail/core/ids.h"
 #include "balsamwheel/detail/core/time.h"
 
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -23,10 +24,15 @@
   void update(const std::vector<Member> &Members, TimePoint Now) {
     if (!m_FirstUpdate)
       m_FirstUpdate = Now;
-    for (const Member &Each : Members)
-      if (!Each.m_Service.value().empty())
-        m_Seen.try_emplace(Each.m_Session, Each.m_Service, Now)
-            .first->second.m_LastSeen = Now;
+    ++m_Updates;
+    for (const Member &Each : Members) {
+      if (Each.m_Service.value().empty())
+        continue;
+      SeenMember &Seen =
+          m_Seen.try_emplace(Each.m_Session, Each.m_Service, Now).first->second;
+      Seen.m_LastSeen = Now;
+      Seen.m_LastSeenIn = m_Updates;
+    }
     std::erase_if(m_Seen, [&](const auto &Entry) {
       return Entry.second.m_LastSeen + m_Retention < Now;
     });
@@ -41,7 +47,7 @@
         Since + m_Retention < m_LastUpdate)
       return false;
     for (const auto &[Session, Entry] : m_Seen)
-      if (Entry.m_Service == Service && Entry.m_LastSeen < m_LastUpdate &&
+      if (Entry.m_Service == Service && Entry.m_LastSeenIn != m_Updates &&
           Entry.m_LastSeen >= Since)
         return false;
     return true;
@@ -62,11 +68,15 @@
     ServiceName m_Service;
     TimePoint m_FirstSeen;
     TimePoint m_LastSeen;
+    /// Number of the update that saw it last. A time doesn't tell whether it is
+    /// a member still: two updates can have the same one.
+    std::uint64_t m_LastSeenIn = 0;
   };
 
   Duration m_Retention;
   std::optional<TimePoint> m_FirstUpdate;
   TimePoint m_LastUpdate;
+  std::uint64_t m_Updates = 0;
   std::unordered_map<SessionId, SeenMember> m_Seen;
 };
 
