--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -147,12 +147,6 @@
         .append("\r\n");
 }
 
-HttpBody::HttpBody(std::string Text, BodyReservation Reservation) {
-  if (!Text.empty())
-    m_Held = std::make_shared<const Held>(Held{
-        .m_Text = std::move(Text), .m_Reservation = std::move(Reservation)});
-}
-
 std::string HttpRequest::headToText() const {
   std::string Text;
   Text.reserve(256 + m_Target.size());
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -1,7 +1,7 @@
 // HTTP/1.1 requests and answers: values, serialisation and parsers.
 #pragma once
 
-#include "body_room.h"
+#include "http_body.h"
 
 #include <memory>
 #include <optional>
@@ -39,38 +39,6 @@
   std::vector<HttpHeader> m_All;
 };
 
-/// Body of a request. Copies share it, so that a request that is kept for a
-/// retry, waits for a connection and is being sent takes its memory once.
-class HttpBody {
-public:
-  HttpBody() = default;
-  /// \param Reservation ends with the last copy.
-  // NOLINTNEXTLINE(google-explicit-constructor)
-  HttpBody(std::string Text, BodyReservation Reservation = {});
-  // NOLINTNEXTLINE(google-explicit-constructor)
-  HttpBody(const char *Text) : HttpBody(std::string(Text)) {}
-
-  // NOLINTNEXTLINE(google-explicit-constructor)
-  operator std::string_view() const {
-    return m_Held ? std::string_view(m_Held->m_Text) : std::string_view();
-  }
-  std::size_t size() const { return m_Held ? m_Held->m_Text.size() : 0; }
-  bool empty() const { return size() == 0; }
-  /// Returns the body as text that can be changed; complexity: linear.
-  std::string toText() const { return std::string(std::string_view(*this)); }
-  bool operator==(std::string_view Other) const {
-    return std::string_view(*this) == Other;
-  }
-
-private:
-  struct Held {
-    std::string m_Text;
-    BodyReservation m_Reservation;
-  };
-  /// Null for an empty body.
-  std::shared_ptr<const Held> m_Held;
-};
-
 struct HttpRequest {
   std::string m_Method;
   std::string m_Target;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -53,7 +53,8 @@
 
 HttpServer::HttpServer(EventLoop &Loop, HttpServerOptions Options,
                        OnRequest Handler)
-    : m_Loop(Loop), m_Options(Options), m_Handler(std::move(Handler)),
+    : m_Loop(Loop), m_Options(std::move(Options)),
+      m_Handler(std::move(Handler)),
       m_Acceptor(Loop, [this](ACE_HANDLE Handle) { onAccept(Handle); }) {
   checkTimeouts();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace balsamwheel {
 
@@ -86,7 +87,7 @@
   /// Returns false if the address can't be listened on.
   bool listen(const Endpoint &Local);
   /// Replaces the options; parse limits apply from the next request on.
-  void setOptions(HttpServerOptions Options) { m_Options = Options; }
+  void setOptions(HttpServerOptions Options) { m_Options = std::move(Options); }
   /// From now on, a connection is closed after the answer to the last request
   /// that has begun, and begins no further one. Idle ones stay open until their
   /// caller's next request, their idle time-out, or the end of the process.
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "event_loop.h"
-#include "http_message.h"
+#include "http_body.h"
 
 #include <deque>
 #include <functional>
