Simplify the pool's id check, field look-ups and a header comment

The hash of a call's id is computed once, when the call is queued, no longer at each dispatch. The three accessors of JSON fields share one look-up. A comment in router.h stood at the wrong function. Behaviour is unchanged.

--- a/src/core/json_fields.h
+++ b/src/core/json_fields.h
@@ -104,37 +104,42 @@
       static_cast<Duration::rep>(std::max(Seconds, 0.0) * 1'000'000));
 }
 
-/// Returns the text of a string field.
-/// \throws JsonFieldError if the object has no such field.
-inline const std::string &textAt(const nlohmann::json &Object,
-                                 const char *Name) {
-  const auto Found = Object.is_object() ? Object.find(Name) : Object.end();
-  if (Found == Object.end() || !Found->is_string())
-    throw JsonFieldError(std::string(Name) + ": no text");
-  return Found->get_ref<const std::string &>();
+/// Returns a field; null if the value isn't an object or has no such field.
+inline const nlohmann::json *findField(const nlohmann::json &Object,
+                                       const char *Name) {
+  const auto Found = Object.find(Name);
+  return Found == Object.end() ? nullptr : &*Found;
 }
 
 /// Returns a field.
-/// \throws JsonFieldError if the object has no such field.
+/// \throws JsonFieldError if there is no such field.
 inline const nlohmann::json &fieldAt(const nlohmann::json &Object,
                                      const char *Name) {
-  const auto Found = Object.is_object() ? Object.find(Name) : Object.end();
-  if (Found == Object.end())
+  const nlohmann::json *Found = findField(Object, Name);
+  if (!Found)
     throw JsonFieldError(std::string(Name) + ": missing");
   return *Found;
 }
 
-/// Returns an array field; an empty array if the object has no such field.
+/// Returns the text of a string field.
+/// \throws JsonFieldError if there is no such field.
+inline const std::string &textAt(const nlohmann::json &Object,
+                                 const char *Name) {
+  const nlohmann::json *Found = findField(Object, Name);
+  if (!Found || !Found->is_string())
+    throw JsonFieldError(std::string(Name) + ": no text");
+  return Found->get_ref<const std::string &>();
+}
+
+/// Returns an array field; an empty array if there is no such field.
 /// \throws JsonFieldError if the field isn't an array.
 inline const nlohmann::json &arrayAt(const nlohmann::json &Object,
                                      const char *Name) {
   static const nlohmann::json Empty = nlohmann::json::array();
-  const auto Found = Object.is_object() ? Object.find(Name) : Object.end();
-  if (Found == Object.end())
-    return Empty;
-  if (!Found->is_array())
+  const nlohmann::json *Found = findField(Object, Name);
+  if (Found && !Found->is_array())
     throw JsonFieldError(std::string(Name) + ": no array");
-  return *Found;
+  return Found ? *Found : Empty;
 }
 
 } // namespace balsamwheel
--- a/src/link/peer_link.cpp
+++ b/src/link/peer_link.cpp
@@ -37,10 +37,6 @@
   Buffer.append(Bytes.data(), Bytes.size());
 }
 
-} // namespace
-
-namespace {
-
 /// Encodes a frame and the lengths before it, for a body of the given size.
 std::string encodeHead(const LinkFrame &Frame, std::size_t BodySize) {
   flatbuffers::FlatBufferBuilder Builder(512);
@@ -162,7 +158,6 @@
   std::unique_ptr<LinkFrame> Frame(link_wire::GetFrame(Bytes)->UnPack());
   LinkBody Body{.m_Reservation = std::move(m_Reservation),
                 .m_Dropped = m_BodyRefused};
-  m_Reservation = {};
   if (std::exchange(m_BodyRefused, false))
     m_BytesToDrop = BodySize;
   Body.m_Text = takeBody(Consumed, Consumed + LengthsSize + FrameSize, Kept);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -49,11 +49,11 @@
   TimePoint idleSince() const { return m_IdleSince; }
   /// Whether the connection may carry a call now. Two ids with the same hash
   /// only cost another connection.
-  bool isUsableFor(const HttpCall &Call, std::uint32_t IdHash) const {
-    return idle() && m_IdleSince >= m_Loop.now() - Call.m_MaxIdle &&
-           (Call.m_IdHeader.empty() ||
-            std::find(m_CarriedIds.begin(), m_CarriedIds.end(), IdHash) ==
-                m_CarriedIds.end());
+  bool isUsableFor(const HttpClient::PendingCall &Call) const {
+    return idle() && m_IdleSince >= m_Loop.now() - Call.m_Call.m_MaxIdle &&
+           (Call.m_Call.m_IdHeader.empty() ||
+            std::find(m_CarriedIds.begin(), m_CarriedIds.end(),
+                      Call.m_IdHash) == m_CarriedIds.end());
   }
   HttpClient::CallId callId() const {
     return m_Call ? m_Call->m_Id : HttpClient::CallId();
@@ -61,9 +61,9 @@
 
   bool requestSent() const { return m_RequestSent; }
 
-  void start(HttpClient::PendingCall Call, std::uint32_t IdHash) {
+  void start(HttpClient::PendingCall Call) {
     if (!Call.m_Call.m_IdHeader.empty())
-      m_CarriedIds.push_back(IdHash);
+      m_CarriedIds.push_back(Call.m_IdHash);
     m_Call = std::make_unique<HttpClient::PendingCall>(std::move(Call));
     m_Input.clear();
     m_SkippedAnswers = 0;
@@ -219,22 +219,22 @@
 HttpClient::CallId HttpClient::call(HttpCall Call, OnResult Done) {
   const CallId Id(++m_LastCall);
   const TimePoint Deadline = m_Loop.now() + Call.m_Timeout;
+  const auto IdHash = static_cast<std::uint32_t>(
+      XXH3_64bits(Call.m_Id.data(), Call.m_Id.size()));
   m_Queue.push_back({.m_Id = Id,
                      .m_Call = std::move(Call),
                      .m_Done = std::move(Done),
-                     .m_Deadline = Deadline});
+                     .m_Deadline = Deadline,
+                     .m_IdHash = IdHash});
   dispatch();
   return Id;
 }
 
 void HttpClient::dispatch() {
   while (!m_Queue.empty()) {
-    const HttpCall &Next = m_Queue.front().m_Call;
-    const auto IdHash = static_cast<std::uint32_t>(
-        XXH3_64bits(Next.m_Id.data(), Next.m_Id.size()));
     auto Idle = std::find_if(m_Connections.begin(), m_Connections.end(),
                              [&](const auto &Connection) {
-                               return Connection->isUsableFor(Next, IdHash);
+                               return Connection->isUsableFor(m_Queue.front());
                              });
     if (Idle == m_Connections.end() &&
         m_Connections.size() >= m_Options.m_MaxConnections)
@@ -258,7 +258,7 @@
     }
     PendingCall Call = std::move(m_Queue.front());
     m_Queue.pop_front();
-    (*Idle)->start(std::move(Call), IdHash);
+    (*Idle)->start(std::move(Call));
   }
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -106,6 +106,8 @@
     HttpCall m_Call;
     OnResult m_Done;
     TimePoint m_Deadline;
+    /// Of the request id.
+    std::uint32_t m_IdHash = 0;
   };
 
   /// Starts queued calls while there are connections for them.
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -54,9 +54,9 @@
   /// \returns whether the process can exit.
   bool stopped();
   /// Whether requests of callers can be accepted.
+  bool ready() const;
   /// Bytes reserved for the bodies of requests.
   std::size_t reservedForBodies() const { return m_BodyRoom.reserved(); }
-  bool ready() const;
   /// Handles a heartbeat of the local target.
   HeartbeatReply onHeartbeat(const TargetHeartbeat &Heartbeat);
   /// Handles the deregistration of the local target.
