--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -301,8 +301,8 @@
             self.running.pop(request, None)
         if self.id != started_as:
             return None
-        text = (f"{request} ".encode() * (self.answer_bytes // (len(request) + 1) + 1))
-        text = text[: self.answer_bytes]
+        size = int(target.partition("?bytes=")[2] or self.answer_bytes)
+        text = (f"{request} ".encode() * (size // (len(request) + 1) + 1))[:size]
         return 200, fields | {"X-Server-Signature": f"{self.id}.{len(text)}"}, text
 
     async def beat_forever(self):
