--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -396,6 +396,7 @@
         self.ip = f"127.{rig.net}.{index + 1}.1"
         self.memory_mb = 260
         self.process, self.first, self.ends = None, True, []
+        self.planned = False  # A case ends the sidecar and starts it again.
         self.server = Server(self)
         self.app_port = rig.ports["App"]
         self.ports = rig.ports
@@ -510,7 +511,9 @@
         """Records ends of sidecars, and starts them again like the platform."""
         while True:
             for machine in self.machines.values():
-                if machine.process is not None and not machine.running():
+                if machine.planned or machine.process is None:
+                    continue
+                if not machine.running():
                     code = machine.process.returncode
                     self.record(f"sidecar of {machine.name} ended by itself: {code}")
                     machine.ends.append(code)
