--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,7 @@
-"""Callers that read a large answer steadily, but slowly, within their deadline."""
+"""A service leaves the configuration while the store turns two machines away."""
 
 import asyncio
 import os
-import random
-import socket
 import sys
 import time
 
@@ -12,86 +10,87 @@
 sys.dont_write_bytecode = True
 import rig as r
 
-# The answers come from the server of the machine that the clients use.
 MACHINES = [
-    ("m1", "registre", "a", False), ("m2", "comptoir", "b", False),
-    ("m3", "comptoir", "c", False),
+    ("m1", "orari", "a", True), ("m2", "orari", "b", True), ("m3", "orari", "c", True),
+    ("m4", "annunci", "a", False), ("m5", "annunci", "b", False),
+    ("m6", "annunci", "c", False),
 ]
-ANSWER_BYTES = 8_000_000
-# 200 kB a second without a pause: the answer takes 40 s. IdleTimeoutS is 15.
-PIECE_BYTES = 20_000
-PIECE_S = 0.1
-DEADLINE_S = 60.0
-CLIENTS = 6
+TURNED_AWAY = ("m1", "m4")  # a share of 0.33, as in the sites' lists
+DOWN_S = 9.0
+CHANGE_AFTER_S = 4.0
+# From the sending of a version until this long after it, LOST counts cut requests.
+CONFIG_APPLY_S = 2.0
 
 
-async def read_answer(loop, connection, slow):
-    """Reads one answer; returns its status and the bytes missing of its body."""
-    data, expected, status = b"", None, None
-    while expected is None or len(data) < expected:
-        piece = await loop.sock_recv(connection, PIECE_BYTES)
-        if not piece:
-            break
-        data += piece
-        end = data.find(b"\r\n\r\n")
-        if end >= 0 and expected is None:
-            fields = data[:end].decode().lower()
-            status = int(fields.split()[1])
-            expected = end + 4 + int(fields.split("content-length:")[1].split()[0])
-        if slow and len(data) < (expected or 0):
-            await asyncio.sleep(PIECE_S)
-    return status, (expected or 0) - len(data)
+def version_1():
+    return r.config(
+        7, [r.service("orari", True), r.service("annunci")],
+        [
+            r.route("timetables", "/t/", "safe", "orari"),
+            r.route("lookups", "/l/", "safe", "annunci"),
+            r.route("notices", "/n/", "unsafe", "annunci"),
+        ],
+    )
 
 
-async def client(rig, machine, slow):
-    """A small and a large request on one kept connection."""
-    loop = asyncio.get_running_loop()
-    connection = socket.socket()
-    connection.setblocking(False)
-    await loop.sock_connect(connection, (machine.ip, rig.ports["Outbound"]))
-    try:
-        for target in ("/a/x", f"/a/x?bytes={ANSWER_BYTES}"):
-            request = f"{random.getrandbits(64):016x}"
-            sent = time.monotonic()
-            rig.record(f"send {request} GET {target} to {machine.name}")
-            head = (
-                f"GET {target} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\n"
-                f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n\r\n"
-            )
-            await loop.sock_sendall(connection, head.encode())
-            status, missing, why = None, -1, ""
-            try:
-                async with asyncio.timeout(DEADLINE_S):
-                    status, missing = await read_answer(loop, connection, slow)
-            except (ConnectionError, TimeoutError) as error:
-                why = type(error).__name__
-            took = time.monotonic() - sent
-            rig.record(
-                f"answer {request} {status}, {missing} bytes missing {why} after "
-                f"{took:.2f} s"
-            )
-            if status != 200 or missing:
-                return "cut" if took < DEADLINE_S and request in rig.runs else "other"
-        return "complete"
-    finally:
-        connection.close()
+def version_2():
+    # The route of orari moves to annunci; no route leads to orari any more.
+    return r.config(
+        9, [r.service("annunci")],
+        [
+            r.route("timetables", "/t/", "safe", "annunci"),
+            r.route("lookups", "/l/", "safe", "annunci"),
+            r.route("notices", "/n/", "unsafe", "annunci"),
+        ],
+    )
 
 
 async def main(trouble):
     rig = r.Rig(HERE, MACHINES)
-    routes = [r.route("archive", "/a/", "download", "registre", timeout_s=DEADLINE_S)]
+    cut = []  # (sent, machine, id, what) of requests without a complete answer
     try:
-        await rig.start(r.config(7, [r.service("registre"), r.service("comptoir")], routes))
-        await rig.all_served([(rig.machines["m1"], "/a/x", None)])
-        await asyncio.sleep(4)  # All machines are in touch.
-        results = await asyncio.gather(
-            *(client(rig, rig.machines["m1"], trouble) for _ in range(CLIENTS))
+        await rig.start(version_1())
+        await rig.all_served(
+            [(m, "/l/x", None) for m in rig.machines.values()]
+            + [(m, "/t/x", k) for m in rig.machines.values() for k in (0, 30000, 65535)]
         )
+        loads = []
+
+        async def client(machine, target, method):
+            while True:
+                sent = time.monotonic()
+                request, status = await rig.request(machine, target, method=method)
+                # Only requests that a server ran were certainly read whole.
+                if str(status).startswith("closed") and request in rig.runs:
+                    cut.append((sent, machine.name, request, status))
+                if isinstance(status, str):
+                    await asyncio.sleep(0.2)
+
+        for machine in rig.machines.values():
+            for target, method in 2 * (("/l/x", "GET"), ("/n/x", "POST")):
+                loads.append(asyncio.create_task(client(machine, target, method)))
+        await asyncio.sleep(5)
+        if trouble:
+            rig.record(f"the store turns {TURNED_AWAY} away, silently")
+            for name in TURNED_AWAY:
+                rig.store.turned_away[name] = "silent"
+        await asyncio.sleep(CHANGE_AFTER_S)
+        sending = time.monotonic()
+        await rig.configure(version_2())
+        await asyncio.sleep(DOWN_S - CHANGE_AFTER_S)
+        rig.store.turned_away.clear()
+        rig.record("the store serves all machines")
+        await asyncio.sleep(4)
+        for load in loads:
+            load.cancel()
+        await asyncio.gather(*loads, return_exceptions=True)
     finally:
         rig.end()
-    print({each: results.count(each) for each in sorted(set(results))})
-    cut = results.count("cut")
-    return cut if cut > 3 else 0  # "more than three times"
+    around = [c for c in cut if sending - 2 <= c[0] <= sending + CONFIG_APPLY_S + 1]
+    ends = {m.name: m.ends for m in rig.machines.values() if m.ends}
+    print(f"cut around the change: {len(around)}, at other times: {len(cut) - len(around)}")
+    print(f"sidecars that ended by themselves: {ends}")
+    return len(around) if ends else 0
 
 
 if __name__ == "__main__":
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -135,6 +135,7 @@
         self.answer_s = 0.004
         self.turned_away = {}  # machine -> "silent" or "busy"
         self.commits = []  # (machine, key, status)
+        self.refused = []  # (machine, time) of transactions turned away
         self.started = time.monotonic()
         self.servers = []
 
@@ -159,6 +160,8 @@
     async def handle(self, machine, target, body):
         how = self.turned_away.get(machine)
         if how == "busy":
+            if target.startswith("/v1/rows-tx"):
+                self.refused.append((machine, time.monotonic()))
             return 503, {}, b""
         if how == "silent":
             await asyncio.sleep(3600)
@@ -262,6 +265,8 @@
         self.born = int(time.time() * 1000)
         self.sequence, self.holds, self.fences = 0, {}, []
         self.released, self.running, self.state = [], {}, "ready"
+        self.leaving = []  # (first, last, fence, ids of the work that is left)
+        self.next_beat = None
         self.server = await serve(self.machine.ip, self.machine.app_port, self.handle)
         self.task = asyncio.create_task(self.beat_forever())
 
@@ -295,8 +300,9 @@
         self.rig.record(f"run {request} {method} {target} at {self.id}")
         self.rig.runs.setdefault(request, []).append(self.id)
         self.running[request] = key
+        work_s = float(target.partition("?work=")[2] or self.work_s)
         try:
-            await asyncio.sleep(self.work_s)
+            await asyncio.sleep(work_s)
         finally:
             self.running.pop(request, None)
         if self.id != started_as:
@@ -307,8 +313,14 @@
 
     async def beat_forever(self):
         while True:
+            began = time.monotonic()
             soon = await self.beat() if self.beats else False
-            await asyncio.sleep(0.1 if soon else HEARTBEAT_S)
+            due = self.next_beat or began + (0.1 if soon else HEARTBEAT_S)
+            self.next_beat = None
+            self.due = due
+            while time.monotonic() < (self.next_beat or due):
+                await asyncio.sleep(0.005)
+            self.next_beat = None
 
     async def beat(self):
         started_as, sent = self.id, time.monotonic()
@@ -326,8 +338,14 @@
         }
         self.drop_expired()
         if self.machine.sharded:
+            self.end_leaving()
             body["Holds"] = [[a, b, fence] for (a, b), (fence, _) in self.holds.items()]
+            body["Holds"] += [[a, b, fence] for a, b, fence, _ in self.leaving]
             body["Released"] = list(self.released)
+            if self.released or self.leaving:
+                self.rig.record(
+                    f"beat of {self.id}: holds {body['Holds']} released {self.released}"
+                )
         reported = len(self.released)
         try:
             status, _, text = await call(
@@ -354,21 +372,32 @@
             taken[first, last] = (fence, until)
             if (first, last, fence) not in self.fences:
                 self.fences.append((first, last, fence))
-        busy = [key for key in self.running.values() if key is not None]
-        left = False
-        for (first, last), hold in self.holds.items():
+        if sorted(taken) != sorted(self.holds):
+            self.rig.record(f"{self.id} is granted {granted}")
+        for (first, last), (fence, _) in self.holds.items():
             for a, b in outside(first, last, taken):
-                if any(a <= key <= b for key in busy):
-                    taken[a, b], left = hold, True
-                else:
-                    self.released.append([a, b, f"{random.getrandbits(64):016x}"])
+                work = {i for i, k in self.running.items() if k is not None and a <= k <= b}
+                self.leaving.append((a, b, fence, work))
         self.holds = taken
-        return left or bool(self.released)
+        self.end_leaving()
+        return bool(self.leaving or self.released)
+
+    def end_leaving(self):
+        """Reports the pieces as released on which no work is left."""
+        for piece in list(self.leaving):
+            first, last, _, work = piece
+            if not work & set(self.running):
+                self.leaving.remove(piece)
+                self.released.append([first, last, f"{random.getrandbits(64):016x}"])
 
     def drop_expired(self):
         now = time.monotonic()
         self.holds = {k: h for k, h in self.holds.items() if h[1] > now}
 
+    def held_now(self):
+        now = time.monotonic()
+        return [k for k, h in self.holds.items() if h[1] > now]
+
 
 def outside(first, last, ranges):
     """The parts of [first, last] that none of the ranges covers."""
