Reject answers with an invalid status

Cause: Boost.Beast reads any three digits. The client skips all below 200 as interim answers, and takes all above for final ones.

Evidence: two tests of unit-http-malformed-answers fail before the change, in the client and through whole routers; two or four digits, signs and letters were rejected already. Ruled out: the links, which only carry what the client has accepted.

Change: the head is checked once it is complete; a status outside of 100 to 599, or 101, breaks the call at once (502). Both tests pass.

--- /dev/null
+++ b/src/core/http_syntax.h
@@ -0,0 +1,13 @@
+// Syntax of HTTP/1.1 heads (RFC 9110, RFC 9112) that the libraries which read
+// them don't check, or check less strictly.
+#pragma once
+
+namespace balsamwheel {
+
+/// Whether an answer may have this status. 101 (Switching Protocols) is only
+/// sent to those that have asked for it, which nothing here does.
+constexpr bool isAnswerStatus(unsigned Status) {
+  return Status >= 100 && Status <= 599 && Status != 101;
+}
+
+} // namespace balsamwheel
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,12 +1,13 @@
 // Serialisation of HTTP messages; the parsers are Boost.Beast's.
 #include "http_message.h"
 
-#include <utility>
+#include "core/http_syntax.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace balsamwheel {
 
@@ -40,12 +41,19 @@
 /// Overhead that a chunked body may have, per byte of the body.
 constexpr std::size_t MaxChunkOverhead = 8;
 
-/// A parser of Boost.Beast, and the limits that it doesn't check itself: the
-/// sizes of chunk headers and trailers.
-template <typename ParserT> class LimitedParser {
+bool isReadable(const http::request_header<> &) { return true; }
+
+bool isReadable(const http::response_header<> &Head) {
+  return isAnswerStatus(Head.result_int());
+}
+
+/// A parser of Boost.Beast, and what it doesn't check itself: the sizes of
+/// chunk headers and trailers, and statuses.
+template <typename ParserT> class StrictParser {
 public:
-  explicit LimitedParser(ParseLimits Limits) : m_Limits(Limits) {
-    m_Parser.eager(true);
+  explicit StrictParser(ParseLimits Limits) : m_Limits(Limits) {
+    // The head is checked before the body is read.
+    m_Parser.eager(false);
     m_Parser.header_limit(static_cast<std::uint32_t>(Limits.m_MaxHeaderBytes));
     m_Parser.body_limit(Limits.m_MaxBodyBytes);
   }
@@ -53,6 +61,7 @@
   ParseState feed(std::string &Buffer) {
     std::size_t Consumed = 0;
     while (!m_Parser.is_done() && Consumed < Buffer.size()) {
+      const bool InHead = !m_Parser.is_header_done();
       boost::system::error_code Error;
       const std::size_t Taken =
           m_Parser.put(boost::asio::buffer(Buffer.data() + Consumed,
@@ -70,6 +79,9 @@
         return ParseState::BodyTooLarge;
       if (Error)
         return ParseState::Malformed;
+      if (InHead && m_Parser.is_header_done() &&
+          !isReadable(m_Parser.get().base()))
+        return ParseState::Malformed;
     }
     Buffer.erase(0, Consumed);
     m_Consumed += Consumed;
@@ -183,9 +195,9 @@
 }
 
 class HttpRequestParser::Impl
-    : public LimitedParser<http::request_parser<http::string_body>> {
+    : public StrictParser<http::request_parser<http::string_body>> {
 public:
-  using LimitedParser::LimitedParser;
+  using StrictParser::StrictParser;
 };
 
 HttpRequestParser::HttpRequestParser(ParseLimits Limits)
@@ -222,9 +234,9 @@
 }
 
 class HttpAnswerParser::Impl
-    : public LimitedParser<http::response_parser<http::string_body>> {
+    : public StrictParser<http::response_parser<http::string_body>> {
 public:
-  using LimitedParser::LimitedParser;
+  using StrictParser::StrictParser;
 };
 
 HttpAnswerParser::HttpAnswerParser(ParseLimits Limits, bool NoBody)
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -70,6 +70,8 @@
   Complete,
   HeadersTooLarge,
   BodyTooLarge,
+  /// Not HTTP/1.1, or a part of it that isn't supported: a transfer coding
+  /// other than chunked, a folded line, a status that no answer has.
   Malformed,
 };
 
--- /dev/null
+++ b/tests/unit-http-malformed-answers.cpp
@@ -0,0 +1,87 @@
+// Answers whose head violates HTTP/1.1: none is passed on, taken for an interim
+// answer, or waited on until the deadline.
+#include "net/http_client.h"
+#include "router_rig.h"
+#include "support/http_server_rig.h"
+
+#include <doctest/doctest.h>
+
+using namespace balsamwheel;
+using namespace balsamwheel::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// How a call ends whose server sends \p Bytes and keeps its connection open.
+HttpCallResult callAnswered(const std::string &Bytes) {
+  RawServer Server(
+      [&](const std::string &, int) { return RawReply{.m_Bytes = Bytes}; });
+  EventLoop Loop({.m_MaxSleep = 5ms});
+  HttpClient Client(Loop, *Endpoint::fromText(Server.address()), {});
+  HttpCall Call{.m_Timeout = 5s, .m_IdHeader = "X-Id", .m_Id = "1"};
+  Call.m_Request = {.m_Method = "GET", .m_Target = "/"};
+  std::optional<HttpCallResult> Result;
+  Client.call(std::move(Call),
+              [&](HttpCallResult Done) { Result = std::move(Done); });
+  runUntil(Loop, [&] { return Result.has_value(); });
+  return std::move(*Result);
+}
+
+/// An answer with the given status line, without its version, and field lines.
+std::string answerWith(const std::string &Status, const std::string &Fields,
+                       const std::string &Rest = "\r\nhello") {
+  return "HTTP/1.1 " + Status + "\r\nX-Id: 1\r\n" + Fields + Rest;
+}
+
+const std::string Length = "Content-Length: 5\r\n";
+const std::string ChunkedBody = "\r\n5\r\nhello\r\n0\r\n\r\n";
+
+const std::vector<std::string> BadStatuses{
+    "000 X", "001 X", "099 X", "101 X",  "600 X", "999 X", "20 X", "2000 X",
+    "+20 X", "-20 X", "2a0 X", " 200 X", "abc X", "",      " ",    "X"};
+
+} // namespace
+
+TEST_CASE("an answer with an invalid status was passed on or waited on") {
+  for (const std::string &Each : BadStatuses) {
+    CAPTURE(Each);
+    CHECK(callAnswered(answerWith(Each, Length)).m_CallOutcome ==
+          HttpCallOutcome::Broken);
+    const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    CHECK(callAnswered(Interim + answerWith(Each, Length)).m_CallOutcome ==
+          HttpCallOutcome::Broken);
+  }
+}
+
+TEST_CASE("answers with valid statuses and interim answers are read") {
+  for (const char *Each : {"200 OK", "299 X", "404 Not Found", "599 X"}) {
+    CAPTURE(Each);
+    const std::string Interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    const HttpCallResult Result =
+        callAnswered(Interim + answerWith(Each, Length));
+    CHECK(Result.m_CallOutcome == HttpCallOutcome::Answered);
+    CHECK(Result.m_Answer.m_Body == "hello");
+  }
+}
+
+TEST_CASE("a caller got an answer with an invalid status") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "plain");
+  Instance &B = Rig.add("b", "keyed");
+  Rig.startServing();
+  Rig.waitUntilServed(B, "/read/1");
+  std::string Status;
+  A.m_Target.m_Behaviour = [&](const std::string &Request) {
+    return RawReply{.m_Bytes = "HTTP/1.1 " + Status + " X\r\nX-Request-Id: " +
+                               headerOf(Request, "X-Request-Id: ") +
+                               "\r\nX-Server-Signature: s\r\n"
+                               "Content-Length: 2\r\n\r\nok"};
+  };
+  for (const char *Each : {"000", "099", "101", "600", "999"})
+    for (Instance *Entrance : {&A, &B}) {
+      CAPTURE(Each);
+      Status = Each;
+      // At the deadline the answer would be 504.
+      CHECK(Rig.call(*Entrance, "/write/1", "POST").m_Status == 502);
+    }
+}
