Reject folded header lines

A line that begins with a blank, e.g. " Content-Length: 5", became part of the field before it. Behind the request's id, the caller waited until its deadline; elsewhere it got an answer with a changed field.

Cause: Boost.Beast joins folded lines, which RFC 9112 (5.2) lets a gateway reject.

Evidence: the tests of invalid field lines fail before the change with folded lines, and only with them: names with blanks, control bytes or bytes above 127, missing names and colons, bare CR and NUL were rejected before.

Change: a head with a folded line is malformed: 502 for an answer, 400 for a request.

--- a/src/core/http_syntax.h
+++ b/src/core/http_syntax.h
@@ -2,6 +2,8 @@
 // them don't check, or check less strictly.
 #pragma once
 
+#include <string_view>
+
 namespace balsamwheel {
 
 /// Whether an answer may have this status. 101 (Switching Protocols) is only
@@ -10,4 +12,10 @@
   return Status >= 100 && Status <= 599 && Status != 101;
 }
 
+/// Whether a line of \p Head continues the one before it (obsolete folding).
+inline bool hasFoldedLine(std::string_view Head) {
+  return Head.find("\r\n ") != std::string_view::npos ||
+         Head.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace balsamwheel
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -48,7 +48,7 @@
 }
 
 /// A parser of Boost.Beast, and what it doesn't check itself: the sizes of
-/// chunk headers and trailers, and statuses.
+/// chunk headers and trailers, statuses and folded lines.
 template <typename ParserT> class StrictParser {
 public:
   explicit StrictParser(ParseLimits Limits) : m_Limits(Limits) {
@@ -67,6 +67,9 @@
           m_Parser.put(boost::asio::buffer(Buffer.data() + Consumed,
                                            Buffer.size() - Consumed),
                        Error);
+      if (InHead &&
+          hasFoldedLine(std::string_view(Buffer).substr(Consumed, Taken)))
+        return ParseState::Malformed;
       Consumed += Taken;
       if (Error == http::error::need_more) {
         if (Taken == 0)
--- a/tests/unit-http-malformed-answers.cpp
+++ b/tests/unit-http-malformed-answers.cpp
@@ -85,3 +85,55 @@
       CHECK(Rig.call(*Entrance, "/write/1", "POST").m_Status == 502);
     }
 }
+
+TEST_CASE("an answer with an invalid field line was passed on") {
+  for (const std::string &Each : {std::string("X Y: 1"),
+                                  std::string("X : 1"),
+                                  std::string("X\tY: 1"),
+                                  std::string("X\x01: 1"),
+                                  std::string("X\x7f: 1"),
+                                  std::string("X\xe9: 1"),
+                                  std::string(": 1"),
+                                  std::string("X"),
+                                  std::string("X\rY: 1"),
+                                  std::string("X: a\rb"),
+                                  std::string("X\0: 1", 6),
+                                  std::string("X: a\0b", 6),
+                                  std::string("X: a\x01"),
+                                  std::string("X: a\nb"),
+                                  std::string("X: a\r\n b"),
+                                  std::string("X: a\r\n\tb"),
+                                  std::string("Content-Length : 5"),
+                                  std::string(" Content-Length: 5"),
+                                  std::string("\tContent-Length: 5"),
+                                  std::string("Content-Length\x01: 5"),
+                                  std::string("X: a\rContent-Length: 5"),
+                                  std::string("Transfer-Encoding : chunked")}) {
+    CAPTURE(Each);
+    for (const std::string &Other : {std::string(), Length}) {
+      CAPTURE(Other);
+      CHECK(callAnswered(answerWith("200 OK", Other + Each + "\r\n"))
+                .m_CallOutcome == HttpCallOutcome::Broken);
+    }
+    CHECK(callAnswered("HTTP/1.1 200 OK\r\n" + Each + "\r\nX-Id: 1\r\n" +
+                       Length + "\r\nhello")
+              .m_CallOutcome == HttpCallOutcome::Broken);
+  }
+}
+
+TEST_CASE("a request with an invalid field line is rejected") {
+  for (const std::string &Each :
+       {std::string("X Y: 1"), std::string("X : 1"), std::string("X\x01: 1"),
+        std::string("X\xe9: 1"), std::string(": 1"), std::string("X"),
+        std::string("X: a\rb"), std::string("X: a\0b", 6),
+        std::string("X: a\r\n b"), std::string("Content-Length : 5"),
+        std::string("X: a\r\n Content-Length: 5")}) {
+    CAPTURE(Each);
+    ServerRig Rig;
+    Rig.listen();
+    Rig.connect("POST / HTTP/1.1\r\nHost: h\r\n" + Each + "\r\n\r\n");
+    runUntil(Rig.m_Loop, [&] { return Rig.m_Ended; });
+    CHECK(Rig.m_Exchanges.empty());
+    CHECK(Rig.m_Received.substr(9, 3) == "400");
+  }
+}
