Reject messages in a transfer coding other than chunked

Callers got the encoded bytes of an answer in "gzip, chunked" as its body (MIXED). A request in "xchunked" was passed on without its body, which was read as the next request (UNASKED).

Cause: Boost.Beast ignores a transfer coding that doesn't end with chunked, and drops those before it.

Ruled out: chunked beside a Content-Length, which was rejected already.

Change: one "chunked" is the only transfer coding that is accepted, and only with HTTP/1.1; otherwise the call is broken (502) or the request is answered 400.

--- a/src/core/http_syntax.h
+++ b/src/core/http_syntax.h
@@ -2,6 +2,7 @@
 // them don't check, or check less strictly.
 #pragma once
 
+#include <algorithm>
 #include <string_view>
 
 namespace balsamwheel {
@@ -12,6 +13,22 @@
   return Status >= 100 && Status <= 599 && Status != 101;
 }
 
+/// Compares the names of fields or codings, without regard to case.
+inline bool isSameName(std::string_view Left, std::string_view Right) {
+  const auto Lower = [](char C) {
+    return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
+  };
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [Lower](char First, char Second) {
+                      return Lower(First) == Lower(Second);
+                    });
+}
+
+/// Whether \p Coding is "chunked", the one transfer coding that is decoded.
+inline bool isChunked(std::string_view Coding) {
+  return isSameName(Coding, "chunked");
+}
+
 /// Whether a line of \p Head continues the one before it (obsolete folding).
 inline bool hasFoldedLine(std::string_view Head) {
   return Head.find("\r\n ") != std::string_view::npos ||
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace balsamwheel {
@@ -41,14 +42,24 @@
 /// Overhead that a chunked body may have, per byte of the body.
 constexpr std::size_t MaxChunkOverhead = 8;
 
-bool isReadable(const http::request_header<> &) { return true; }
+/// Whether the length of a body isn't known from its head because a transfer
+/// coding other than chunked, which Boost.Beast skips, was applied to it.
+template <typename HeadT> bool hasUnknownCoding(const HeadT &Head) {
+  const auto [First, Last] = Head.equal_range(http::field::transfer_encoding);
+  return First != Last && (Head.version() < 11 || std::next(First) != Last ||
+                           !isChunked(toStringView(First->value())));
+}
+
+bool isReadable(const http::request_header<> &Head) {
+  return !hasUnknownCoding(Head);
+}
 
 bool isReadable(const http::response_header<> &Head) {
-  return isAnswerStatus(Head.result_int());
+  return isAnswerStatus(Head.result_int()) && !hasUnknownCoding(Head);
 }
 
 /// A parser of Boost.Beast, and what it doesn't check itself: the sizes of
-/// chunk headers and trailers, statuses and folded lines.
+/// chunk headers and trailers, statuses, transfer codings and folded lines.
 template <typename ParserT> class StrictParser {
 public:
   explicit StrictParser(ParseLimits Limits) : m_Limits(Limits) {
--- a/tests/unit-http-malformed-answers.cpp
+++ b/tests/unit-http-malformed-answers.cpp
@@ -121,6 +121,61 @@
   }
 }
 
+TEST_CASE("an answer with another transfer coding than chunked was passed on") {
+  for (const char *Each :
+       {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+        "identity", "identity, chunked", "xchunked", "chunked;q=1", "chunked,",
+        "", "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: gzip"}) {
+    CAPTURE(Each);
+    const std::string Coding =
+        "Transfer-Encoding: " + std::string(Each) + "\r\n";
+    for (const std::string &Fields :
+         {Coding, Coding + Length, Length + Coding}) {
+      CAPTURE(Fields);
+      CHECK(callAnswered(answerWith("200 OK", Fields, ChunkedBody))
+                .m_CallOutcome == HttpCallOutcome::Broken);
+    }
+  }
+  CHECK(callAnswered("HTTP/1.0 200 OK\r\nX-Id: 1\r\n"
+                     "Transfer-Encoding: chunked\r\n" +
+                     ChunkedBody)
+            .m_CallOutcome == HttpCallOutcome::Broken);
+  CHECK(callAnswered(
+            answerWith("200 OK", "transfer-encoding: Chunked\r\n", ChunkedBody))
+            .m_Answer.m_Body == "hello");
+}
+
+TEST_CASE("an answer with an invalid length is not passed on") {
+  for (const char *Each :
+       {"5\r\nContent-Length: 6", "6\r\nContent-Length: 5", "5, 6", "5,", "+5",
+        "-5", "0x5", "5 5", "5.0", "", "18446744073709551621",
+        "99999999999999999999999", "5\r\nTransfer-Encoding: chunked"}) {
+    CAPTURE(Each);
+    CHECK(callAnswered(answerWith("200 OK", "Content-Length: " +
+                                                std::string(Each) + "\r\n"))
+              .m_CallOutcome == HttpCallOutcome::Broken);
+  }
+}
+
+TEST_CASE("a request in another transfer coding hid a second one") {
+  for (const char *Each :
+       {"xchunked", "gzip", "gzip, chunked", "chunked, gzip", "identity",
+        "chunked;q=1", "gzip\r\nTransfer-Encoding: chunked",
+        "gzip\r\nContent-Length: 0", "x\r\nX: a\r\n b"}) {
+    CAPTURE(Each);
+    ServerRig Rig;
+    Rig.listen();
+    Rig.connect("POST /first HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " +
+                std::string(Each) +
+                "\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(Rig.m_Loop, [&] { return Rig.m_Ended; });
+    CHECK(Rig.m_Exchanges.empty());
+    CHECK(Rig.m_Received.substr(9, 3) == "400");
+  }
+}
+
 TEST_CASE("a request with an invalid field line is rejected") {
   for (const std::string &Each :
        {std::string("X Y: 1"), std::string("X : 1"), std::string("X\x01: 1"),
