balsamwheeld: reject answers with invalid heads

Cause: libcurl accepts them, and every line with a colon was passed on.

Evidence: four tests of unit-transfer-loop fail before the change (status, field lines, codings, lengths), e.g. "Content-Length : 5" as a length that nobody had read. Ruled out: the end of an answer; libcurl fails a transfer whose send fails.

Change: AnswerHead checks each line by the sidecar's rules and ends the transfer at the first invalid one. The tests pass.

--- a/src/adapters/http_client/exchange.cpp
+++ b/src/adapters/http_client/exchange.cpp
@@ -11,14 +11,6 @@
 
 namespace {
 
-std::string_view trim(std::string_view Text) {
-  constexpr std::string_view Whitespace = " \t\r\n";
-  const std::size_t First = Text.find_first_not_of(Whitespace);
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(Whitespace) - First + 1);
-}
-
 std::optional<std::uint64_t> contentLength(CURL *Easy) {
   curl_off_t Length = -1;
   curl_easy_getinfo(Easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &Length);
@@ -127,20 +119,9 @@
 
 std::size_t Exchange::onHeader(char *Data, std::size_t Size, std::size_t Count,
                                void *Self) {
-  static_cast<Exchange *>(Self)->addHeaderLine({Data, Size * Count});
-  return Size * Count;
-}
-
-void Exchange::addHeaderLine(std::string_view Line) {
-  if (Line.starts_with("HTTP/")) {
-    m_Answer.m_Headers.clear();
-    return;
-  }
-  const std::size_t Colon = Line.find(':');
-  if (Colon == std::string_view::npos)
-    return;
-  m_Answer.m_Headers.emplace_back(trim(Line.substr(0, Colon)),
-                                  trim(Line.substr(Colon + 1)));
+  auto &This = *static_cast<Exchange *>(Self);
+  // 0 makes libcurl fail the transfer and close the connection.
+  return This.m_Head.addLine({Data, Size * Count}) ? Size * Count : 0;
 }
 
 std::size_t Exchange::onBody(char *Data, std::size_t Size, std::size_t Count,
@@ -170,6 +151,7 @@
   long Status = 0;
   curl_easy_getinfo(m_Easy, CURLINFO_RESPONSE_CODE, &Status);
   m_Answer.m_Status = static_cast<std::uint16_t>(Status);
+  m_Answer.m_Headers = m_Head.takeFields();
   m_Answer.m_BodyLength = Length.value_or(0);
   m_Answer.m_BodyStream = m_Download->id();
   m_Transfer.m_OnAnswerHead(std::exchange(m_Answer, {}));
@@ -246,6 +228,7 @@
     long Status = 0;
     curl_easy_getinfo(m_Easy, CURLINFO_RESPONSE_CODE, &Status);
     Result.m_Answer = std::move(m_Answer);
+    Result.m_Answer.m_Headers = m_Head.takeFields();
     Result.m_Answer.m_Status = static_cast<std::uint16_t>(Status);
     Result.m_Answer.m_BodyLength = Result.m_Answer.m_Body.size();
     Result.m_Answer.m_BodyHash = runtime::bodyHash(Result.m_Answer.m_Body);
@@ -264,6 +247,7 @@
   m_HeaderList = nullptr;
   m_Transfer = Transfer();
   m_Answer = HttpAnswer();
+  m_Head = AnswerHead();
   m_Download.reset();
   m_PrefixSent = 0;
   m_SendCount = 0;
--- a/src/adapters/http_client/exchange.h
+++ b/src/adapters/http_client/exchange.h
@@ -1,6 +1,7 @@
 // One running transfer: its libcurl handle and the handle's callbacks.
 #pragma once
 
+#include "adapters/http_client/answer_head.h"
 #include "adapters/http_client/transfer.h"
 
 #include <curl/curl.h>
@@ -48,7 +49,6 @@
 
   void setHeaders(TimePoint Now);
   void setBody();
-  void addHeaderLine(std::string_view Line);
   std::size_t acceptBody(std::string_view Bytes);
   bool beginStream();
   std::size_t writeStream(std::string_view Bytes);
@@ -62,6 +62,7 @@
   curl_slist *m_HeaderList = nullptr;
   Transfer m_Transfer;
   HttpAnswer m_Answer;
+  AnswerHead m_Head;
   /// Carries the remainder of a long answer.
   runtime::BodyPipePtr m_Download;
   /// Bytes of the inline part of the body that were sent.
--- a/src/core/http_syntax.h
+++ b/src/core/http_syntax.h
@@ -3,6 +3,9 @@
 #pragma once
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace balsamwheel {
@@ -13,6 +16,40 @@
   return Status >= 100 && Status <= 599 && Status != 101;
 }
 
+/// Parses a status line without its line ending.
+///
+/// \returns its status; none if the line or the status is invalid.
+inline std::optional<unsigned> parseStatusLine(std::string_view Line) {
+  constexpr std::size_t VersionSize = std::string_view("HTTP/1.1 ").size();
+  constexpr std::size_t StatusEnd = VersionSize + 3;
+  if (!Line.starts_with("HTTP/1.1 ") && !Line.starts_with("HTTP/1.0 "))
+    return std::nullopt;
+  const std::string_view Digits = Line.substr(VersionSize, 3);
+  unsigned Status = 0;
+  const auto [End, Error] =
+      std::from_chars(Digits.begin(), Digits.end(), Status);
+  const bool Valid = Digits.size() == 3 && Error == std::errc() &&
+                     End == Digits.end() && isAnswerStatus(Status) &&
+                     (Line.size() == StatusEnd || Line[StatusEnd] == ' ');
+  return Valid ? std::optional(Status) : std::nullopt;
+}
+
+/// Whether \p Text is a token, i.e. valid as the name of a field.
+inline bool isToken(std::string_view Text) {
+  static constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), [](char C) {
+    return (C >= '0' && C <= '9') || (C >= 'A' && C <= 'Z') ||
+           (C >= 'a' && C <= 'z') || Symbols.find(C) != std::string_view::npos;
+  });
+}
+
+/// Whether \p Text has no control character except tabs.
+inline bool isFieldValue(std::string_view Text) {
+  return std::none_of(Text.begin(), Text.end(), [](unsigned char C) {
+    return (C < ' ' && C != '\t') || C == 0x7f;
+  });
+}
+
 /// Compares the names of fields or codings, without regard to case.
 inline bool isSameName(std::string_view Left, std::string_view Right) {
   const auto Lower = [](char C) {
@@ -29,6 +66,18 @@
   return isSameName(Coding, "chunked");
 }
 
+/// Parses the value of a Content-Length field.
+///
+/// \returns none if it isn't one number from 0 to INT64_MAX without a sign.
+inline std::optional<std::uint64_t> parseContentLength(std::string_view Text) {
+  std::uint64_t Value = 0;
+  const auto [End, Error] = std::from_chars(Text.begin(), Text.end(), Value);
+  if (Text.empty() || Error != std::errc() || End != Text.end() ||
+      Value > INT64_MAX)
+    return std::nullopt;
+  return Value;
+}
+
 /// Whether a line of \p Head continues the one before it (obsolete folding).
 inline bool hasFoldedLine(std::string_view Head) {
   return Head.find("\r\n ") != std::string_view::npos ||
--- a/tests/unit-transfer-loop.cpp
+++ b/tests/unit-transfer-loop.cpp
@@ -230,7 +230,16 @@
 
 namespace {
 
+/// How a transfer ends whose server sends \p Bytes and keeps its connection
+/// open.
+TransferResult performAnswered(const std::string &Bytes) {
+  RawServer Server([&](const std::string &, int) { return RawReply{Bytes}; });
+  TransferLoop Loop({});
+  return perform(Loop, makeTransfer("GET", Server.address()));
+}
+
 const std::string Ok = "HTTP/1.1 200 OK\r\n";
+const std::string Length = "Content-Length: 5\r\n";
 
 } // namespace
 
@@ -251,3 +260,79 @@
               .m_End == TransferEnd::Broken);
   }
 }
+
+TEST_CASE("an answer with an invalid status was passed on or waited on") {
+  for (const std::string Each :
+       {"000 X", "001 X", "099 X", "101 X", "600 X", "999 X", "20 X", "2000 X",
+        "+20 X", "-20 X", "2a0 X", " 200 X", "abc X", "", " ", "X"}) {
+    CAPTURE(Each);
+    const std::string Line = "HTTP/1.1 " + Each + "\r\n";
+    const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const std::string &Before : {std::string(), Interim})
+      CHECK(performAnswered(Before + Line + Length + "\r\nhello").m_End ==
+            TransferEnd::Broken);
+  }
+  CHECK(performAnswered("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 599 X\r\n" +
+                        Length + "\r\nhello")
+            .m_Answer.m_Status == 599);
+}
+
+TEST_CASE("an answer with an invalid field line was passed on") {
+  for (const std::string &Each : {std::string("X Y: 1"),
+                                  std::string("X : 1"),
+                                  std::string("X\tY: 1"),
+                                  std::string("X\x01: 1"),
+                                  std::string("X\x7f: 1"),
+                                  std::string("X\xe9: 1"),
+                                  std::string(": 1"),
+                                  std::string("X"),
+                                  std::string("X\rY: 1"),
+                                  std::string("X: a\rb"),
+                                  std::string("X\0: 1", 6),
+                                  std::string("X: a\0b", 6),
+                                  std::string("X: a\x01"),
+                                  std::string("X: a\r\n b"),
+                                  std::string("X: a\r\n\tb"),
+                                  std::string("Content-Length : 5"),
+                                  std::string(" Content-Length: 5"),
+                                  std::string("\tContent-Length: 5"),
+                                  std::string("Content-Length\x01: 5"),
+                                  std::string("Transfer-Encoding : chunked")}) {
+    CAPTURE(Each);
+    for (const std::string &Other : {std::string(), Length})
+      CHECK(performAnswered(Ok + Other + Each + "\r\n\r\nhello").m_End ==
+            TransferEnd::Broken);
+    CHECK(performAnswered(Ok + Each + "\r\n" + Length + "\r\nhello").m_End ==
+          TransferEnd::Broken);
+  }
+}
+
+TEST_CASE("an answer with another transfer coding than chunked was passed on") {
+  const std::string Chunked = "\r\n5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string Each :
+       {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+        "identity", "identity, chunked", "xchunked", "chunked;q=1", "",
+        "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: gzip"}) {
+    const std::string Coding = "Transfer-Encoding: " + Each + "\r\n";
+    for (const std::string &Fields :
+         {Coding, Coding + Length, Length + Coding}) {
+      CAPTURE(Fields);
+      CHECK(performAnswered(Ok + Fields + Chunked).m_End ==
+            TransferEnd::Broken);
+    }
+  }
+  CHECK(performAnswered(Ok + "Transfer-Encoding: Chunked\r\n" + Chunked)
+            .m_Answer.m_Body == "hello");
+}
+
+TEST_CASE("an answer with an invalid length was passed on") {
+  for (const std::string Each :
+       {"5\r\nContent-Length: 6", "6\r\nContent-Length: 5", "5, 6", "5,", "+5",
+        "-5", "0x5", "5 5", "5.0", "", "18446744073709551621",
+        "9223372036854775813", "5\r\nTransfer-Encoding: chunked"}) {
+    CAPTURE(Each);
+    CHECK(performAnswered(Ok + "Content-Length: " + Each + "\r\n\r\nhello")
+              .m_End == TransferEnd::Broken);
+  }
+}
