balsamwheeld: reset the connection of a truncated answer

Cause: the answer ends with the connection, and libmicrohttpd closes it in order after an error, too.

Evidence: the new test of unit-caller-server fails before the change (no reset); with HTTP/1.1 the missing last chunk shows the end, and that test passed.

Change: the connection is reset before libmicrohttpd closes it. The test passes.

--- a/src/adapters/caller_http/answer.cpp
+++ b/src/adapters/caller_http/answer.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -65,6 +67,19 @@
   MHD_Connection *m_Connection = nullptr;
 };
 
+/// Resets a connection. A caller of HTTP/1.0 would take its orderly end for
+/// that of an answer without a length.
+void resetConnection(MHD_Connection *Connection) {
+  const MHD_ConnectionInfo *Info =
+      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  // Unlike SO_LINGER, takes effect although libmicrohttpd ends the output
+  // before it closes the socket.
+  sockaddr Unspecified{};
+  Unspecified.sa_family = AF_UNSPEC;
+  if (Info != nullptr)
+    ::connect(Info->connect_fd, &Unspecified, sizeof Unspecified);
+}
+
 ssize_t readStream(void *State, std::uint64_t, char *Buffer,
                    std::size_t Capacity) {
   auto &Reader = *static_cast<StreamReader *>(State);
@@ -82,6 +97,7 @@
   case runtime::PipeState::Ended:
     return MHD_CONTENT_READER_END_OF_STREAM;
   case runtime::PipeState::Failed:
+    resetConnection(Reader.m_Connection);
     return MHD_CONTENT_READER_END_WITH_ERROR;
   case runtime::PipeState::Open:
     break;
--- a/tests/unit-caller-server.cpp
+++ b/tests/unit-caller-server.cpp
@@ -7,6 +7,11 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
 #include <future>
 
 using namespace balsamwheel;
@@ -312,3 +317,59 @@
   CHECK(Setup.get("/documents/1").m_End == TransferEnd::Broken);
   Stopper.join();
 }
+
+namespace {
+
+/// What a caller has received when its connection has ended.
+struct RawAnswer {
+  std::string m_Bytes;
+  bool m_Reset = false;
+};
+
+RawAnswer callRaw(std::uint16_t Port, const std::string &Request) {
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const timeval Timeout{.tv_sec = 10, .tv_usec = 0};
+  setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Timeout, sizeof Timeout);
+  REQUIRE(connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                  sizeof Address) == 0);
+  REQUIRE(send(Socket, Request.data(), Request.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(Request.size()));
+  RawAnswer Result;
+  char Buffer[4096];
+  ssize_t Count = 0;
+  while ((Count = recv(Socket, Buffer, sizeof Buffer, 0)) > 0)
+    Result.m_Bytes.append(Buffer, static_cast<std::size_t>(Count));
+  Result.m_Reset = Count < 0 && errno == ECONNRESET;
+  CHECK((Count == 0 || Result.m_Reset));
+  close(Socket);
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("a truncated answer without a length looked complete to a caller of "
+          "HTTP/1.0") {
+  for (const bool Truncated : {false, true}) {
+    std::thread Writer;
+    Fixture Setup([&](CallerServer &Server, const IncomingRequest &Request) {
+      AnswerCaller Answer = makeAnswer(Request.m_Handle, "begin");
+      Answer.m_Http.m_BodyStream = 77;
+      Answer.m_Http.m_BodyLength = 0;
+      runtime::BodyPipeOptions Options;
+      Options.m_Id = 77;
+      Options.m_Prefix = "begin";
+      auto Pipe = std::make_shared<runtime::BodyPipe>(Options);
+      Server.answer(std::move(Answer), Pipe);
+      Writer = writeBody(Pipe, 500'000, Truncated);
+    });
+    const RawAnswer Answer =
+        callRaw(Setup.m_Server.port(), "GET /documents/1 HTTP/1.0\r\n\r\n");
+    Writer.join();
+    CAPTURE(Truncated);
+    CHECK(Answer.m_Reset == Truncated);
+  }
+}
