balsamwheeld: reject requests whose length isn't certain

A request in a transfer coding other than chunked got no answer; one with different lengths was passed on with one of them.

Cause: libmicrohttpd reads other codings until the connection ends and leaves checks of the head to its user.

Evidence: a test of unit-request-parser and one of unit-caller-server fail before the change (no answer within 10 s). Ruled out: a second request hidden in the body; none was begun.

Change: such heads, and those with invalid names or values, are answered 400 and the connection is closed. Both tests pass.

--- a/src/adapters/caller_http/request_parser.cpp
+++ b/src/adapters/caller_http/request_parser.cpp
@@ -1,8 +1,9 @@
 // Validates the headers of callers' requests.
 #include "adapters/caller_http/request_parser.h"
 
+#include "core/http_syntax.h"
+
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 
 namespace balsamwheel::caller_http {
@@ -23,6 +24,15 @@
   return nullptr;
 }
 
+std::vector<std::string> valuesOf(const RequestHead &Head,
+                                  std::string_view Name) {
+  std::vector<std::string> Result;
+  for (const auto &[Key, Value] : Head.m_Headers)
+    if (sameHeaderName(Key, Name))
+      Result.push_back(Value);
+  return Result;
+}
+
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -87,6 +97,13 @@
   Parser(const RequestHead &Head, const Config &ActiveConfig)
       : m_Head(Head), m_Config(ActiveConfig) {}
 
+  std::optional<Refusal> checkFields() {
+    for (const auto &[Name, Value] : m_Head.m_Headers)
+      if (!isToken(Name) || !isFieldValue(Value))
+        return badRequest("a header has an invalid name or value");
+    return std::nullopt;
+  }
+
   std::optional<Refusal> readService() {
     const std::string *Header = findHeader(m_Head, "Balsamwheel-Service");
     const std::string Name =
@@ -170,16 +187,27 @@
   }
 
   std::optional<Refusal> readBodyLength() {
-    if (findHeader(m_Head, "Transfer-Encoding") != nullptr)
+    const std::vector<std::string> Codings =
+        valuesOf(m_Head, "Transfer-Encoding");
+    const std::vector<std::string> Lengths = valuesOf(m_Head, "Content-Length");
+    if (!Codings.empty()) {
+      if (Codings.size() > 1 || !isChunked(Codings.front()))
+        return badRequest("the only transfer coding supported is chunked");
+      if (!Lengths.empty())
+        return badRequest("Content-Length and Transfer-Encoding exclude each "
+                          "other");
       return std::nullopt;
-    const std::string *Text = findHeader(m_Head, "Content-Length");
-    if (Text == nullptr) {
+    }
+    if (Lengths.empty()) {
       m_Result.m_BodyLength = 0;
       return std::nullopt;
     }
-    m_Result.m_BodyLength = parseNumber(*Text);
+    m_Result.m_BodyLength = parseContentLength(Lengths.front());
     if (!m_Result.m_BodyLength)
       return badRequest("Content-Length is no number");
+    if (std::any_of(Lengths.begin(), Lengths.end(),
+                    [&](const auto &Each) { return Each != Lengths.front(); }))
+      return badRequest("Content-Length has several values");
     if (*m_Result.m_BodyLength > m_Result.m_MaxBodyBytes)
       return Refusal{.m_Status = StatusTooLarge,
                      .m_Detail = "the body is larger than " +
@@ -200,11 +228,7 @@
 } // namespace
 
 bool sameHeaderName(std::string_view First, std::string_view Second) {
-  const auto SameLetter = [](unsigned char A, unsigned char B) {
-    return std::tolower(A) == std::tolower(B);
-  };
-  return std::equal(First.begin(), First.end(), Second.begin(), Second.end(),
-                    SameLetter);
+  return isSameName(First, Second);
 }
 
 const RequestClass &matchClass(const Service &Target, std::string_view Method,
@@ -236,6 +260,8 @@
                    .m_Detail = "no configuration is known yet",
                    .m_RetryAfter = NoConfigRetryAfter};
   Parser Steps(Head, *ActiveConfig);
+  if (auto Problem = Steps.checkFields())
+    return *Problem;
   if (auto Problem = Steps.readService())
     return *Problem;
   if (auto Problem = Steps.readKey())
--- a/tests/unit-caller-server.cpp
+++ b/tests/unit-caller-server.cpp
@@ -351,6 +351,21 @@
 
 } // namespace
 
+TEST_CASE("a request in another transfer coding got no answer") {
+  Fixture Setup([](CallerServer &Server, const IncomingRequest &Request) {
+    Server.answer(makeAnswer(Request.m_Handle, "x"), nullptr);
+  });
+  for (const std::string Coding : {"gzip", "xchunked", "gzip, chunked"}) {
+    CAPTURE(Coding);
+    const RawAnswer Answer = callRaw(
+        Setup.m_Server.port(),
+        "POST /documents/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " +
+            Coding + "\r\n\r\nGET /documents/2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(Answer.m_Bytes.starts_with("HTTP/1.1 400 "));
+  }
+  CHECK(Setup.m_RequestCount == 0);
+}
+
 TEST_CASE("a truncated answer without a length looked complete to a caller of "
           "HTTP/1.0") {
   for (const bool Truncated : {false, true}) {
--- a/tests/unit-request-parser.cpp
+++ b/tests/unit-request-parser.cpp
@@ -176,3 +176,31 @@
         }
       }));
 }
+
+TEST_CASE("a request whose body has no certain length was accepted") {
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+  for (const Fields &Each :
+       {Fields{{"Transfer-Encoding", "gzip"}},
+        Fields{{"Transfer-Encoding", "xchunked"}},
+        Fields{{"Transfer-Encoding", "gzip, chunked"}},
+        Fields{{"transfer-encoding", "chunked"}, {"Transfer-Encoding", "gzip"}},
+        Fields{{"Transfer-Encoding", "chunked"}, {"Content-Length", "5"}},
+        Fields{{"Content-Length", "5"}, {"Content-Length", "6"}},
+        Fields{{"Content-Length", "+5"}}, Fields{{"Content-Length", "5, 5"}},
+        Fields{{"Content-Length ", "5"}}, Fields{{"X Y", "1"}},
+        Fields{{"X\x01", "1"}}, Fields{{"", "1"}}, Fields{{"X", "a\rb"}}}) {
+    RequestHead Head = makeHead("POST", "/orders/1");
+    Head.m_Headers = Each;
+    CAPTURE(Each.back().first);
+    CAPTURE(Each.back().second);
+    const Config ActiveConfig = makeConfig();
+    const auto Result = parseRequest(Head, &ActiveConfig, GeneratedId);
+    REQUIRE(std::holds_alternative<Refusal>(Result));
+    CHECK(std::get<Refusal>(Result).m_Status == 400);
+  }
+  RequestHead Head = makeHead("POST", "/orders/1");
+  Head.m_Headers = {{"Transfer-Encoding", "Chunked"}};
+  CHECK_FALSE(accept(Head).m_BodyLength);
+  Head.m_Headers = {{"Content-Length", "5"}, {"content-length", "5"}};
+  CHECK(accept(Head).m_BodyLength == 5);
+}
