balsamwheeld: bound the answers that are kept whole

Cause: answers that aren't streamed were collected without a limit, and trailers were.

Evidence: three of six cases of the new test of unit-transfer-loop fail before the change: in a body, in chunks, in trailers (above 48 MiB, read until the deadline). Ruled out: fields, heads and interim answers, which libcurl bounds, and streamed answers, whose pipe is bounded.

Change: at most 16 MiB of a body that is kept whole, and 64 KiB of the lines of heads and trailers; beyond them the transfer is broken. All six cases pass.

--- a/src/adapters/http_client/answer_head.cpp
+++ b/src/adapters/http_client/answer_head.cpp
@@ -25,6 +25,9 @@
 } // namespace
 
 bool AnswerHead::addLine(std::string_view Line) {
+  m_Bytes += Line.size();
+  if (m_Bytes > MaxBytes)
+    return false;
   Line = withoutLineEnding(Line);
   if (Line.empty())
     return true;
--- a/src/adapters/http_client/answer_head.h
+++ b/src/adapters/http_client/answer_head.h
@@ -2,6 +2,7 @@
 // HTTP/1.1 allows.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,11 +19,14 @@
 /// are valid.
 class AnswerHead {
 public:
+  /// Maximum number of bytes of all lines together.
+  static constexpr std::size_t MaxBytes = 65536;
+
   /// Adds a line, with its line ending.
   ///
   /// \returns false if the answer can't be passed on: the line or the status is
-  /// invalid, the length of the body is ambiguous, or its transfer coding isn't
-  /// supported.
+  /// invalid, the length of the body is ambiguous, its transfer coding isn't
+  /// supported, or there are too many bytes.
   bool addLine(std::string_view Line);
   /// Moves the fields out.
   std::vector<std::pair<std::string, std::string>> takeFields() {
@@ -33,6 +37,7 @@
   bool addField(std::string_view Line);
 
   std::vector<std::pair<std::string, std::string>> m_Fields;
+  std::size_t m_Bytes = 0;
   /// An answer of HTTP/1.0 has no transfer coding.
   bool m_MayHaveCoding = false;
   bool m_HasCoding = false;
--- a/src/adapters/http_client/exchange.cpp
+++ b/src/adapters/http_client/exchange.cpp
@@ -133,6 +133,8 @@
   if (m_Download)
     return writeStream(Bytes);
   const std::size_t Total = m_Answer.m_Body.size() + Bytes.size();
+  if (!m_Transfer.m_MakePipe && Total > m_Transfer.m_MaxBodyBytes)
+    return 0;
   if (!m_Transfer.m_MakePipe || Total <= InlineBodyLimit) {
     if (m_Answer.m_Body.empty())
       m_Answer.m_Body.reserve(
--- a/src/adapters/http_client/transfer.h
+++ b/src/adapters/http_client/transfer.h
@@ -64,6 +64,9 @@
   Duration m_MaxSendDelay = std::chrono::milliseconds(50);
   /// If set, long answers are streamed; otherwise they are buffered completely.
   PipeFactory m_MakePipe;
+  /// Maximum size of the body of an answer that is buffered. A transfer whose
+  /// answer is larger ends as Broken.
+  std::size_t m_MaxBodyBytes = std::size_t{16} << 20;
   /// Called on the loop's thread when a long answer starts to stream.
   std::function<void(HttpAnswer Head)> m_OnAnswerHead;
   /// Called exactly once, usually on the loop's thread; see
--- a/tests/unit-transfer-loop.cpp
+++ b/tests/unit-transfer-loop.cpp
@@ -3,6 +3,7 @@
 #include "adapters/http_client/transfer_loop.h"
 #include "runtime/boot_clock.h"
 #include "support/raw_server.h"
+#include "support/streaming_server.h"
 
 #include <doctest/doctest.h>
 
@@ -336,3 +337,30 @@
               .m_End == TransferEnd::Broken);
   }
 }
+
+TEST_CASE("bytes without end were kept until the deadline") {
+  std::string Head = Ok;
+  std::string Repeated(4096, 'a');
+  SUBCASE("in a field") { Head += "X: "; }
+  SUBCASE("in the body") { Head += "\r\n"; }
+  SUBCASE("in fields") { Repeated = "X: " + std::string(1000, 'a') + "\r\n"; }
+  SUBCASE("as interim answers") {
+    Head.clear();
+    Repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  SUBCASE("in chunks") {
+    Head += "Transfer-Encoding: chunked\r\n\r\n";
+    Repeated = "1000\r\n" + Repeated + "\r\n";
+  }
+  SUBCASE("in trailers") {
+    Head += "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    Repeated = "X: " + std::string(1000, 'a') + "\r\n";
+  }
+  StreamingServer Server(Head, Repeated);
+  TransferLoop Loop({});
+  CHECK(perform(Loop, makeTransfer("GET", Server.address())).m_End ==
+        TransferEnd::Broken);
+  Server.join();
+  // The limit, and what the kernel's buffers take.
+  CHECK(Server.bytesSent() < (std::size_t{48} << 20));
+}
