Bound the answers to calls for keys

A target that answers grants and releases with bytes without end took up to 64 MiB of the sidecar's memory for each of eight calls (LOST, as the process then ends).

Cause: these clients had the parser's default limit.

Evidence: the new test of unit-endless-answers fails before the change, with 141 MB from a stand-in for two grants. Ruled out: requests (a 32nd of the memory each) and the store (4 MiB), which have limits of their own.

Change: 64 KiB; the result of such a call is in its head. The test passes.

--- a/src/router/target_keys.cpp
+++ b/src/router/target_keys.cpp
@@ -7,8 +7,12 @@
 
 namespace {
 
+/// Of an answer to a grant or release, whose result is in its head.
+constexpr std::size_t MaxAnswerBodyBytes = 65536;
+
 HttpClientOptions clientOptions(const TargetKeysOptions &Options) {
   HttpClientOptions Result;
+  Result.m_Limits.m_MaxBodyBytes = MaxAnswerBodyBytes;
   Result.m_MaxConnections = Options.m_Holds.m_MaxCalls;
   Result.m_TcpUserTimeout = Options.m_TcpUserTimeout;
   Result.m_ConnectTimeout = Options.m_Holds.m_GrantTimeout;
--- a/tests/unit-endless-answers.cpp
+++ b/tests/unit-endless-answers.cpp
@@ -66,3 +66,30 @@
   // At the deadline the answer would be 504.
   CHECK(Rig.call(A, "/write/1", "POST").m_Status == 502);
 }
+
+TEST_CASE("answers without end to calls for keys were kept") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "keyed");
+  // One connection without a request tells the daemon that the target runs.
+  constexpr int Connections = 3;
+  StreamingServer Server("HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'a'),
+                         Connections);
+  A.m_Settings.m_Target = *Endpoint::fromText(Server.address());
+  A.m_Settings.m_SystemStart = true;
+  A.restartRouter(Rig.m_Loop, Rig.m_Log);
+  std::string Text = configuration(1);
+  const std::string Keyed = "\"Sharded\":true";
+  Text.replace(Text.find(Keyed), Keyed.size(),
+               Keyed + ",\"Grants\":\"direct\"");
+  Rig.m_Rows.put(TableName::Operators, "config", Text);
+  REQUIRE(Rig.runUntil([&] {
+    A.sendHeartbeat();
+    return Server.bytesSent() > 0;
+  }));
+  // Longer than a call for keys may take.
+  Rig.runFor(1s);
+  // The limit, and what the kernel's buffers take.
+  CHECK(Server.bytesSent() < (std::size_t{32} << 20));
+  A.m_Router.reset();
+  Server.stop();
+}
