Bound the answers that are received at the same time

Cause: each answer had a limit, all of them together had none.

Ruled out: answers that wait to be sent, which AnswerRoom bounds, and the bodies of requests (BodyRoom).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -87,6 +87,7 @@
 
   void shutDown() {
     m_Call.reset();
+    m_BodyReservation = {};
     m_Loop.cancel(m_Timer);
     m_Stream.close();
     m_Client.remove(this);
@@ -106,7 +107,22 @@
     m_Stream.write(Request.headToText(), Request.m_Body);
   }
 
+  /// Reserves memory for the body of the answer. The reservation grows by
+  /// doubling, as the buffer does.
+  /// \returns false if there is none.
+  bool reserveBody() {
+    BodyRoom *Room = m_Client.m_Options.m_BodyRoom;
+    const std::size_t Size = m_Parser->receivedBodyBytes();
+    return !Room || Size <= m_BodyReservation.bytes() ||
+           Room->extend(
+               m_BodyReservation,
+               std::max(Size,
+                        std::min(2 * m_BodyReservation.bytes(),
+                                 m_Client.m_Options.m_Limits.m_MaxBodyBytes)));
+  }
+
   void resetParser() {
+    m_BodyReservation = {};
     m_Parser = std::make_unique<HttpAnswerParser>(
         m_Client.m_Options.m_Limits,
         m_Call->m_Call.m_Request.m_Method == "HEAD");
@@ -136,6 +152,8 @@
   void parse() {
     while (m_Call && !m_Input.empty()) {
       const ParseState State = m_Parser->feed(m_Input);
+      if (State == ParseState::NeedMore && !reserveBody())
+        return fail(HttpCallOutcome::Broken, "no room for the answer's body");
       if (State == ParseState::NeedMore)
         return;
       if (State != ParseState::Complete)
@@ -167,6 +185,7 @@
         keepAliveTimeout(Answer.m_Headers.get("Keep-Alive"));
     const std::unique_ptr<HttpClient::PendingCall> Done = std::move(m_Call);
     m_Parser.reset();
+    m_BodyReservation = {};
     m_RequestSent = false;
     m_IdleSince = m_Loop.now();
     Duration Idle = m_Client.m_Options.m_IdleTimeout;
@@ -200,6 +219,8 @@
   std::unique_ptr<HttpClient::PendingCall> m_Call;
   std::unique_ptr<HttpAnswerParser> m_Parser;
   std::string m_Input;
+  /// Of the answer that is being received.
+  BodyReservation m_BodyReservation;
   EventLoop::TimerId m_Timer;
   TimePoint m_IdleSince;
   /// Hashes of the ids of all calls so far.
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -54,6 +54,10 @@
 struct HttpClientOptions {
   std::size_t m_MaxConnections = 16;
   ParseLimits m_Limits;
+  /// For the bodies of answers that are being received; null means no limit
+  /// besides m_Limits. A call whose answer finds no room ends as Broken. Must
+  /// outlive the client.
+  BodyRoom *m_BodyRoom = nullptr;
   /// Interim answers and answers to other requests that one call skips.
   int m_MaxSkippedAnswers = 16;
   /// A connection fails when sent data stays unacknowledged for this long
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -275,6 +275,10 @@
                                               : ParseState::Malformed;
 }
 
+std::size_t HttpAnswerParser::receivedBodyBytes() const {
+  return m_Impl->m_Parser.get().body().size();
+}
+
 HttpAnswer HttpAnswerParser::take() {
   const bool KeepAlive = m_Impl->m_Parser.keep_alive();
   auto Message = m_Impl->m_Parser.release();
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -113,6 +113,8 @@
   /// Reports that the peer closed the connection in order, which ends a body
   /// without a length. Returns Complete or Malformed.
   ParseState finish();
+  /// Returns the size of the body received so far.
+  std::size_t receivedBodyBytes() const;
   /// Moves the answer out; only after Complete.
   HttpAnswer take();
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -27,7 +27,8 @@
 constexpr Duration SendFlushTime = std::chrono::milliseconds(200);
 /// Reserved from the grace period for the exit of the process itself.
 constexpr Duration ProcessExitMargin = std::chrono::milliseconds(400);
-/// Answers that aren't sent yet may take the memory divided by this.
+/// Answers that aren't sent yet may take the memory divided by this, and those
+/// that are being received as much.
 constexpr std::size_t AnswersDivisor = 4;
 /// The bodies of all requests may take the memory divided by this.
 constexpr std::size_t BodiesDivisor = 2;
@@ -79,8 +80,10 @@
   }
 }
 
-TargetAgentOptions agentOptions(const RouterSettings &Settings) {
+TargetAgentOptions agentOptions(const RouterSettings &Settings,
+                                BodyRoom *AnswerRoom = nullptr) {
   TargetAgentOptions Options;
+  Options.m_AnswerBodyRoom = AnswerRoom;
   Duration &Hold = Options.m_Keys.m_Holds.m_Holds.m_Hold;
   Hold = std::min(Hold, Settings.m_MaxHold);
   Options.m_EarlierGrantsExpiry = revocationWait(
@@ -110,8 +113,10 @@
     : m_Loop(Loop), m_Log(Log), m_Format(Format),
       m_Settings(std::move(Settings)), m_Operators(Operators), m_Table(Table),
       m_Selector({}), m_Suspects({}),
+      m_AnswerBodyRoom(m_Settings.m_MemoryLimit / AnswersDivisor),
       m_Agent(
-          Loop, Log, m_Settings, Format, agentOptions(m_Settings), m_Suspects,
+          Loop, Log, m_Settings, Format,
+          agentOptions(m_Settings, &m_AnswerBodyRoom), m_Suspects,
           {.m_Keys = {.m_Map = [this] { return keyMap(m_Settings.m_Service); },
                       .m_MayGrant =
                           [this](TimePoint Now) {
@@ -248,7 +253,10 @@
                  return reportedTarget(Name);
                },
            .m_LargeAnswersRefusedFor =
-               [this] { return m_AnswerRoom.refusedFor(heldAnswerBytes()); }}),
+               [this] {
+                 return m_AnswerRoom.refusedFor(heldAnswerBytes() +
+                                                m_AnswerBodyRoom.reserved());
+               }}),
       m_Callers(Loop, callerOptions(),
                 [this](std::shared_ptr<HttpExchange> Exchange) {
                   m_Entrance.accept(std::move(Exchange));
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -208,6 +208,8 @@
   TableService &m_Table;
   TargetSelector m_Selector;
   CrashSuspects m_Suspects;
+  /// For the answers that are being received from the target.
+  BodyRoom m_AnswerBodyRoom;
   TargetAgent m_Agent;
   /// Outlives what holds reservations in it.
   BodyRoom m_BodyRoom;
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -90,6 +90,8 @@
 
 struct TargetAgentOptions {
   TargetKeysOptions m_Keys;
+  /// For the answers that are being received; null means no limit.
+  BodyRoom *m_AnswerBodyRoom = nullptr;
   RequestGateOptions m_Gate;
   /// Time after the start of the daemon until all grants of its predecessor
   /// have expired.
--- a/tests/unit-endless-answers.cpp
+++ b/tests/unit-endless-answers.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <fstream>
+
 using namespace balsamwheel;
 using namespace balsamwheel::tests;
 
@@ -67,6 +69,89 @@
   CHECK(Rig.call(A, "/write/1", "POST").m_Status == 502);
 }
 
+namespace {
+
+/// Memory of this process, in bytes.
+std::size_t residentBytes() {
+  std::size_t Total = 0;
+  std::size_t Resident = 0;
+  std::ifstream("/proc/self/statm") >> Total >> Resident;
+  return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+TEST_CASE("many answers without end together took more than the process's "
+          "memory") {
+  constexpr int Slots = 40;
+  constexpr std::size_t MemoryLimit = std::size_t{192} << 20;
+  Rig Rig;
+  Instance &A = Rig.add("a", "plain");
+  Rig.startServing();
+  StreamingServer Server("HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'a'),
+                         Slots);
+  A.m_Settings.m_Target = *Endpoint::fromText(Server.address());
+  A.m_Settings.m_MemoryLimit = MemoryLimit;
+  A.m_Settings.m_MaxAnswerBytes = std::size_t{6} << 20;
+  A.restartRouter(Rig.m_Loop, Rig.m_Log);
+  TargetHeartbeat Heartbeat;
+  Heartbeat.m_Target = {.m_Id = "target-a", .m_StartTimeMs = 2};
+  Heartbeat.m_Service = A.m_Settings.m_Service;
+  Heartbeat.m_Address = A.m_Settings.m_Target;
+  Heartbeat.m_Slots = Slots;
+  Heartbeat.m_Sequence = 1;
+  A.m_Router->onHeartbeat(Heartbeat);
+  Rig.runFor(500ms);
+  const std::size_t Before = residentBytes();
+  std::size_t Peak = Before;
+  HttpClient Callers(Rig.m_Loop, A.m_Settings.m_Callers,
+                     {.m_MaxConnections = Slots});
+  int Ended = 0;
+  for (int I = 0; I < Slots; ++I) {
+    HttpCall Call{.m_Timeout = 5s};
+    Call.m_Request = {.m_Method = "POST", .m_Target = "/write/1"};
+    Call.m_Request.m_Headers.add("Host", "h");
+    Call.m_Request.m_Headers.add("X-Request-Id", std::to_string(I));
+    Call.m_Request.m_Headers.add("X-Deadline-Ms", "3000");
+    Callers.call(std::move(Call), [&](const HttpCallResult &) { ++Ended; });
+  }
+  CHECK(Rig.runUntil([&] {
+    Peak = std::max(Peak, residentBytes());
+    return Ended == Slots;
+  }));
+  CHECK(Peak - Before < MemoryLimit);
+  Server.stop();
+}
+
+TEST_CASE(
+    "an answer that finds no room breaks its call and frees what it had") {
+  BodyRoom Room(300'000);
+  std::size_t Size = 0;
+  RawServer Server([&](const std::string &, int) {
+    return RawReply{.m_Bytes = httpAnswer("200 OK", std::string(Size, 'a'))};
+  });
+  EventLoop Loop({.m_MaxSleep = 20ms});
+  HttpClient Client(Loop, *Endpoint::fromText(Server.address()),
+                    {.m_BodyRoom = &Room});
+  for (const std::size_t Each : {1'000'000, 250'000, 1'000'000, 1'000}) {
+    Size = Each;
+    HttpCall Call{.m_Timeout = 5s};
+    Call.m_Request = {.m_Method = "GET", .m_Target = "/"};
+    std::optional<HttpCallResult> Result;
+    Client.call(std::move(Call),
+                [&](HttpCallResult Done) { Result = std::move(Done); });
+    Loop.run([&] {
+      CHECK(Room.reserved() <= 300'000);
+      if (Result)
+        Loop.stop();
+    });
+    CHECK(
+        Result->m_CallOutcome ==
+        (Each > 300'000 ? HttpCallOutcome::Broken : HttpCallOutcome::Answered));
+    CHECK(Room.reserved() == 0);
+  }
+}
+
 TEST_CASE("answers without end to calls for keys were kept") {
   Rig Rig;
   Instance &A = Rig.add("a", "keyed");
