Answer all requests before the end of a planned stop

Requests that a stopping sidecar had taken were cut at the end of the grace time if they still waited at another machine's gate or ran, non-idempotent ones among them (LOST).

Cause: the process ends at a fixed time, and no deadline was bounded by it.

Evidence: in unit-router-stop, a request taken 2 s after the begin of the stop has no answer when the router has stopped, nor have two that run; a target gets 30 s where 3.4 are left. All fail before the change.

Change: from the begin of the stop no deadline is later than 0.6 s before the end of the grace time. It goes with the request, so that gates refuse in time what can't be served (503), targets get no more time, and what still runs is answered 504. Requests that other machines pass on during the stop are bounded, too. A request that is withdrawn from its own gate at its deadline gets a 503, not a 504, as it hasn't run.

--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -88,8 +88,7 @@
     return refuse(Request, Reason::CrashesTargets, *Refused);
   Entry.m_Exchange->onCallerDisconnected(
       [this, Request] { callerLeft(Request); });
-  Entry.m_DeadlineTimer = m_Loop.after(Entry.m_Deadline - m_Loop.now(),
-                                       [this, Request] { timedOut(Request); });
+  setDeadline(Request, Entry.m_Deadline);
   if (needsToken(Entry))
     return acquireToken(Request);
   start(Request);
@@ -185,7 +184,9 @@
       Entry.m_Metadata.m_DeadlineLeft.value_or(Matched.m_Timeout);
   Duration &Longest = m_LongestTimeLeft[Matched.m_Name];
   Longest = std::max(Longest, TimeLeft);
-  Entry.m_Deadline = Entry.m_ReceivedAt + std::min(TimeLeft, Matched.m_Timeout);
+  Entry.m_Deadline =
+      std::min(Entry.m_ReceivedAt + std::min(TimeLeft, Matched.m_Timeout),
+               m_LastDeadline);
   Entry.m_Objective =
       Entry.m_ReceivedAt + Matched.m_LatencyObjective - (Longest - TimeLeft);
   Entry.m_Digest = digestOf(Entry.m_Metadata.m_Host, Request.m_Method,
@@ -477,18 +478,35 @@
          retryBudget(Entry.m_Service).takeRetry();
 }
 
-void Entrance::cancelAttempt(const ActiveRequest &Entry) {
-  if (Entry.m_Job.value() != 0)
-    m_Metrics.attemptCancelled(toString(m_Agent.cancel(Entry.m_Job)));
+bool Entrance::cancelAttempt(const ActiveRequest &Entry) {
   if (Entry.m_Stream != 0)
     m_Mesh.cancel(Entry.m_Destination, Entry.m_Stream);
+  if (Entry.m_Job.value() == 0)
+    return Entry.m_Stream != 0;
+  const CancelledAttempt State = m_Agent.cancel(Entry.m_Job);
+  m_Metrics.attemptCancelled(toString(State));
+  return State == CancelledAttempt::Sent || State == CancelledAttempt::Ended;
+}
+
+void Entrance::setDeadline(Id Request, TimePoint Deadline) {
+  ActiveRequest &Entry = m_Active.at(Request);
+  m_Loop.cancel(Entry.m_DeadlineTimer);
+  Entry.m_Deadline = Deadline;
+  Entry.m_DeadlineTimer = m_Loop.after(Deadline - m_Loop.now(),
+                                       [this, Request] { timedOut(Request); });
+}
+
+void Entrance::answerAllBy(TimePoint Limit) {
+  m_LastDeadline = Limit;
+  for (const auto &[Request, Entry] : m_Active)
+    if (Entry.m_Deadline > Limit)
+      setDeadline(Request, Limit);
 }
 
 void Entrance::timedOut(Id Request) {
   ActiveRequest &Entry = m_Active.at(Request);
-  cancelAttempt(Entry);
-  const bool Forwarded = Entry.m_Job.value() != 0 || Entry.m_Stream != 0;
-  if (!Forwarded && Entry.m_TargetAttempts == 0)
+  const bool MayHaveReached = cancelAttempt(Entry);
+  if (!MayHaveReached && Entry.m_TargetAttempts == 0)
     return refuse(Request, Reason::DeadlinePassed,
                   m_Options.m_DefaultRetryAfter);
   fail(Request, GatewayTimeout, Reason::DeadlinePassed);
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -81,6 +81,10 @@
 
   /// Takes a request from a caller; it is answered through \p Exchange.
   void accept(std::shared_ptr<HttpExchange> Exchange);
+  /// The process will exit: no request, present or new, is answered later than
+  /// \p Limit. Where it waits, it is refused while there is time for the
+  /// answer; one that is running then gets an error.
+  void answerAllBy(TimePoint Limit);
   /// New requests are refused from now on: the process is about to exit.
   void refuseNew() { m_RefuseNew = true; }
   /// Requests that haven't been answered yet.
@@ -181,7 +185,11 @@
   void retryOwnerLookup(Id Request);
   void timedOut(Id Request);
   void callerLeft(Id Request);
-  void cancelAttempt(const ActiveRequest &Entry);
+  /// Cancels the attempt in progress, if any.
+  /// \returns whether the request may have reached a target with it.
+  bool cancelAttempt(const ActiveRequest &Entry);
+  /// Sets when the request is answered at the latest.
+  void setDeadline(Id Request, TimePoint Deadline);
   /// Answers that the request hasn't run.
   void refuse(Id Request, Reason Why, Duration RetryAfter);
   /// Answers a request whose key no organisation holds.
@@ -208,6 +216,8 @@
   std::map<ServiceName, RetryBudget> m_Retries;
   pcg32 m_Random;
   bool m_RefuseNew = false;
+  /// No deadline is later.
+  TimePoint m_LastDeadline = TimePoint::max();
   Id m_LastId = 0;
   std::map<Id, ActiveRequest> m_Active;
   /// Longest time until the deadline that callers have given on each route,
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -301,6 +301,7 @@
       LogLine("stopping")
           .add("requests", static_cast<std::int64_t>(m_Entrance.active())));
   m_Agent.setStopping();
+  m_Entrance.answerAllBy(answerLimit());
   m_Quota.end();
   m_Callers.closeAfterAnswers();
 }
@@ -320,7 +321,12 @@
     m_IdleSince = m_Loop.now();
   return (Since > StopAcceptPeriod &&
           m_Loop.now() - m_IdleSince > SendFlushTime) ||
-         Since > m_Settings.m_GracePeriod - ProcessExitMargin;
+         m_Loop.now() > answerLimit() + SendFlushTime;
+}
+
+TimePoint Router::answerLimit() const {
+  return *m_StopStartedAt + m_Settings.m_GracePeriod - ProcessExitMargin -
+         SendFlushTime;
 }
 
 bool Router::ready() const { return m_Routes && !m_StopStartedAt; }
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -47,8 +47,8 @@
   /// \returns false when listening on an address fails.
   bool start();
   /// Starts an orderly stop: new requests are still served while callers may
-  /// not have noticed, then refused; running requests are completed. After that
-  /// stopped() is true.
+  /// not have noticed, then refused; running requests are completed. All are
+  /// answered before the grace period ends. After that stopped() is true.
   void beginStop();
   /// Continues the stop; to be called repeatedly.
   /// \returns whether the process can exit.
@@ -175,6 +175,8 @@
     return m_Callers.pendingBytes() + m_Mesh.pendingAnswerBytes();
   }
   const KeyMap *keyMap(const ServiceName &Service) const;
+  /// When the last requests are answered; only during a stop.
+  TimePoint answerLimit() const;
 
   /// State of a peer's target, as last reported by the peer.
   struct PeerTarget {
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -306,6 +306,8 @@
   };
   Job.m_Objective = After(Frame.objective_left);
   Job.m_Deadline = After(Frame.deadline_left);
+  if (m_StopStartedAt)
+    Job.m_Deadline = std::min(Job.m_Deadline, answerLimit());
   const std::uint64_t Stream = Frame.stream;
   if (Frame.service != m_Settings.m_Service.value() ||
       Frame.key >= static_cast<std::int64_t>(KeyCount))
--- a/tests/unit-router-stop.cpp
+++ b/tests/unit-router-stop.cpp
@@ -64,3 +64,120 @@
   CHECK(Rig.call(B, "/read/1").m_Status == 503);
   CHECK(A.m_Target.m_Arrivals == Before);
 }
+
+namespace {
+
+const Instance::Adjust ShortGrace = [](RouterSettings &Settings) {
+  Settings.m_GracePeriod = 4s;
+};
+
+/// A machine that stops and another one, whose target has four slots and
+/// answers nothing.
+class StopRig {
+public:
+  StopRig()
+      : m_Stopping(m_Rig.add("a", "keyed", ShortGrace)),
+        m_Other(m_Rig.add("b", "plain", ShortGrace)) {
+    m_Rig.configure(1, R"(,{"Name":"long","Prefix":"/long/","Kind":"unsafe",
+        "TimeoutS":30,"TargetLatencyS":20,"MaxAttempts":2,"Priority":1,
+        "Service":"plain"})");
+    m_Other.sendHeartbeat();
+    m_Rig.waitUntilServed(m_Stopping, "/read/1");
+    m_Other.m_Target.m_Behaviour = [](const std::string &) {
+      return RawReply{.m_Silent = true};
+    };
+    m_ArrivedBefore = m_Other.m_Target.m_Arrivals;
+  }
+
+  std::shared_ptr<std::optional<HttpCallResult>> send(Instance &Entrance) {
+    HttpCall Call{.m_Timeout = 30s};
+    Call.m_Request = {.m_Method = "POST", .m_Target = "/long/1"};
+    Call.m_Request.m_Headers.add("Host", "h");
+    Call.m_Request.m_Headers.add("X-Request-Id", std::to_string(++m_LastId));
+    Call.m_Request.m_Headers.add("X-Deadline-Ms", "30000");
+    auto Result = std::make_shared<std::optional<HttpCallResult>>();
+    Entrance.m_Callers->call(std::move(Call), [Result](HttpCallResult Done) {
+      *Result = std::move(Done);
+    });
+    return Result;
+  }
+
+  /// Requests that the target has got since the start.
+  int arrivals() const { return m_Other.m_Target.m_Arrivals - m_ArrivedBefore; }
+
+  /// Runs until the router of \p Of would let its process exit.
+  void runUntilStopped(Instance &Of) {
+    REQUIRE(m_Rig.runUntil([&] { return Of.m_Router->stopped(); }));
+  }
+
+  Rig m_Rig;
+  Instance &m_Stopping;
+  Instance &m_Other;
+  int m_ArrivedBefore = 0;
+  int m_LastId = 0;
+};
+
+} // namespace
+
+TEST_CASE("requests taken by a stopping router were cut at another machine's "
+          "gate") {
+  StopRig Rig;
+  for (int I = 0; I < 4; ++I)
+    Rig.send(Rig.m_Other);
+  REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() == 4; }));
+  Rig.m_Stopping.m_Router->beginStop();
+  Rig.m_Rig.runFor(2s);
+  const auto Waiting = Rig.send(Rig.m_Stopping);
+  Rig.m_Rig.runFor(200ms);
+  CHECK_FALSE(Waiting->has_value());
+  Rig.runUntilStopped(Rig.m_Stopping);
+  REQUIRE(Waiting->has_value());
+  REQUIRE((*Waiting)->m_CallOutcome == HttpCallOutcome::Answered);
+  // Not run, which is true.
+  CHECK((*Waiting)->m_Answer.m_Status == 503);
+  CHECK(Rig.arrivals() == 4);
+}
+
+TEST_CASE("requests that wait at a stopping router's own gate are refused") {
+  StopRig Rig;
+  for (int I = 0; I < 4; ++I)
+    Rig.send(Rig.m_Other);
+  REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() == 4; }));
+  Rig.m_Other.m_Router->beginStop();
+  const auto Waiting = Rig.send(Rig.m_Other);
+  Rig.runUntilStopped(Rig.m_Other);
+  REQUIRE(Waiting->has_value());
+  CHECK((*Waiting)->m_Answer.m_Status == 503);
+  CHECK(Rig.arrivals() == 4);
+}
+
+TEST_CASE("a stopping router gives a target no more time than it has itself") {
+  StopRig Rig;
+  std::atomic<int> DeadlineMs = 0;
+  Rig.m_Other.m_Target.m_Behaviour = [&](const std::string &Request) {
+    DeadlineMs = std::stoi(headerOf(Request, "X-Deadline-Ms: "));
+    return RawReply{.m_Silent = true};
+  };
+  Rig.m_Other.m_Router->beginStop();
+  for (Instance *Each : {&Rig.m_Stopping, &Rig.m_Other}) {
+    const int Before = Rig.arrivals();
+    Rig.send(*Each);
+    REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() > Before; }));
+    CHECK(DeadlineMs <= 4000);
+  }
+}
+
+TEST_CASE("requests that still ran at the end of a stop were cut") {
+  StopRig Rig;
+  const auto Before = Rig.send(Rig.m_Stopping);
+  REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() == 1; }));
+  Rig.m_Stopping.m_Router->beginStop();
+  const auto During = Rig.send(Rig.m_Stopping);
+  REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() == 2; }));
+  Rig.runUntilStopped(Rig.m_Stopping);
+  for (const auto &Each : {Before, During}) {
+    REQUIRE(Each->has_value());
+    REQUIRE((*Each)->m_CallOutcome == HttpCallOutcome::Answered);
+    CHECK((*Each)->m_Answer.m_Status == 504);
+  }
+}
