Soak: targets in trouble send invalid answers

The targets of the soak only closed their connections when they were to answer with something broken. The callers take an answer that ends within the size of a chunk, has no length or an invalid status for broken; before, the first looked complete.

--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -133,13 +133,31 @@
             return None
         outcome = rng.random()
         if outcome < self.fleet.broken_answer_share:
-            return None
+            return self.broken_answer(request)
         if outcome < 2 * self.fleet.broken_answer_share:
             return 500, fields | {"X-Server-Signature": f"{incarnation}/0"}, b""
         length = rng.choice((64, 500, 30000))
         fields["X-Server-Signature"] = f"{incarnation}/{length}"
         return 200, fields, answer_body(incarnation, request, length)
 
+    def broken_answer(self, request):
+        """Returns an answer that isn't one, or None to close the connection."""
+        fields = f"X-Request-Id: {request}\r\nX-Server-Signature: broken\r\n"
+        ok, length = "HTTP/1.1 200 X\r\n", "Content-Length: 4\r\n"
+        texts = (
+            None,
+            f"HTTP/1.1 000 X\r\n{fields}{length}\r\npart",
+            f"HTTP/1.1 101 X\r\n{fields}{length}\r\npart",
+            f"HTTP/1.1 999 X\r\n{fields}{length}\r\npart",
+            f"{ok}{fields}X Y: 1\r\n{length}\r\npart",
+            f"{ok}{fields} {length}\r\npart",
+            f"{ok}{fields}Transfer-Encoding: gzip\r\n{length}\r\npart",
+            f"{ok}{fields}\r\npart",
+        )
+        # Not a draw, so that the rest of a seed's episode stays as it was.
+        text = texts[sum(request.encode()) % len(texts)]
+        return text and text.encode()
+
     async def handle_grant(self, call):
         """Grants keys from the arrival of the call on; it may be applied late."""
         incarnation, arrived = self.incarnation, self.fleet.arrival_time()
--- a/tests/soak/web.py
+++ b/tests/soak/web.py
@@ -1,6 +1,8 @@
 """Minimal HTTP/1.1 server and client for the store, targets and callers."""
 
 import asyncio
+import socket
+import struct
 
 
 class Broken(Exception):
@@ -24,7 +26,10 @@
     body = b""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         while True:
-            size = int((await reader.readline()).split(b";")[0] or b"0", 16)
+            size_line = await reader.readline()
+            if not size_line.endswith(b"\r\n"):
+                raise Broken("connection closed within the size of a chunk")
+            size = int(size_line.split(b";")[0], 16)
             body += (await reader.readexactly(size + 2))[:size]
             if size == 0:
                 break
@@ -43,8 +48,8 @@
 async def serve(host, port, handle):
     """Serves requests by handle(method, path, headers, body).
 
-    The handler returns (status, headers, body), or None to close the connection
-    without an answer.
+    The handler returns (status, headers, body), bytes to send before the connection
+    is reset, or None to close the connection without an answer.
     """
 
     async def handle_connection(reader, writer):
@@ -58,6 +63,13 @@
                 reply = await handle(method, path, headers, body)
                 if reply is None:
                     return
+                if isinstance(reply, bytes):
+                    writer.write(reply)
+                    await writer.drain()
+                    writer.get_extra_info("socket").setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                    )
+                    return
                 status, fields, text = reply
                 writer.write(encode(f"HTTP/1.1 {status} X", fields, text))
                 await writer.drain()
@@ -74,9 +86,9 @@
 async def call(host, port, method, path, headers, body=b"", timeout=5.0):
     """Sends one request on a new connection: (status, headers, body).
 
-    Raises OSError if the connection fails, Broken if the answer is
-    incomplete, asyncio.TimeoutError if it takes longer than the time-out in
-    seconds.
+    Raises OSError if the connection fails, Broken if the answer is incomplete or
+    invalid, asyncio.TimeoutError if it takes longer than the time-out in seconds.
+    An answer without a length could be a part of one, and counts as incomplete.
     """
 
     async def exchange():
@@ -88,7 +100,12 @@
             if message is None:
                 raise Broken("connection closed without an answer")
             line, fields, text = message
-            return int(line.split(" ")[1]), fields, text
+            status = int(line.split(" ")[1])
+            if not 200 <= status <= 599:
+                raise Broken(f"invalid status line {line!r}")
+            if not {"content-length", "transfer-encoding"} & fields.keys():
+                raise Broken("answer without a length")
+            return status, fields, text
         except (ConnectionError, asyncio.IncompleteReadError, ValueError) as error:
             raise Broken(str(error)) from error
         finally:
