--- a/src/adapters/http_client/answer_head.h
+++ b/src/adapters/http_client/answer_head.h
@@ -38,7 +38,8 @@
 
   std::vector<std::pair<std::string, std::string>> m_Fields;
   std::size_t m_Bytes = 0;
-  /// An answer of HTTP/1.0 has no transfer coding.
+  /// Since the last status line: whether it was one of HTTP/1.1, whether there
+  /// was a Transfer-Encoding, and the Content-Length.
   bool m_MayHaveCoding = false;
   bool m_HasCoding = false;
   std::optional<std::uint64_t> m_Length;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -42,8 +42,8 @@
 /// Overhead that a chunked body may have, per byte of the body.
 constexpr std::size_t MaxChunkOverhead = 8;
 
-/// Whether the length of a body isn't known from its head because a transfer
-/// coding other than chunked, which Boost.Beast skips, was applied to it.
+/// Whether a transfer coding was applied to the body that isn't decoded:
+/// Boost.Beast ignores all but a last one of chunked.
 template <typename HeadT> bool hasUnknownCoding(const HeadT &Head) {
   const auto [First, Last] = Head.equal_range(http::field::transfer_encoding);
   return First != Last && (Head.version() < 11 || std::next(First) != Last ||
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -186,7 +186,7 @@
   Longest = std::max(Longest, TimeLeft);
   Entry.m_Deadline =
       std::min(Entry.m_ReceivedAt + std::min(TimeLeft, Matched.m_Timeout),
-               m_LastDeadline);
+               m_LatestDeadline);
   Entry.m_Objective =
       Entry.m_ReceivedAt + Matched.m_LatencyObjective - (Longest - TimeLeft);
   Entry.m_Digest = digestOf(Entry.m_Metadata.m_Host, Request.m_Method,
@@ -497,7 +497,7 @@
 }
 
 void Entrance::answerAllBy(TimePoint Limit) {
-  m_LastDeadline = Limit;
+  m_LatestDeadline = Limit;
   for (const auto &[Request, Entry] : m_Active)
     if (Entry.m_Deadline > Limit)
       setDeadline(Request, Limit);
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -216,8 +216,8 @@
   std::map<ServiceName, RetryBudget> m_Retries;
   pcg32 m_Random;
   bool m_RefuseNew = false;
-  /// No deadline is later.
-  TimePoint m_LastDeadline = TimePoint::max();
+  /// No request's deadline is later.
+  TimePoint m_LatestDeadline = TimePoint::max();
   Id m_LastId = 0;
   std::map<Id, ActiveRequest> m_Active;
   /// Longest time until the deadline that callers have given on each route,
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -42,9 +42,8 @@
 
 /// When a request is answered.
 enum class AnswerAt : std::uint8_t {
-  /// After the body that Content-Length announces, or after the headers if
-  /// there
-  /// is no Content-Length.
+  /// After the body that Content-Length announces; without one, after the
+  /// headers.
   RequestEnd,
   /// After the headers; the body stays unread.
   HeadersEnd,
--- a/tests/support/streaming_server.h
+++ b/tests/support/streaming_server.h
@@ -34,6 +34,7 @@
   }
 
   ~StreamingServer() {
+    stop();
     join();
     close(m_ListenSocket);
   }
