--- a/src/adapters/caller_http/answer.cpp
+++ b/src/adapters/caller_http/answer.cpp
@@ -69,15 +69,16 @@
 
 /// Resets a connection. A caller of HTTP/1.0 would take its orderly end for
 /// that of an answer without a length.
-void resetConnection(MHD_Connection *Connection) {
+/// \returns whether it was reset.
+bool resetConnection(MHD_Connection *Connection) {
   const MHD_ConnectionInfo *Info =
       MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   // Unlike SO_LINGER, takes effect although libmicrohttpd ends the output
   // before it closes the socket.
   sockaddr Unspecified{};
   Unspecified.sa_family = AF_UNSPEC;
-  if (Info != nullptr)
-    ::connect(Info->connect_fd, &Unspecified, sizeof Unspecified);
+  return Info != nullptr &&
+         ::connect(Info->connect_fd, &Unspecified, sizeof Unspecified) == 0;
 }
 
 ssize_t readStream(void *State, std::uint64_t, char *Buffer,
