Derive the limit on answers with a length from their room

The settings had a second quarter of the memory beside the one of the room for answers that are being received. The limit is the room's size now, and as before 64 MiB where the memory isn't known. No change of behaviour.

--- a/src/net/body_room.h
+++ b/src/net/body_room.h
@@ -70,6 +70,8 @@
     return true;
   }
 
+  /// 0 means no limit.
+  std::size_t maxBytes() const { return m_MaxBytes; }
   std::size_t reserved() const { return *m_Reserved; }
 
 private:
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -41,8 +41,6 @@
   /// Maximum size of the body of a target's answer without a length; the call
   /// of a target that sends more fails.
   std::size_t m_MaxAnswerBytes = std::size_t{8} << 20;
-  /// The same for an answer with a length.
-  std::size_t m_MaxAnnouncedAnswerBytes = std::size_t{64} << 20;
 
   /// Memory limit of the machine in bytes; 0 means that it isn't known.
   std::size_t m_MemoryLimit = 0;
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -136,9 +136,12 @@
   Client.m_MaxConnections = Heartbeat.m_Slots + SpareConnections;
   Client.m_TcpUserTimeout = TargetTcpUserTimeout;
   Client.m_Limits.m_MaxBodyBytes = m_Settings.m_MaxAnswerBytes;
-  Client.m_Limits.m_MaxAnnouncedBodyBytes =
-      m_Settings.m_MaxAnnouncedAnswerBytes;
   Client.m_BodyRoom = m_Options.m_AnswerBodyRoom;
+  // An answer with a length has an end, so that it may take all the room.
+  const std::size_t Room =
+      Client.m_BodyRoom ? Client.m_BodyRoom->maxBytes() : 0;
+  Client.m_Limits.m_MaxAnnouncedBodyBytes =
+      Room != 0 ? Room : ParseLimits().m_MaxBodyBytes;
   m_Client = std::make_unique<HttpClient>(m_Loop, m_Settings.m_Target, Client);
   openGate();
 }
