Start the deadline timer of a new request without a cancellation

Each request cancelled a timer that it didn't have yet, because the function was shared with the stop, which replaces timers. The stop cancels by itself now. No change of behaviour.

--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -88,7 +88,7 @@
     return refuse(Request, Reason::CrashesTargets, *Refused);
   Entry.m_Exchange->onCallerDisconnected(
       [this, Request] { callerLeft(Request); });
-  setDeadline(Request, Entry.m_Deadline);
+  startDeadlineTimer(Request, Entry);
   if (needsToken(Entry))
     return acquireToken(Request);
   start(Request);
@@ -488,19 +488,20 @@
   return State == CancelledAttempt::Sent || State == CancelledAttempt::Ended;
 }
 
-void Entrance::setDeadline(Id Request, TimePoint Deadline) {
-  ActiveRequest &Entry = m_Active.at(Request);
-  m_Loop.cancel(Entry.m_DeadlineTimer);
-  Entry.m_Deadline = Deadline;
-  Entry.m_DeadlineTimer = m_Loop.after(Deadline - m_Loop.now(),
+void Entrance::startDeadlineTimer(Id Request, ActiveRequest &Entry) {
+  Entry.m_DeadlineTimer = m_Loop.after(Entry.m_Deadline - m_Loop.now(),
                                        [this, Request] { timedOut(Request); });
 }
 
 void Entrance::answerAllBy(TimePoint Limit) {
   m_LatestDeadline = Limit;
-  for (const auto &[Request, Entry] : m_Active)
-    if (Entry.m_Deadline > Limit)
-      setDeadline(Request, Limit);
+  for (auto &[Request, Entry] : m_Active) {
+    if (Entry.m_Deadline <= Limit)
+      continue;
+    Entry.m_Deadline = Limit;
+    m_Loop.cancel(Entry.m_DeadlineTimer);
+    startDeadlineTimer(Request, Entry);
+  }
 }
 
 void Entrance::timedOut(Id Request) {
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -188,8 +188,8 @@
   /// Cancels the attempt in progress, if any.
   /// \returns whether the request may have reached a target with it.
   bool cancelAttempt(const ActiveRequest &Entry);
-  /// Sets when the request is answered at the latest.
-  void setDeadline(Id Request, TimePoint Deadline);
+  /// Starts the timer that ends the request at its deadline.
+  void startDeadlineTimer(Id Request, ActiveRequest &Entry);
   /// Answers that the request hasn't run.
   void refuse(Id Request, Reason Why, Duration RetryAfter);
   /// Answers a request whose key no organisation holds.
