Use one trim, one comparison of field names and a predicate for status lines

The sidecar and balsamwheeld had the same trim, the latter's entrance a wrapper for the comparison; nobody used the status that parsing a line returned; the entrance copied the values of two headers of each request. No change of behaviour.

--- a/src/adapters/caller_http/answer.cpp
+++ b/src/adapters/caller_http/answer.cpp
@@ -1,6 +1,8 @@
 // Builds responses with a complete or a streamed body.
 #include "adapters/caller_http/answer.h"
 
+#include "core/http_syntax.h"
+
 #include <nlohmann/json.hpp>
 
 #include <sys/socket.h>
@@ -26,12 +28,12 @@
     "Content-Length", "Trailer",    "Upgrade",          "Date"};
 
 bool isEndToEnd(std::string_view Name) {
-  if (sameHeaderName(Name.substr(0, BalsamwheelHeaderPrefix.size()),
-                     BalsamwheelHeaderPrefix))
+  if (isSameName(Name.substr(0, BalsamwheelHeaderPrefix.size()),
+                 BalsamwheelHeaderPrefix))
     return false;
   return std::none_of(
       HopByHopHeaders.begin(), HopByHopHeaders.end(),
-      [Name](std::string_view Other) { return sameHeaderName(Name, Other); });
+      [Name](std::string_view Other) { return isSameName(Name, Other); });
 }
 
 void addHeader(MHD_Response *Response, const char *Name,
--- a/src/adapters/caller_http/request_parser.cpp
+++ b/src/adapters/caller_http/request_parser.cpp
@@ -19,16 +19,16 @@
 
 const std::string *findHeader(const RequestHead &Head, std::string_view Name) {
   for (const auto &[Key, Value] : Head.m_Headers)
-    if (sameHeaderName(Key, Name))
+    if (isSameName(Key, Name))
       return &Value;
   return nullptr;
 }
 
-std::vector<std::string> valuesOf(const RequestHead &Head,
-                                  std::string_view Name) {
-  std::vector<std::string> Result;
+std::vector<std::string_view> valuesOf(const RequestHead &Head,
+                                       std::string_view Name) {
+  std::vector<std::string_view> Result;
   for (const auto &[Key, Value] : Head.m_Headers)
-    if (sameHeaderName(Key, Name))
+    if (isSameName(Key, Name))
       Result.push_back(Value);
   return Result;
 }
@@ -187,9 +187,8 @@
   }
 
   std::optional<Refusal> readBodyLength() {
-    const std::vector<std::string> Codings =
-        valuesOf(m_Head, "Transfer-Encoding");
-    const std::vector<std::string> Lengths = valuesOf(m_Head, "Content-Length");
+    const auto Codings = valuesOf(m_Head, "Transfer-Encoding");
+    const auto Lengths = valuesOf(m_Head, "Content-Length");
     if (!Codings.empty()) {
       if (Codings.size() > 1 || !isChunked(Codings.front()))
         return badRequest("the only transfer coding supported is chunked");
@@ -205,8 +204,9 @@
     m_Result.m_BodyLength = parseContentLength(Lengths.front());
     if (!m_Result.m_BodyLength)
       return badRequest("Content-Length is no number");
-    if (std::any_of(Lengths.begin(), Lengths.end(),
-                    [&](const auto &Each) { return Each != Lengths.front(); }))
+    if (std::any_of(Lengths.begin(), Lengths.end(), [&](std::string_view Each) {
+          return Each != Lengths.front();
+        }))
       return badRequest("Content-Length has several values");
     if (*m_Result.m_BodyLength > m_Result.m_MaxBodyBytes)
       return Refusal{.m_Status = StatusTooLarge,
@@ -227,10 +227,6 @@
 
 } // namespace
 
-bool sameHeaderName(std::string_view First, std::string_view Second) {
-  return isSameName(First, Second);
-}
-
 const RequestClass &matchClass(const Service &Target, std::string_view Method,
                                std::string_view Path) {
   const RequestClass *Best = &Target.m_Classes.front();
--- a/src/adapters/caller_http/request_parser.h
+++ b/src/adapters/caller_http/request_parser.h
@@ -64,7 +64,4 @@
 const RequestClass &matchClass(const Service &Target, std::string_view Method,
                                std::string_view Path);
 
-/// Compares header names, ignoring case. Complexity: linear.
-bool sameHeaderName(std::string_view First, std::string_view Second);
-
 } // namespace balsamwheel::caller_http
--- a/src/adapters/http_client/answer_head.cpp
+++ b/src/adapters/http_client/answer_head.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-std::string_view trimBlanks(std::string_view Text) {
-  const std::size_t First = Text.find_first_not_of(" \t");
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
-}
-
 std::string_view withoutLineEnding(std::string_view Line) {
   if (Line.ends_with('\n'))
     Line.remove_suffix(1);
@@ -37,7 +30,7 @@
   m_MayHaveCoding = Line.starts_with("HTTP/1.1");
   m_HasCoding = false;
   m_Length.reset();
-  return parseStatusLine(Line).has_value();
+  return isStatusLine(Line);
 }
 
 bool AnswerHead::addField(std::string_view Line) {
--- a/src/core/http_syntax.h
+++ b/src/core/http_syntax.h
@@ -16,22 +16,29 @@
   return Status >= 100 && Status <= 599 && Status != 101;
 }
 
-/// Parses a status line without its line ending.
-///
-/// \returns its status; none if the line or the status is invalid.
-inline std::optional<unsigned> parseStatusLine(std::string_view Line) {
+/// Whether \p Line, without its line ending, is a status line of HTTP/1.0 or
+/// HTTP/1.1 with a status that an answer may have.
+inline bool isStatusLine(std::string_view Line) {
   constexpr std::size_t VersionSize = std::string_view("HTTP/1.1 ").size();
   constexpr std::size_t StatusEnd = VersionSize + 3;
   if (!Line.starts_with("HTTP/1.1 ") && !Line.starts_with("HTTP/1.0 "))
-    return std::nullopt;
+    return false;
   const std::string_view Digits = Line.substr(VersionSize, 3);
   unsigned Status = 0;
   const auto [End, Error] =
       std::from_chars(Digits.begin(), Digits.end(), Status);
-  const bool Valid = Digits.size() == 3 && Error == std::errc() &&
-                     End == Digits.end() && isAnswerStatus(Status) &&
-                     (Line.size() == StatusEnd || Line[StatusEnd] == ' ');
-  return Valid ? std::optional(Status) : std::nullopt;
+  return Digits.size() == 3 && Error == std::errc() && End == Digits.end() &&
+         isAnswerStatus(Status) &&
+         (Line.size() == StatusEnd || Line[StatusEnd] == ' ');
+}
+
+/// Removes the blanks around a field's value.
+inline std::string_view trimBlanks(std::string_view Text) {
+  constexpr std::string_view Blanks = " \t";
+  const std::size_t First = Text.find_first_not_of(Blanks);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
 }
 
 /// Whether \p Text is a token, i.e. valid as the name of a field.
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -25,13 +25,6 @@
   return {Text.data(), Text.size()};
 }
 
-std::string_view trim(std::string_view Text) {
-  const std::size_t First = Text.find_first_not_of(" \t");
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
-}
-
 template <typename FieldsT> HttpHeaders copyHeaders(const FieldsT &Fields) {
   HttpHeaders Result;
   for (const auto &Field : Fields)
@@ -165,7 +158,7 @@
   std::string_view Rest = Value;
   while (!Rest.empty()) {
     const std::size_t Comma = Rest.find(',');
-    const std::string_view Token = trim(Rest.substr(0, Comma));
+    const std::string_view Token = trimBlanks(Rest.substr(0, Comma));
     if (!Token.empty())
       remove(Token);
     Rest = Comma == std::string_view::npos ? std::string_view()
