Tests: share the configuration of calls for keys and the start of requests

unit-endless-answers and unit-router-stop had copies of what unit-router-grants and the rig do; the rig's deadline can be set. The checks are the same.

--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -151,6 +151,15 @@
     m_Rows.put(TableName::Operators, "config", configuration(Version, Extra));
   }
 
+  /// Like configure(), with keys that are granted by calls.
+  void configureCalls(int Version) {
+    std::string Text = configuration(Version);
+    const std::string Keyed = "\"Sharded\":true";
+    Text.replace(Text.find(Keyed), Keyed.size(),
+                 Keyed + ",\"Grants\":\"direct\"");
+    m_Rows.put(TableName::Operators, "config", Text);
+  }
+
   /// Runs the event loop until \p Done returns true, for at most ten seconds.
   /// \returns whether it did.
   bool runUntil(const std::function<bool()> &Done) {
@@ -173,14 +182,14 @@
   start(Instance &Entrance, const std::string &Path, const std::string &Method,
         int Key = -1, const std::string &Id = "",
         const std::string &Body = "") {
-    HttpCall Call{.m_Timeout = 5s};
+    HttpCall Call{.m_Timeout = m_Deadline + 2s};
     Call.m_Request = {.m_Method = Method, .m_Target = Path, .m_Body = Body};
     HttpHeaders &Headers = Call.m_Request.m_Headers;
     Headers.add("Host", "h");
     ++m_LastRequestId;
     Headers.add("X-Request-Id",
                 Id.empty() ? "id" + std::to_string(m_LastRequestId) : Id);
-    Headers.add("X-Deadline-Ms", "3000");
+    Headers.add("X-Deadline-Ms", std::to_string(m_Deadline.count()));
     if (Key >= 0)
       Headers.add("X-Shard-Key", std::to_string(Key));
     if (!m_ApiKey.empty())
@@ -246,6 +255,8 @@
   int m_LastRequestId = 0;
   /// Sent with each request unless empty.
   std::string m_ApiKey;
+  /// Sent with each request.
+  std::chrono::milliseconds m_Deadline = 3s;
   HttpClient::CallId m_LastCall;
 };
 
--- a/tests/unit-endless-answers.cpp
+++ b/tests/unit-endless-answers.cpp
@@ -161,11 +161,7 @@
     Settings.m_Target = *Endpoint::fromText(Server.address());
     Settings.m_SystemStart = true;
   });
-  std::string Text = configuration(1);
-  const std::string Keyed = "\"Sharded\":true";
-  Text.replace(Text.find(Keyed), Keyed.size(),
-               Keyed + ",\"Grants\":\"direct\"");
-  Rig.m_Rows.put(TableName::Operators, "config", Text);
+  Rig.configureCalls(1);
   REQUIRE(Rig.runUntil([&] {
     A.sendHeartbeat();
     return Server.bytesSent() > 0;
--- a/tests/unit-router-grants.cpp
+++ b/tests/unit-router-grants.cpp
@@ -44,14 +44,6 @@
   std::atomic<bool> m_Refuse = false;
 };
 
-void configureCalls(Rig &Rig) {
-  std::string Text = configuration(1);
-  const std::string Keyed = "\"Sharded\":true";
-  Text.replace(Text.find(Keyed), Keyed.size(),
-               Keyed + ",\"Grants\":\"direct\"");
-  Rig.m_Rows.put(TableName::Operators, "config", Text);
-}
-
 void waitUntilKeyServed(Rig &Rig, Instance &Entrance) {
   for (int Try = 0; Try < 100; ++Try) {
     Entrance.sendHeartbeat();
@@ -68,7 +60,7 @@
   Rig Rig;
   Instance &A = Rig.add("a", "keyed");
   const KeyedTarget Keyed(A.m_Target);
-  configureCalls(Rig);
+  Rig.configureCalls(1);
   waitUntilKeyServed(Rig, A);
   CHECK(Keyed.m_Grants >= 1);
   CHECK_FALSE(A.sendHeartbeat().m_Grants);
@@ -79,7 +71,7 @@
   Rig Rig;
   Instance &A = Rig.add("a", "keyed");
   KeyedTarget Keyed(A.m_Target);
-  configureCalls(Rig);
+  Rig.configureCalls(1);
   waitUntilKeyServed(Rig, A);
   const int Grants = Keyed.m_Grants;
   const int Requests = Keyed.m_Requests;
@@ -96,7 +88,7 @@
   Rig Rig;
   Instance &A = Rig.add("a", "keyed");
   const KeyedTarget Keyed(A.m_Target);
-  configureCalls(Rig);
+  Rig.configureCalls(1);
   waitUntilKeyServed(Rig, A);
   A.m_Target.crash();
   Rig.runFor(700ms);
--- a/tests/unit-router-stop.cpp
+++ b/tests/unit-router-stop.cpp
@@ -87,19 +87,11 @@
       return RawReply{.m_Silent = true};
     };
     m_ArrivedBefore = m_Other.m_Target.m_Arrivals;
+    m_Rig.m_Deadline = 30s;
   }
 
   std::shared_ptr<std::optional<HttpCallResult>> send(Instance &Entrance) {
-    HttpCall Call{.m_Timeout = 30s};
-    Call.m_Request = {.m_Method = "POST", .m_Target = "/long/1"};
-    Call.m_Request.m_Headers.add("Host", "h");
-    Call.m_Request.m_Headers.add("X-Request-Id", std::to_string(++m_LastId));
-    Call.m_Request.m_Headers.add("X-Deadline-Ms", "30000");
-    auto Result = std::make_shared<std::optional<HttpCallResult>>();
-    Entrance.m_Callers->call(std::move(Call), [Result](HttpCallResult Done) {
-      *Result = std::move(Done);
-    });
-    return Result;
+    return m_Rig.start(Entrance, "/long/1", "POST");
   }
 
   /// Requests that the target has got since the start.
@@ -114,7 +106,6 @@
   Instance &m_Stopping;
   Instance &m_Other;
   int m_ArrivedBefore = 0;
-  int m_LastId = 0;
 };
 
 } // namespace
