Bind the callbacks of a key coordinator to its lifetime

Cause: the coordinator of a service that is no longer divided by key is destroyed at once, but its commits had given the table a callback with a bare `this`, as had the tasks that it posts. Ruled out: its timers, which its destructor cancels, and the callbacks of the router, which lives as long as the process.

CallbackGuard, a member of the object that a callback refers to, makes the callback do nothing once the object is gone.

--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -84,7 +84,7 @@
   m_Map = std::move(Map);
   if (m_Map)
     m_Planner.observe(*m_Map, m_Loop.now());
-  m_Loop.post([this] { update(); });
+  m_Loop.post(m_Guard.bind([this] { update(); }));
 }
 
 void KeyCoordinator::onTableRead(StoreEra Era) {
@@ -93,7 +93,7 @@
   if (m_ReadEra == Era)
     return;
   m_ReadEra = Era;
-  m_Loop.post([this] { update(); });
+  m_Loop.post(m_Guard.bind([this] { update(); }));
 }
 
 bool KeyCoordinator::awaitsConfirmation() const {
@@ -237,13 +237,13 @@
   ++m_Commits;
   const TimePoint StartedAt = m_Loop.refreshNow();
   const bool HadWrite = Value.has_value();
-  m_Table.commit(
-      {.m_Key = keyMapRow({.m_Service = m_Service, .m_Era = Era}),
-       .m_Expected = Expected,
-       .m_Value = std::move(Value)},
-      [this, Era, StartedAt, HadWrite](const TableServiceReply &Reply) {
-        onCommitReply(Reply, Era, StartedAt, HadWrite);
-      });
+  m_Table.commit({.m_Key = keyMapRow({.m_Service = m_Service, .m_Era = Era}),
+                  .m_Expected = Expected,
+                  .m_Value = std::move(Value)},
+                 m_Guard.bind([this, Era, StartedAt,
+                               HadWrite](const TableServiceReply &Reply) {
+                   onCommitReply(Reply, Era, StartedAt, HadWrite);
+                 }));
 }
 
 void KeyCoordinator::onCommitReply(const TableServiceReply &Reply, StoreEra Era,
--- a/src/router/key_coordinator.h
+++ b/src/router/key_coordinator.h
@@ -28,6 +28,8 @@
 #include "table_service.h"
 #include "target_agent.h"
 
+#include "core/callback_guard.h"
+
 #include "balsamwheel/detail/keyspace/key_planner.h"
 
 namespace balsamwheel {
@@ -200,6 +202,9 @@
   std::uint64_t m_Commits = 0;
   EventLoop::TimerId m_Timer;
   EventLoop::TimerId m_ConfirmTimer;
+  /// Of the callbacks of commits and posted tasks: the coordinator ends with
+  /// its service, at any time.
+  CallbackGuard m_Guard;
 };
 
 } // namespace balsamwheel
--- a/tests/fake_table_service.h
+++ b/tests/fake_table_service.h
@@ -135,7 +135,15 @@
       return reply(Done, {.m_CallOutcome = TableCallOutcome::Unanswered,
                           .m_Error = "no answer in time"});
     }
-    reply(Done, perform(std::move(Commit)));
+    TableServiceReply Reply = perform(std::move(Commit));
+    if (m_CommitDelay == Duration::zero())
+      return reply(Done, std::move(Reply));
+    ++m_CommitsInProgress;
+    m_Rows.m_Loop.after(m_CommitDelay, [this, Done = std::move(Done),
+                                        Reply = std::move(Reply)] {
+      --m_CommitsInProgress;
+      Done(Reply);
+    });
   }
 
   /// Performs the commits that were left unanswered, if their conditions still
@@ -148,6 +156,10 @@
   bool m_Unreachable = false;
   /// How long the replies to watches are on the way.
   Duration m_ReplyDelay{0};
+  /// How long the replies to commits are on the way.
+  Duration m_CommitDelay{0};
+  /// Commits whose delayed replies are still on the way.
+  int m_CommitsInProgress = 0;
   /// The next watch is told that the history it asks for has been dropped.
   bool m_HistoryLost = false;
   int m_OperatorsReads = 0;
