End calls without a socket only once

A call for which no socket could be opened called back although it had been cancelled, or its client had been destroyed: the daemon would end by an uncaught exception in TargetAgent::callEnded(), or use freed memory. Found by reading, not seen in a deployment.

Cause: the posted task that ends such a call held its callback, and the call was in no list any more, so that cancel(), isUnsent() and reset() didn't find it.

Such calls now wait in a list of their own, and the posted tasks of a client end with it.

The new test failed before in its three parts and passes now, as do the other tests of unit-http-loop.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -264,12 +264,8 @@
       auto Opened = std::make_unique<HttpClientConnection>(*this, m_Loop);
       ++m_ConnectionsOpened;
       if (!Opened->connect(m_Server)) {
-        const PendingCall Failed = std::move(m_Queue.front());
-        m_Queue.pop_front();
-        m_Loop.post([Done = Failed.m_Done] {
-          Done({.m_CallOutcome = HttpCallOutcome::NotSent,
-                .m_Error = "no socket"});
-        });
+        m_WithoutSocket.splice(m_WithoutSocket.end(), m_Queue, m_Queue.begin());
+        m_Loop.post(m_Guard.bind([this] { endWithoutSocket("no socket"); }));
         continue;
       }
       m_Connections.push_front(std::move(Opened));
@@ -281,6 +277,14 @@
   }
 }
 
+void HttpClient::endWithoutSocket(const char *Why) {
+  if (m_WithoutSocket.empty())
+    return;
+  const PendingCall Ended = std::move(m_WithoutSocket.front());
+  m_WithoutSocket.pop_front();
+  Ended.m_Done({.m_CallOutcome = HttpCallOutcome::NotSent, .m_Error = Why});
+}
+
 void HttpClient::closeLongestIdle() {
   HttpClientConnection *Longest = nullptr;
   for (const auto &Connection : m_Connections)
@@ -301,9 +305,11 @@
 }
 
 void HttpClient::cancel(CallId Call) {
-  if (std::erase_if(m_Queue, [&](const PendingCall &Queued) {
-        return Queued.m_Id == Call;
-      }) > 0)
+  const auto IsCall = [&](const PendingCall &Each) {
+    return Each.m_Id == Call;
+  };
+  if (std::erase_if(m_Queue, IsCall) + std::erase_if(m_WithoutSocket, IsCall) >
+      0)
     return;
   for (const auto &Connection : m_Connections)
     if (Connection->callId() == Call)
@@ -311,27 +317,29 @@
 }
 
 bool HttpClient::isUnsent(CallId Call) const {
-  const auto Queued =
-      std::any_of(m_Queue.begin(), m_Queue.end(),
-                  [&](const PendingCall &Each) { return Each.m_Id == Call; });
-  return Queued || std::any_of(m_Connections.begin(), m_Connections.end(),
-                               [&](const auto &Connection) {
-                                 return Connection->callId() == Call &&
-                                        !Connection->requestSent();
-                               });
+  const auto Contains = [&](const std::list<PendingCall> &Calls) {
+    return std::any_of(
+        Calls.begin(), Calls.end(),
+        [&](const PendingCall &Each) { return Each.m_Id == Call; });
+  };
+  return Contains(m_Queue) || Contains(m_WithoutSocket) ||
+         std::any_of(m_Connections.begin(), m_Connections.end(),
+                     [&](const auto &Connection) {
+                       return Connection->callId() == Call &&
+                              !Connection->requestSent();
+                     });
 }
 
 void HttpClient::reset() {
-  std::list<PendingCall> Unsent;
-  Unsent.swap(m_Queue);
+  m_WithoutSocket.splice(m_WithoutSocket.end(), m_Queue);
   std::vector<HttpClientConnection *> All;
   for (const auto &Connection : m_Connections)
     All.push_back(Connection.get());
   for (HttpClientConnection *Connection : All)
     Connection->fail(HttpCallOutcome::Broken, "the endpoint was given up");
-  for (const PendingCall &Call : Unsent)
-    Call.m_Done({.m_CallOutcome = HttpCallOutcome::NotSent,
-                 .m_Error = "the endpoint was given up"});
+  // Their callbacks may cancel others of these calls, or add new ones.
+  for (std::size_t Left = m_WithoutSocket.size(); Left > 0; --Left)
+    endWithoutSocket("the endpoint was given up");
 }
 
 void HttpClient::remove(HttpClientConnection *Connection) {
@@ -342,7 +350,7 @@
     return;
   m_Loop.destroyLater(std::move(*Found));
   m_Connections.erase(Found);
-  m_Loop.post([this] { dispatch(); });
+  m_Loop.post(m_Guard.bind([this] { dispatch(); }));
 }
 
 } // namespace balsamwheel
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -5,6 +5,8 @@
 #include "http_message.h"
 #include "stream.h"
 
+#include "core/callback_guard.h"
+
 #include <list>
 #include <memory>
 
@@ -76,8 +78,8 @@
 
 /// Calls wait in order while all connections are busy.
 ///
-/// Invariants: each call ends exactly once, by its callback or by cancel(); no
-/// connection carries two calls with the same id.
+/// Invariants: each call ends exactly once, by its callback, by cancel() or by
+/// the client's destruction; no connection carries two calls with the same id.
 class HttpClient {
 public:
   using CallId = StrongId<struct HttpCallIdTag, std::uint64_t>;
@@ -119,6 +121,8 @@
   /// Closes the connection that has been idle for longest, if any is idle.
   void closeLongestIdle();
   void remove(class HttpClientConnection *Connection);
+  /// Ends the first of the calls that got no socket, if any is left.
+  void endWithoutSocket(const char *Why);
 
   EventLoop &m_Loop;
   Endpoint m_Server;
@@ -126,7 +130,12 @@
   std::uint64_t m_LastCall = 0;
   std::uint64_t m_ConnectionsOpened = 0;
   std::list<PendingCall> m_Queue;
+  /// Calls that got no socket. Their callbacks are called by posted tasks, as
+  /// call() has to return first.
+  std::list<PendingCall> m_WithoutSocket;
   std::list<std::unique_ptr<HttpClientConnection>> m_Connections;
+  /// Of posted tasks: a client ends with its server's incarnation.
+  CallbackGuard m_Guard;
 };
 
 } // namespace balsamwheel
--- a/tests/unit-http-loop.cpp
+++ b/tests/unit-http-loop.cpp
@@ -102,6 +102,50 @@
   CHECK(Result->m_CallOutcome == HttpCallOutcome::NotSent);
 }
 
+namespace {
+
+/// An address to which no connection can be started.
+const Endpoint Unroutable{.m_Host = "255.255.255.255", .m_Port = 1};
+
+} // namespace
+
+// Guards against callbacks of calls that have ended (LOST): the caller may be
+// gone.
+TEST_CASE("a call without a socket called back after it had been cancelled") {
+  EventLoop Loop({.m_MaxSleep = 5ms});
+  std::vector<HttpCallOutcome> Ends;
+  const auto Note = [&](const HttpCallResult &Result) {
+    Ends.push_back(Result.m_CallOutcome);
+  };
+  const auto RunForAWhile = [&] {
+    const TimePoint End = bootNow() + 50ms;
+    runUntil(Loop, [&] { return bootNow() >= End; });
+  };
+  auto Client =
+      std::make_unique<HttpClient>(Loop, Unroutable, HttpClientOptions{});
+  SUBCASE("by cancel()") {
+    const HttpClient::CallId Call = Client->call(makeCall("1"), Note);
+    CHECK(Client->isUnsent(Call));
+    Client->cancel(Call);
+    RunForAWhile();
+    CHECK(Ends.empty());
+  }
+  SUBCASE("by the end of the client") {
+    Client->call(makeCall("1"), Note);
+    Client.reset();
+    RunForAWhile();
+    CHECK(Ends.empty());
+  }
+  SUBCASE("it ends once, by reset() or by itself") {
+    Client->call(makeCall("1"), Note);
+    Client->reset();
+    CHECK(Ends.size() == 1);
+    Client->call(makeCall("2"), Note);
+    RunForAWhile();
+    CHECK(Ends == std::vector(2, HttpCallOutcome::NotSent));
+  }
+}
+
 TEST_CASE("a duplicate answer of an earlier request is dropped") {
   int Requests = 0;
   RawServer Server([&](const std::string &, int) {
