Use one guard for callbacks that may outlive their object

QuotaService and HttpServerConnection had each a pointer of their own that posted tasks and the callbacks of commits checked; CallbackGuard does the same. No change of behaviour; the tests of unit-router-*, unit-http-* and unit-quota-* pass.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -189,15 +189,13 @@
 }
 
 void HttpServerConnection::linger(TimePoint Limit) {
-  m_Loop.after(LingerTime, [this, Limit, Alive = alive()] {
-    if (Alive.expired())
-      return;
+  m_Loop.after(LingerTime, m_Guard.bind([this, Limit] {
     const TimePoint Now = m_Loop.now();
     if (Now >= Limit || Now - m_LastDropped >= LingerTime)
       close();
     else
       linger(Limit);
-  });
+  }));
 }
 
 void HttpServerConnection::close() {
@@ -282,12 +280,10 @@
   if (m_AdvancePosted)
     return;
   m_AdvancePosted = true;
-  m_Loop.post([this, Alive = alive()] {
-    if (Alive.expired())
-      return;
+  m_Loop.post(m_Guard.bind([this] {
     m_AdvancePosted = false;
     advance();
-  });
+  }));
 }
 
 void HttpServerConnection::advance() {
@@ -426,9 +422,7 @@
 
 void HttpServerConnection::checkPaused() {
   m_PausedCheckDue = true;
-  m_Loop.after(PausedCheckInterval, [this, Alive = alive()] {
-    if (Alive.expired())
-      return;
+  m_Loop.after(PausedCheckInterval, m_Guard.bind([this] {
     m_PausedCheckDue = false;
     if (m_Stream.isReading() || !m_Stream.isOpen())
       return;
@@ -436,13 +430,7 @@
       onEnd();
     else
       checkPaused();
-  });
-}
-
-std::weak_ptr<int> HttpServerConnection::alive() {
-  if (!m_Alive)
-    m_Alive = std::make_shared<int>(0);
-  return m_Alive;
+  }));
 }
 
 void HttpServerConnection::noteArrival(std::size_t Bytes) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -4,6 +4,8 @@
 
 #include "http_server.h"
 
+#include "core/callback_guard.h"
+
 #include <deque>
 
 namespace balsamwheel {
@@ -129,8 +131,6 @@
   /// Whether the caller has closed the connection is checked in this way while
   /// nothing is read from it.
   void checkPaused();
-  /// For posted tasks and timers: expires when the connection is destroyed.
-  std::weak_ptr<int> alive();
   void noteArrival(std::size_t Bytes);
   /// Removes \p Bytes from the front of the arrivals.
   /// \returns when the last one of them was received.
@@ -159,8 +159,8 @@
   bool m_SentAhead = false;
   bool m_AdvancePosted = false;
   bool m_PausedCheckDue = false;
-  /// See alive(); null until it is needed.
-  std::shared_ptr<int> m_Alive;
+  /// Of posted tasks and timers.
+  CallbackGuard m_Guard;
 };
 
 } // namespace balsamwheel
--- a/src/router/quota_service.cpp
+++ b/src/router/quota_service.cpp
@@ -79,10 +79,9 @@
   m_LoggedKeepers = {};
   m_DenialLoggedAt.clear();
   for (const auto &[Ticket, Each] : std::exchange(m_Pending, {}))
-    m_Loop.post([Done = Each.m_Done, Alive = std::weak_ptr(m_Alive)] {
-      if (!Alive.expired())
-        Done(QuotaVerdict::Granted, Duration::zero());
-    });
+    m_Loop.post(m_Guard.bind([Done = Each.m_Done] {
+      Done(QuotaVerdict::Granted, Duration::zero());
+    }));
 }
 
 void QuotaService::end() {
@@ -158,12 +157,12 @@
 void QuotaService::onPeerDown() {
   if (!m_Member)
     return;
-  m_Loop.post([this, Alive = std::weak_ptr(m_Alive)] {
-    if (Alive.expired() || !m_Member)
+  m_Loop.post(m_Guard.bind([this] {
+    if (!m_Member)
       return;
     m_Member->update(m_Callbacks.m_UpPeers(), m_Loop.refreshNow());
     work();
-  });
+  }));
 }
 
 QuotaTicket QuotaService::acquire(const OrganisationName &Name, TimePoint Until,
@@ -190,12 +189,10 @@
 void QuotaService::postWork() {
   if (std::exchange(m_WorkPosted, true))
     return;
-  m_Loop.post([this, Alive = std::weak_ptr(m_Alive)] {
-    if (Alive.expired())
-      return;
+  m_Loop.post(m_Guard.bind([this] {
     m_WorkPosted = false;
     work();
-  });
+  }));
 }
 
 void QuotaService::scheduleWork() {
@@ -303,31 +300,29 @@
                                            .value_or(SharesRow())
                                            .m_Revision
                                      : m_Member->shares().row().m_Revision;
-  m_Table.commit(std::move(Commit), [this, Alive = std::weak_ptr(m_Alive),
-                                     Started, Era,
-                                     Checked](const TableServiceReply &Reply) {
-    if (Alive.expired())
-      return;
-    m_Committing = false;
-    const bool Done = Reply.m_CallOutcome == TableCallOutcome::Ok;
-    m_Log.write(
-        LogClass::StateChange,
-        LogLine("quota_shares_commit")
-            .add("revision", static_cast<std::int64_t>(Checked.value()))
-            .add("end", std::int64_t{static_cast<int>(Reply.m_CallOutcome)})
-            .add("error", Reply.m_Error));
-    if (Reply.m_CallOutcome == TableCallOutcome::Conflict)
-      m_Backoff.conflicted(m_Loop.now());
-    m_Callbacks.m_OnEra(Reply.m_Version.m_Era);
-    for (const MirroredRow &Row : Reply.m_Rows)
-      m_Callbacks.m_OnRow(Row);
-    if (!Done || !m_Member || Reply.m_Version.m_Era > Era)
-      return;
-    m_Backoff.succeeded();
-    if (m_Member->shares().row().m_Revision == Checked)
-      m_Member->shares().onTableChecked(Started, Era);
-    postWork();
-  });
+  m_Table.commit(
+      std::move(Commit), m_Guard.bind([this, Started, Era, Checked](
+                                          const TableServiceReply &Reply) {
+        m_Committing = false;
+        const bool Done = Reply.m_CallOutcome == TableCallOutcome::Ok;
+        m_Log.write(
+            LogClass::StateChange,
+            LogLine("quota_shares_commit")
+                .add("revision", static_cast<std::int64_t>(Checked.value()))
+                .add("end", std::int64_t{static_cast<int>(Reply.m_CallOutcome)})
+                .add("error", Reply.m_Error));
+        if (Reply.m_CallOutcome == TableCallOutcome::Conflict)
+          m_Backoff.conflicted(m_Loop.now());
+        m_Callbacks.m_OnEra(Reply.m_Version.m_Era);
+        for (const MirroredRow &Row : Reply.m_Rows)
+          m_Callbacks.m_OnRow(Row);
+        if (!Done || !m_Member || Reply.m_Version.m_Era > Era)
+          return;
+        m_Backoff.succeeded();
+        if (m_Member->shares().row().m_Revision == Checked)
+          m_Member->shares().onTableChecked(Started, Era);
+        postWork();
+      }));
 }
 
 void QuotaService::logKeepers() {
--- a/src/router/quota_service.h
+++ b/src/router/quota_service.h
@@ -12,6 +12,7 @@
 
 #include "balsamwheel/detail/quota/member.h"
 
+#include "core/callback_guard.h"
 #include "link/peer_link.h"
 
 #include <memory>
@@ -156,8 +157,8 @@
   bool m_Ended = false;
   TimePoint m_NextCheck;
   TimePoint m_NextLabels;
-  /// Outlives the callbacks of calls and posted tasks that refer to this.
-  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+  /// Of the callbacks of commits and posted tasks.
+  CallbackGuard m_Guard;
 };
 
 } // namespace balsamwheel
