Withdraw requests from other gates at the end of a stop

Cause: the other daemon knows only the request's own deadline, which lies behind the end of the process.

0.3 s before its last answers the stopping daemon sends a Withdraw for each such request. The other daemon refuses what it hasn't sent to its target, with the usual answer; daemons of earlier versions ignore the frame.

The new test got 504 without the frame and gets 503 with it.

--- a/src/link/link_generated.h
+++ b/src/link/link_generated.h
@@ -72,11 +72,12 @@
   QuotaStamp = 17,
   QuotaAsk = 18,
   QuotaReply = 19,
+  Withdraw = 20,
   MIN = Hello,
-  MAX = QuotaReply
+  MAX = Withdraw
 };
 
-inline const Kind (&EnumValuesKind())[20] {
+inline const Kind (&EnumValuesKind())[21] {
   static const Kind values[] = {
     Kind::Hello,
     Kind::Request,
@@ -97,13 +98,14 @@
     Kind::QuotaLend,
     Kind::QuotaStamp,
     Kind::QuotaAsk,
-    Kind::QuotaReply
+    Kind::QuotaReply,
+    Kind::Withdraw
   };
   return values;
 }
 
 inline const char * const *EnumNamesKind() {
-  static const char * const names[21] = {
+  static const char * const names[22] = {
     "Hello",
     "Request",
     "Answer",
@@ -124,13 +126,14 @@
     "QuotaStamp",
     "QuotaAsk",
     "QuotaReply",
+    "Withdraw",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameKind(Kind e) {
-  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::QuotaReply)) return "";
+  if (flatbuffers::IsOutRange(e, Kind::Hello, Kind::Withdraw)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesKind()[index];
 }
@@ -1101,7 +1104,7 @@
   balsamwheel::link_wire::Kind kind() const {
     return static_cast<balsamwheel::link_wire::Kind>(GetField<uint8_t>(VT_KIND, 0));
   }
-  /// Pairs a request with its answer and its cancellation.
+  /// Pairs a request with its answer, its cancellation and its withdrawal.
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
   }
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -12,6 +12,8 @@
 /// Requests aren't held for an owner whose daemon has been unreachable for
 /// longer.
 constexpr Duration MaxOwnerOutage = std::chrono::milliseconds(700);
+/// For the way of a withdrawal to another daemon and of its answer.
+constexpr Duration WithdrawalTime = std::chrono::milliseconds(300);
 /// Statuses for callers whose request failed without proof that it hasn't run.
 constexpr unsigned BadGateway = 502;
 constexpr unsigned GatewayTimeout = 504;
@@ -495,13 +497,25 @@
 
 void Entrance::answerAllBy(TimePoint Limit) {
   m_LatestDeadline = Limit;
+  std::vector<std::pair<Id, std::uint64_t>> PassedOn;
   for (auto &[Request, Entry] : m_Active) {
     if (Entry.m_Deadline <= Limit)
       continue;
     Entry.m_Deadline = Limit;
     m_Loop.cancel(Entry.m_DeadlineTimer);
     startDeadlineTimer(Request, Entry);
+    if (Entry.m_Stream != 0)
+      PassedOn.emplace_back(Request, Entry.m_Stream);
   }
+  m_Loop.after(std::max(Limit - WithdrawalTime - m_Loop.now(), Duration()),
+               [this, PassedOn = std::move(PassedOn)] {
+                 for (const auto &[Request, Stream] : PassedOn) {
+                   const auto Found = m_Active.find(Request);
+                   if (Found != m_Active.end() &&
+                       Found->second.m_Stream == Stream)
+                     m_Mesh.withdraw(Found->second.m_Destination, Stream);
+                 }
+               });
 }
 
 void Entrance::timedOut(Id Request) {
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -84,6 +84,9 @@
   /// The process will exit: no request, present or new, is answered later than
   /// \p Limit. Where it waits, it is refused while there is time for the
   /// answer; one that is running then gets an error.
+  ///
+  /// Other daemons know only the later deadlines of the present requests. Those
+  /// that still wait there are withdrawn shortly before \p Limit.
   void answerAllBy(TimePoint Limit);
   /// New requests are refused from now on: the process is about to exit.
   void refuseNew() { m_RefuseNew = true; }
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -245,6 +245,18 @@
       m_Events.m_OnCancel(LinkId, Frame.stream);
     return;
   }
+  case LinkFrameKind::Withdraw: {
+    const auto Unread =
+        std::find_if(Remote.m_Arrived.begin(), Remote.m_Arrived.end(),
+                     [&](const ArrivedRequest &Each) {
+                       return Each.m_Frame->stream == Frame.stream;
+                     });
+    if (Unread == Remote.m_Arrived.end())
+      return m_Events.m_OnWithdraw(LinkId, Frame.stream);
+    // The gate refuses it when it is passed on.
+    Unread->m_Frame->deadline_left = 0;
+    return;
+  }
   case LinkFrameKind::Ping: {
     LinkFrame Pong;
     Pong.kind = LinkFrameKind::Pong;
@@ -441,6 +453,16 @@
   sendTo(Found->second, Frame);
 }
 
+void PeerMesh::withdraw(const InstanceName &Name, std::uint64_t Stream) {
+  auto Found = m_Peers.find(Name);
+  if (Found == m_Peers.end() || !Found->second.m_Pending.contains(Stream))
+    return;
+  LinkFrame Frame;
+  Frame.kind = LinkFrameKind::Withdraw;
+  Frame.stream = Stream;
+  sendTo(Found->second, Frame);
+}
+
 void PeerMesh::answer(std::uint64_t LinkId, const LinkFrame &Frame,
                       std::string_view Body) {
   auto Found = m_Inbound.find(LinkId);
--- a/src/router/peer_mesh.h
+++ b/src/router/peer_mesh.h
@@ -71,6 +71,8 @@
   std::function<void(std::uint64_t LinkId, std::uint64_t Stream)>
       m_OnRequestWithoutRoom;
   std::function<void(std::uint64_t LinkId, std::uint64_t Stream)> m_OnCancel;
+  /// A peer's request is to be refused if it hasn't begun.
+  std::function<void(std::uint64_t LinkId, std::uint64_t Stream)> m_OnWithdraw;
   /// A peer's connection has ended: its requests are to be cancelled.
   std::function<void(std::uint64_t LinkId)> m_OnInboundClosed;
   std::function<void(const InstanceName &, const LinkFrame &)> m_OnReport;
@@ -157,6 +159,9 @@
   std::uint64_t request(const InstanceName &Peer, LinkFrame Frame,
                         const HttpBody &Body, OnReply Done);
   void cancel(const InstanceName &Peer, std::uint64_t Stream);
+  /// Asks for the refusal of a request that hasn't begun. It is answered in any
+  /// case; a peer of an earlier version goes on as before.
+  void withdraw(const InstanceName &Peer, std::uint64_t Stream);
   void answer(std::uint64_t LinkId, const LinkFrame &Frame,
               std::string_view Body);
   /// Like answer(), but large answers are sent one after the other.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -156,6 +156,12 @@
                  if (auto Job = m_PeerJobs.extract({Link, Stream}))
                    cancelPeerJob(Job.mapped());
                },
+           .m_OnWithdraw =
+               [this](std::uint64_t Link, std::uint64_t Stream) {
+                 const auto Job = m_PeerJobs.find({Link, Stream});
+                 if (Job != m_PeerJobs.end())
+                   m_Agent.withdraw(Job->second);
+               },
            .m_OnInboundClosed =
                [this](std::uint64_t Link) {
                  while (true) {
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -472,6 +472,15 @@
                    std::move(Result))] { Done(std::move(*JobResult)); });
 }
 
+void TargetAgent::withdraw(JobId Id) {
+  const auto Found = m_Jobs.find(Id);
+  if (Found == m_Jobs.end() || Found->second.m_Sent)
+    return;
+  m_Gate.withdraw(Id);
+  std::erase(m_AwaitingGrant, Id);
+  refuseWaiting(Id, "withdrawn", Reason::DeadlinePassed, m_Gate.meanService());
+}
+
 CancelledAttempt TargetAgent::cancel(JobId Id) {
   auto Found = m_Jobs.find(Id);
   if (Found == m_Jobs.end())
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -152,6 +152,8 @@
   /// Cancels a job whose caller has left or whose deadline has passed; its
   /// callback isn't called. A non-idempotent request that was sent continues.
   CancelledAttempt cancel(JobId Job);
+  /// Refuses a job that hasn't been sent to the target; others go on.
+  void withdraw(JobId Job);
   /// Sends the requests whose keys the last answered heartbeat has granted.
   void grantsChanged();
 
--- a/tests/unit-router-stop.cpp
+++ b/tests/unit-router-stop.cpp
@@ -129,6 +129,25 @@
   CHECK(Rig.arrivals() == 4);
 }
 
+// Guards against a 504, after which no unsafe request may be repeated, for a
+// request that never began.
+TEST_CASE("a request that was passed on before a stop and never began was "
+          "answered 504") {
+  StopRig Rig;
+  for (int I = 0; I < 4; ++I)
+    Rig.send(Rig.m_Other);
+  REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() == 4; }));
+  const auto Waiting = Rig.send(Rig.m_Stopping);
+  Rig.m_Rig.runFor(200ms);
+  CHECK_FALSE(Waiting->has_value());
+  Rig.m_Stopping.m_Router->beginStop();
+  Rig.runUntilStopped(Rig.m_Stopping);
+  REQUIRE(Waiting->has_value());
+  REQUIRE((*Waiting)->m_CallOutcome == HttpCallOutcome::Answered);
+  CHECK((*Waiting)->m_Answer.m_Status == 503);
+  CHECK(Rig.arrivals() == 4);
+}
+
 TEST_CASE("requests that wait at a stopping router's own gate are refused") {
   StopRig Rig;
   for (int I = 0; I < 4; ++I)
