Check the answers of other daemons as those of targets

A daemon of an earlier version could pass on an answer with the status 000, 600 or 999: the caller got it, or no final answer. An outcome of a later version counted as "not run", after which a caller may repeat an unsafe request that has run.

Cause: the entrance took status and outcome from a peer's frame without a check.

An answer now counts only with a known outcome and, if the request ran, with a status of 200 to 599; any other is treated as broken off by the target.

--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -1,6 +1,7 @@
 // Handling of a caller's request, from reading it to its one answer.
 #include "entrance.h"
 
+#include "core/http_syntax.h"
 #include "link/frame_headers.h"
 
 #include <algorithm>
@@ -17,6 +18,8 @@
 /// Statuses for callers whose request failed without proof that it hasn't run.
 constexpr unsigned BadGateway = 502;
 constexpr unsigned GatewayTimeout = 504;
+/// Lower ones are of interim answers.
+constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned Unauthorized = 401;
 constexpr unsigned NotFound = 404;
 
@@ -42,6 +45,39 @@
   return Failed ? AttemptEnd::Failed : AttemptEnd::Accepted;
 }
 
+/// Whether a peer's answer has an outcome that this version knows, with a
+/// status that a final answer may have. Peers may be of other versions.
+bool isValid(const LinkFrame &Answer) {
+  if (Answer.outcome != static_cast<std::uint8_t>(Outcome::Done))
+    return Answer.outcome <= static_cast<std::uint8_t>(Outcome::Wait);
+  return Answer.status >= FirstFinalStatus && isAnswerStatus(Answer.status);
+}
+
+TargetJobResult resultOf(PeerReply Reply) {
+  // Without a valid answer the request may have run.
+  TargetJobResult Result{.m_Outcome = Outcome::Unknown,
+                         .m_Reason = Reason::PeerLost,
+                         .m_ReachedTarget = true};
+  if (!Reply.m_Answer)
+    return Result;
+  const LinkFrame &Answer = *Reply.m_Answer;
+  if (!Answer.target_id.empty())
+    Result.m_LeavingTarget = {.m_Id = Answer.target_id,
+                              .m_StartTimeMs = Answer.target_born};
+  if (!isValid(Answer)) {
+    Result.m_Reason = Reason::TargetFailed;
+    return Result;
+  }
+  Result.m_Outcome = static_cast<Outcome>(Answer.outcome);
+  Result.m_Reason = static_cast<Reason>(Answer.reason);
+  Result.m_ReachedTarget = Answer.reached_target;
+  Result.m_RetryAfter = Duration(Answer.retry_after);
+  Result.m_Answer.m_Status = Answer.status;
+  Result.m_Answer.m_Headers = headersOf(Answer);
+  Result.m_Answer.m_Body = std::move(Reply.m_Body);
+  return Result;
+}
+
 } // namespace
 
 Entrance::Entrance(EventLoop &Loop, EventLog &Log,
@@ -332,29 +368,11 @@
     Frame.key = *Entry.m_Metadata.m_Key;
   Frame.objective_left = micros(Entry.m_Objective - Now);
   Frame.deadline_left = micros(Entry.m_Deadline - Now);
-  Entry.m_Stream = m_Mesh.request(
-      Destination, std::move(Frame), Entry.m_Request.m_Body,
-      [this, Request](PeerReply Reply) {
-        TargetJobResult Result;
-        if (!Reply.m_Answer) {
-          Result.m_Outcome = Outcome::Unknown;
-          Result.m_Reason = Reason::PeerLost;
-          Result.m_ReachedTarget = true;
-          return attemptEnded(Request, std::move(Result));
-        }
-        const LinkFrame &AnswerFrame = *Reply.m_Answer;
-        Result.m_Outcome = static_cast<Outcome>(AnswerFrame.outcome);
-        Result.m_Reason = static_cast<Reason>(AnswerFrame.reason);
-        Result.m_ReachedTarget = AnswerFrame.reached_target;
-        Result.m_RetryAfter = Duration(AnswerFrame.retry_after);
-        if (!AnswerFrame.target_id.empty())
-          Result.m_LeavingTarget = {.m_Id = AnswerFrame.target_id,
-                                    .m_StartTimeMs = AnswerFrame.target_born};
-        Result.m_Answer.m_Status = AnswerFrame.status;
-        Result.m_Answer.m_Headers = headersOf(AnswerFrame);
-        Result.m_Answer.m_Body = std::move(Reply.m_Body);
-        attemptEnded(Request, std::move(Result));
-      });
+  Entry.m_Stream =
+      m_Mesh.request(Destination, std::move(Frame), Entry.m_Request.m_Body,
+                     [this, Request](PeerReply Reply) {
+                       attemptEnded(Request, resultOf(std::move(Reply)));
+                     });
   if (Entry.m_Stream == 0)
     m_Loop.post([this, Request] {
       attemptEnded(Request, {.m_Outcome = Outcome::NotRun,
--- a/tests/unit-router-peers.cpp
+++ b/tests/unit-router-peers.cpp
@@ -66,6 +66,56 @@
   CHECK(Rig.runUntil([&] { return ClosedCount > 0; }));
 }
 
+// Guards against a caller that gets a status of 000, or waits until its
+// deadline (MIXED): a daemon of an earlier version may pass such an answer on.
+TEST_CASE("an invalid status in a peer's answer reached the caller") {
+  Rig Rig;
+  Instance &Local = Rig.add("a", "keyed");
+  const Endpoint Address = freeEndpoint();
+  LinkFrame Answer;
+  Answer.kind = LinkFrameKind::Answer;
+  std::vector<std::unique_ptr<PeerLink>> Links;
+  Acceptor Peer(Rig.m_Loop, [&](ACE_HANDLE Handle) {
+    const std::size_t Index = Links.size();
+    Links.push_back(std::make_unique<PeerLink>(
+        Rig.m_Loop,
+        PeerLinkEvents{.m_OnFrame =
+                           [&, Index](auto Frame, const LinkBody &) {
+                             if (Frame->kind != LinkFrameKind::Request)
+                               return;
+                             Answer.stream = Frame->stream;
+                             Links[Index]->send(Answer);
+                           },
+                       .m_OnEnd = [](const char *) {}}));
+    REQUIRE(Links.back()->adopt(Handle));
+    LinkFrame Report;
+    Report.kind = LinkFrameKind::Report;
+    Report.gate = std::make_unique<link_wire::GateStateT>();
+    Report.gate->slots = 4;
+    Report.target_id = "t";
+    Links.back()->send(Report);
+  });
+  REQUIRE(Peer.listen(Address));
+  Rig.m_Rows.put(TableName::Own, "member/b",
+                 R"({"address":")" + Address.toText() +
+                     R"(","domain":"d","service":"plain"})");
+  Rig.configure(1);
+  Answer.status = 200;
+  Answer.reached_target = true;
+  Rig.waitUntilServed(Local, "/read/1");
+  for (const std::uint16_t Status : {0, 99, 100, 101, 199, 600, 999, 65535}) {
+    CAPTURE(Status);
+    Answer.status = Status;
+    CHECK(Rig.call(Local, "/write/1", "POST").m_Status == 502);
+  }
+  // An outcome that this version doesn't know proves nothing.
+  Answer.status = 200;
+  Answer.outcome = 200;
+  CHECK(Rig.call(Local, "/write/1", "POST").m_Status == 502);
+  Answer.outcome = static_cast<std::uint8_t>(Outcome::Done);
+  CHECK(Rig.call(Local, "/write/1", "POST").m_Status == 200);
+}
+
 TEST_CASE(
     "a daemon rejects connections meant for the former user of its address") {
   Rig Rig;
