--- a/src/keyspace/hold_ledger.cpp
+++ b/src/keyspace/hold_ledger.cpp
@@ -27,6 +27,10 @@
 /// Removes the keys from \p First to \p Last from all spans.
 void removeKeys(std::vector<ReleasedSpan> &Spans, KeyIndex First,
                 KeyIndex Last) {
+  if (std::none_of(Spans.begin(), Spans.end(), [&](const ReleasedSpan &Each) {
+        return overlaps(Each, First, Last);
+      }))
+    return;
   std::vector<ReleasedSpan> Result;
   for (const ReleasedSpan &Each : Spans) {
     if (!overlaps(Each, First, Last)) {
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -515,7 +515,7 @@
 
 void Entrance::answerAllBy(TimePoint Limit) {
   m_LatestDeadline = Limit;
-  std::vector<std::pair<Id, std::uint64_t>> PassedOn;
+  std::vector<PassedOnRequest> PassedOn;
   for (auto &[Request, Entry] : m_Active) {
     if (Entry.m_Deadline <= Limit)
       continue;
@@ -523,17 +523,18 @@
     m_Loop.cancel(Entry.m_DeadlineTimer);
     startDeadlineTimer(Request, Entry);
     if (Entry.m_Stream != 0)
-      PassedOn.emplace_back(Request, Entry.m_Stream);
+      PassedOn.push_back({.m_Request = Request, .m_Stream = Entry.m_Stream});
   }
   m_Loop.after(std::max(Limit - WithdrawalTime - m_Loop.now(), Duration()),
-               [this, PassedOn = std::move(PassedOn)] {
-                 for (const auto &[Request, Stream] : PassedOn) {
-                   const auto Found = m_Active.find(Request);
-                   if (Found != m_Active.end() &&
-                       Found->second.m_Stream == Stream)
-                     m_Mesh.withdraw(Found->second.m_Destination, Stream);
-                 }
-               });
+               [this, PassedOn = std::move(PassedOn)] { withdraw(PassedOn); });
+}
+
+void Entrance::withdraw(const std::vector<PassedOnRequest> &PassedOn) {
+  for (const PassedOnRequest &Each : PassedOn) {
+    const auto Found = m_Active.find(Each.m_Request);
+    if (Found != m_Active.end() && Found->second.m_Stream == Each.m_Stream)
+      m_Mesh.withdraw(Found->second.m_Destination, Each.m_Stream);
+  }
 }
 
 void Entrance::timedOut(Id Request) {
--- a/src/router/entrance.h
+++ b/src/router/entrance.h
@@ -95,6 +95,12 @@
 
 private:
   using Id = std::uint64_t;
+  /// A request at another daemon.
+  struct PassedOnRequest {
+    Id m_Request = 0;
+    /// Of the attempt.
+    std::uint64_t m_Stream = 0;
+  };
   struct ActiveRequest {
     std::shared_ptr<HttpExchange> m_Exchange;
     std::shared_ptr<const RouteTable> m_Table;
@@ -191,6 +197,8 @@
   /// Cancels the attempt in progress, if any.
   /// \returns whether the request may have reached a target with it.
   bool cancelAttempt(const ActiveRequest &Entry);
+  /// Withdraws those whose attempts are still in progress.
+  void withdraw(const std::vector<PassedOnRequest> &PassedOn);
   /// Starts the timer that ends the request at its deadline.
   void startDeadlineTimer(Id Request, ActiveRequest &Entry);
   /// Answers that the request hasn't run.
