Tests: give each listener a port that nothing else gets

Cause: freeAddress() let the kernel choose a port and freed it, once for the callers and once for the peers of each router.

freeAddress() now counts through ports below those of connections, from a start that differs between processes, and doesn't repeat one before 20,000 others. The tests of the transport use it in place of a copy. No check is changed.

--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -204,11 +205,32 @@
   std::thread m_Thread;
 };
 
-/// Returns "HOST:PORT" with a port that the kernel has chosen and that was
-/// freed just now.
+/// Returns "HOST:PORT" with a port on which nothing listened just now, and
+/// which this process doesn't return again soon.
+///
+/// The kernel gives connections ports from 32768 on by default: one from there
+/// could be taken by another test before something listens on it.
 inline std::string freeAddress() {
-  return RawServer([](const std::string &, int) { return RawReply{}; })
-      .address();
+  constexpr int FirstPort = 12000;
+  constexpr int PortCount = 20000;
+  /// Processes that run at the same time begin at different ports.
+  constexpr int PortsPerProcess = 100;
+  static int Next = getpid() * PortsPerProcess % PortCount;
+  for (int Try = 0; Try < PortCount; ++Try) {
+    const int Port = FirstPort + Next;
+    Next = (Next + 1) % PortCount;
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int Probe = socket(AF_INET, SOCK_STREAM, 0);
+    const bool Free = bind(Probe, reinterpret_cast<sockaddr *>(&Address),
+                           sizeof Address) == 0;
+    close(Probe);
+    if (Free)
+      return "127.0.0.1:" + std::to_string(Port);
+  }
+  throw std::runtime_error("no free port");
 }
 
 /// Returns a whole HTTP answer with a Content-Length.
--- a/tests/unit-peer-transport.cpp
+++ b/tests/unit-peer-transport.cpp
@@ -1,9 +1,8 @@
 // Tests the TCP transport between daemons over loopback sockets.
 #include "adapters/peer_tcp/error.h"
 #include "adapters/peer_tcp/tcp_transport.h"
+#include "support/raw_server.h"
 
-#include <ace/INET_Addr.h>
-#include <ace/SOCK_Acceptor.h>
 #include <doctest/doctest.h>
 
 #include <condition_variable>
@@ -17,17 +16,6 @@
 
 constexpr std::chrono::seconds TestTimeout{10};
 
-/// Returns a loopback address whose port is currently unused.
-PeerAddress freeAddress() {
-  ACE_SOCK_Acceptor Probe;
-  ACE_INET_Addr Any("127.0.0.1:0");
-  REQUIRE(Probe.open(Any) == 0);
-  ACE_INET_Addr Bound;
-  REQUIRE(Probe.get_local_addr(Bound) == 0);
-  Probe.close();
-  return PeerAddress("127.0.0.1:" + std::to_string(Bound.get_port_number()));
-}
-
 /// Collects the messages and lost peers that a transport reports.
 class Inbox {
 public:
@@ -79,8 +67,8 @@
 TEST_CASE("messages arrive in order with the address of their sender") {
   Inbox Left;
   Inbox Right;
-  const PeerAddress LeftAddress = freeAddress();
-  const PeerAddress RightAddress = freeAddress();
+  const PeerAddress LeftAddress(tests::freeAddress());
+  const PeerAddress RightAddress(tests::freeAddress());
   TcpTransport A({.m_Listen = LeftAddress}, Left.handlers());
   TcpTransport B({.m_Listen = RightAddress}, Right.handlers());
   REQUIRE_FALSE(A.start());
@@ -105,8 +93,9 @@
 TEST_CASE("a long message arrives complete") {
   Inbox Left;
   Inbox Right;
-  const PeerAddress RightAddress = freeAddress();
-  TcpTransport A({.m_Listen = freeAddress()}, Left.handlers());
+  const PeerAddress RightAddress(tests::freeAddress());
+  TcpTransport A({.m_Listen = PeerAddress(tests::freeAddress())},
+                 Left.handlers());
   TcpTransport B({.m_Listen = RightAddress}, Right.handlers());
   REQUIRE_FALSE(A.start());
   REQUIRE_FALSE(B.start());
@@ -123,8 +112,9 @@
     "an unreachable peer is reported lost, then reached once it listens") {
   Inbox Left;
   Inbox Right;
-  const PeerAddress RightAddress = freeAddress();
-  TcpTransport A({.m_Listen = freeAddress()}, Left.handlers());
+  const PeerAddress RightAddress(tests::freeAddress());
+  TcpTransport A({.m_Listen = PeerAddress(tests::freeAddress())},
+                 Left.handlers());
   REQUIRE_FALSE(A.start());
   A.send(RightAddress, probe(1));
   REQUIRE(Left.waitForLost());
@@ -140,8 +130,9 @@
 TEST_CASE("after a reset the next message opens a new connection") {
   Inbox Left;
   Inbox Right;
-  const PeerAddress RightAddress = freeAddress();
-  TcpTransport A({.m_Listen = freeAddress()}, Left.handlers());
+  const PeerAddress RightAddress(tests::freeAddress());
+  TcpTransport A({.m_Listen = PeerAddress(tests::freeAddress())},
+                 Left.handlers());
   TcpTransport B({.m_Listen = RightAddress}, Right.handlers());
   REQUIRE_FALSE(A.start());
   REQUIRE_FALSE(B.start());
