Tests: share a stand-in for a peer, and the requests that fill a target

Three tests accepted links and sent reports by hand; PeerStandIn does. Three tests of unit-router-stop filled the target's slots alike. The checks are the same. The silent peer's report now names a target, which the mesh under test doesn't read.

--- a/tests/unit-peer-mesh.cpp
+++ b/tests/unit-peer-mesh.cpp
@@ -1,6 +1,7 @@
 // Detection of lost peers, whatever the interval between reports is.
 #include "router/peer_mesh.h"
 #include "router_rig.h"
+#include "support/peer_stand_in.h"
 
 #include <doctest/doctest.h>
 
@@ -13,20 +14,7 @@
 /// A mesh with the report interval of a large deployment and one peer, which
 /// sends a report on each connection and nothing else.
 struct SilentPeer {
-  SilentPeer()
-      : m_Acceptor(m_Rig.m_Loop, [this](ACE_HANDLE Handle) {
-          m_Links.push_back(std::make_unique<PeerLink>(
-              m_Rig.m_Loop,
-              PeerLinkEvents{.m_OnFrame = [](std::unique_ptr<LinkFrame>,
-                                             const LinkBody &) {},
-                             .m_OnEnd = [](const char *) {}}));
-          m_Links.back()->adopt(Handle);
-          LinkFrame Report;
-          Report.kind = LinkFrameKind::Report;
-          m_Links.back()->send(Report);
-        }) {
-    const Endpoint Address = freeEndpoint();
-    REQUIRE(m_Acceptor.listen(Address));
+  SilentPeer() {
     m_Settings.m_Instance = InstanceName("a");
     m_Settings.m_Peers = freeEndpoint();
     m_Mesh = std::make_unique<PeerMesh>(
@@ -39,7 +27,7 @@
     m_Mesh->setMembers({{.m_Instance = m_Peer,
                          .m_Domain = DomainName("d"),
                          .m_Service = m_Service,
-                         .m_Address = Address}});
+                         .m_Address = m_Remote.address()}});
     REQUIRE(m_Rig.runUntil([&] { return m_Mesh->isUp(m_Peer); }));
   }
 
@@ -47,8 +35,7 @@
   const ServiceName m_Service{"keyed"};
   Rig m_Rig;
   RouterSettings m_Settings;
-  std::vector<std::unique_ptr<PeerLink>> m_Links;
-  Acceptor m_Acceptor;
+  PeerStandIn m_Remote{m_Rig.m_Loop};
   std::unique_ptr<PeerMesh> m_Mesh;
   bool m_Lost = false;
 };
--- a/tests/unit-router-peers.cpp
+++ b/tests/unit-router-peers.cpp
@@ -1,6 +1,7 @@
 // Complete routers on loopback: their connections to each other.
 #include "link/peer_link.h"
 #include "router_rig.h"
+#include "support/peer_stand_in.h"
 
 #include <doctest/doctest.h>
 
@@ -25,45 +26,25 @@
   // The peer's reports arrive, but nothing that is sent to it does.
   Rig Rig;
   Instance &Local = Rig.add("a", "plain");
-  const Endpoint Address = freeEndpoint();
-  int ClosedCount = 0;
   int RequestCount = 0;
-  std::vector<std::unique_ptr<PeerLink>> Links;
-  Acceptor Unresponsive(Rig.m_Loop, [&](ACE_HANDLE Handle) {
-    Links.push_back(std::make_unique<PeerLink>(
-        Rig.m_Loop,
-        PeerLinkEvents{
-            .m_OnFrame =
-                [&](std::unique_ptr<LinkFrame> Frame, const LinkBody &) {
-                  RequestCount += Frame->kind == LinkFrameKind::Request ? 1 : 0;
-                },
-            .m_OnEnd = [&](const char *) { ++ClosedCount; }}));
-    REQUIRE(Links.back()->adopt(Handle));
+  PeerStandIn Unresponsive(Rig.m_Loop, [&](PeerLink &, const LinkFrame &Frame) {
+    RequestCount += Frame.kind == LinkFrameKind::Request ? 1 : 0;
   });
-  REQUIRE(Unresponsive.listen(Address));
   std::function<void()> Report = [&] {
-    LinkFrame Frame;
-    Frame.kind = LinkFrameKind::Report;
-    Frame.gate = std::make_unique<link_wire::GateStateT>();
-    Frame.gate->slots = 4;
-    Frame.target_id = "t";
-    for (const auto &Link : Links)
-      Link->send(Frame);
+    Unresponsive.sendReports();
     Rig.m_Loop.after(100ms, Report);
   };
   Report();
-  Rig.m_Rows.put(TableName::Own, "member/b",
-                 R"({"address":")" + Address.toText() +
-                     R"(","domain":"d","service":"plain"})");
+  Rig.m_Rows.put(TableName::Own, "member/b", Unresponsive.memberRow("plain"));
   Rig.configure(1);
   REQUIRE(Rig.runUntil([&] { return Local.m_Router->ready(); }));
-  REQUIRE(Rig.runUntil([&] { return !Links.empty(); }));
+  REQUIRE(Rig.runUntil([&] { return Unresponsive.accepted() > 0; }));
   for (int Try = 0; Try < 50 && RequestCount == 0; ++Try) {
     Rig.start(Local, "/write/1", "POST");
     Rig.runFor(50ms);
   }
   REQUIRE(RequestCount > 0);
-  CHECK(Rig.runUntil([&] { return ClosedCount > 0; }));
+  CHECK(Rig.runUntil([&] { return Unresponsive.closed() > 0; }));
 }
 
 // Guards against a caller that gets a status of 000, or waits until its
@@ -71,34 +52,16 @@
 TEST_CASE("an invalid status in a peer's answer reached the caller") {
   Rig Rig;
   Instance &Local = Rig.add("a", "keyed");
-  const Endpoint Address = freeEndpoint();
   LinkFrame Answer;
   Answer.kind = LinkFrameKind::Answer;
-  std::vector<std::unique_ptr<PeerLink>> Links;
-  Acceptor Peer(Rig.m_Loop, [&](ACE_HANDLE Handle) {
-    const std::size_t Index = Links.size();
-    Links.push_back(std::make_unique<PeerLink>(
-        Rig.m_Loop,
-        PeerLinkEvents{.m_OnFrame =
-                           [&, Index](auto Frame, const LinkBody &) {
-                             if (Frame->kind != LinkFrameKind::Request)
-                               return;
-                             Answer.stream = Frame->stream;
-                             Links[Index]->send(Answer);
-                           },
-                       .m_OnEnd = [](const char *) {}}));
-    REQUIRE(Links.back()->adopt(Handle));
-    LinkFrame Report;
-    Report.kind = LinkFrameKind::Report;
-    Report.gate = std::make_unique<link_wire::GateStateT>();
-    Report.gate->slots = 4;
-    Report.target_id = "t";
-    Links.back()->send(Report);
-  });
-  REQUIRE(Peer.listen(Address));
-  Rig.m_Rows.put(TableName::Own, "member/b",
-                 R"({"address":")" + Address.toText() +
-                     R"(","domain":"d","service":"plain"})");
+  const PeerStandIn Peer(Rig.m_Loop,
+                         [&](PeerLink &Link, const LinkFrame &Frame) {
+                           if (Frame.kind != LinkFrameKind::Request)
+                             return;
+                           Answer.stream = Frame.stream;
+                           Link.send(Answer);
+                         });
+  Rig.m_Rows.put(TableName::Own, "member/b", Peer.memberRow("plain"));
   Rig.configure(1);
   Answer.status = 200;
   Answer.reached_target = true;
--- a/tests/unit-router-stop.cpp
+++ b/tests/unit-router-stop.cpp
@@ -94,6 +94,13 @@
     return m_Rig.start(Entrance, "/long/1", "POST");
   }
 
+  /// Sends as many requests as the target has slots; it answers none of them.
+  void fillTarget() {
+    for (int I = 0; I < 4; ++I)
+      send(m_Other);
+    REQUIRE(m_Rig.runUntil([&] { return arrivals() == 4; }));
+  }
+
   /// Requests that the target has got since the start.
   int arrivals() const { return m_Other.m_Target.m_Arrivals - m_ArrivedBefore; }
 
@@ -113,9 +120,7 @@
 TEST_CASE("requests taken by a stopping router were cut at another machine's "
           "gate") {
   StopRig Rig;
-  for (int I = 0; I < 4; ++I)
-    Rig.send(Rig.m_Other);
-  REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() == 4; }));
+  Rig.fillTarget();
   Rig.m_Stopping.m_Router->beginStop();
   Rig.m_Rig.runFor(500ms);
   const auto Waiting = Rig.send(Rig.m_Stopping);
@@ -134,9 +139,7 @@
 TEST_CASE("a request that was passed on before a stop and never began was "
           "answered 504") {
   StopRig Rig;
-  for (int I = 0; I < 4; ++I)
-    Rig.send(Rig.m_Other);
-  REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() == 4; }));
+  Rig.fillTarget();
   const auto Waiting = Rig.send(Rig.m_Stopping);
   Rig.m_Rig.runFor(200ms);
   CHECK_FALSE(Waiting->has_value());
@@ -150,9 +153,7 @@
 
 TEST_CASE("requests that wait at a stopping router's own gate are refused") {
   StopRig Rig;
-  for (int I = 0; I < 4; ++I)
-    Rig.send(Rig.m_Other);
-  REQUIRE(Rig.m_Rig.runUntil([&] { return Rig.arrivals() == 4; }));
+  Rig.fillTarget();
   Rig.m_Other.m_Router->beginStop();
   const auto Waiting = Rig.send(Rig.m_Other);
   Rig.runUntilStopped(Rig.m_Other);
