Refuse ids and tokens that can't be encoded

Cause: the id came from the path of the call as it was and became part of an owner in the key map, whose encoding as JSON throws type_error 316; nothing catches it, so that the process ended with SIGABRT. Ruled out: the heartbeat's body, whose strings the JSON parser checks, and the log, which replaces such bytes.

Ids of targets and handover tokens are now a type, ForeignText, that can't be made from a text that isn't UTF-8, has control characters or is longer than 200 bytes. Heartbeats and deregister get 400 for such an id. The same on related paths: a handover token in the header of a target's answer, the id of a target in a peer's report, keys of a peer's rows and its names, and the URL of control calls to balsamwheeld. A key map row with a text that isn't allowed any more stays in use.

Before: "a heartbeat whose id can't be read", "a handover token that can't be read" and "a peer's target with an id that can't be read ended the daemon" threw type_error 316, and "a URL whose bytes can't be read ended the daemon" ended with SIGABRT.

--- a/include/balsamwheel/detail/keyspace/call_hold_ledger.h
+++ b/include/balsamwheel/detail/keyspace/call_hold_ledger.h
@@ -75,8 +75,8 @@
                                       TimePoint Now);
   /// Processes the end of a call.
   /// \param Token handover token of an applied release.
-  void callEnded(CallId Call, HoldCallOutcome Outcome, const std::string &Token,
-                 TimePoint Now);
+  void callEnded(CallId Call, HoldCallOutcome Outcome,
+                 const HandoverToken &Token, TimePoint Now);
   /// The target has refused a request although holds() was true for its key.
   void refuted(KeyIndex Key, TimePoint Now);
 
@@ -110,7 +110,7 @@
     KeyIndex m_First = 0;
     KeyIndex m_Last = 0;
     Epoch m_Fence;
-    std::string m_Token;
+    HandoverToken m_Token;
   };
   /// Keys for which no call is sent until a time.
   struct Delay {
--- a/include/balsamwheel/detail/keyspace/hold_ledger.h
+++ b/include/balsamwheel/detail/keyspace/hold_ledger.h
@@ -45,7 +45,7 @@
   KeyIndex m_Last = 0;
   /// Handover token, with which the next owner can start with a warm state;
   /// empty when there is none.
-  std::string m_HandoverToken;
+  HandoverToken m_HandoverToken;
 
   bool operator==(const ReleasedSpan &) const = default;
 };
@@ -55,7 +55,7 @@
   KeyIndex m_First = 0;
   KeyIndex m_Last = 0;
   Epoch m_Fence;
-  std::string m_HandoverToken;
+  HandoverToken m_HandoverToken;
 };
 
 /// The part of a heartbeat that concerns keys.
--- a/include/balsamwheel/detail/keyspace/key_map.h
+++ b/include/balsamwheel/detail/keyspace/key_map.h
@@ -1,6 +1,7 @@
 // Assignment of keys to owners, for one service that is divided by key.
 #pragma once
 
+#include "balsamwheel/detail/core/foreign_text.h"
 #include "balsamwheel/detail/core/ids.h"
 #include "balsamwheel/detail/platform/table.h"
 
@@ -21,7 +22,7 @@
 /// One run of a target process. A target that restarts is a new incarnation,
 /// with the same id or another one.
 struct TargetIncarnation {
-  std::string m_Id;
+  TargetId m_Id;
   /// Start time in milliseconds since the Unix epoch; orders the incarnations
   /// on one instance.
   std::int64_t m_StartTimeMs = 0;
@@ -64,7 +65,7 @@
   Epoch m_Fence;
   /// Handover token that the present owner got with the keys; empty when the
   /// previous owner was lost.
-  std::string m_HandoverToken;
+  HandoverToken m_HandoverToken;
   /// Version of the row that the revocation was committed to replace: tells two
   /// revocations of the same keys apart. 0 if not SpanState::Revoked.
   RowVersion m_RevokedFrom;
--- a/include/balsamwheel/detail/keyspace/key_planner.h
+++ b/include/balsamwheel/detail/keyspace/key_planner.h
@@ -115,7 +115,7 @@
 /// handover token \p Token: releasing spans pass to their next owners, revoked
 /// spans become free.
 KeyMap completeRelease(const KeyMap &Map, const KeyOwner &Owner, KeyIndex First,
-                       KeyIndex Last, const std::string &Token);
+                       KeyIndex Last, const HandoverToken &Token);
 
 /// First map of an era, from the latest known one of an earlier era. The store
 /// may have lost later ones: no span keeps its state, and the fencing tokens
--- a/src/adapters/http_server/control_server.cpp
+++ b/src/adapters/http_server/control_server.cpp
@@ -3,8 +3,11 @@
 
 #include "adapters/http_server/listen_address.h"
 
+#include "balsamwheel/detail/core/foreign_text.h"
+
 #include <microhttpd.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace balsamwheel::http_server {
@@ -42,6 +45,15 @@
   *State = nullptr;
 }
 
+/// Handlers put the path and the query into texts that have to be UTF-8.
+bool isReadable(const ControlRequest &Request) {
+  return isUtf8(Request.m_Path) &&
+         std::all_of(Request.m_Query.begin(), Request.m_Query.end(),
+                     [](const auto &Each) {
+                       return isUtf8(Each.first) && isUtf8(Each.second);
+                     });
+}
+
 } // namespace
 
 class ControlServer::Impl {
@@ -106,6 +118,8 @@
     }
     if (Current.m_TooLarge)
       return reply(Connection, {413, "text/plain", "body too large\n"});
+    if (!isReadable(Current.m_Request))
+      return reply(Connection, {400, "text/plain", "the URL is no UTF-8\n"});
     return reply(Connection, m_Handle(Current.m_Request));
   }
 
--- a/src/keyspace/call_hold_ledger.cpp
+++ b/src/keyspace/call_hold_ledger.cpp
@@ -148,7 +148,7 @@
 }
 
 void CallHoldLedger::callEnded(CallId Call, HoldCallOutcome Outcome,
-                               const std::string &Token, TimePoint Now) {
+                               const HandoverToken &Token, TimePoint Now) {
   const auto Ended = m_Calls.extract(Call);
   if (Ended.empty())
     return;
--- a/src/keyspace/key_map.cpp
+++ b/src/keyspace/key_map.cpp
@@ -25,7 +25,8 @@
     const auto [Found, Added] =
         m_Indices.try_emplace(Owner, static_cast<int>(m_Indices.size()));
     if (Added)
-      m_Encoded.push_back({Owner.m_Instance.value(), Owner.m_Target.m_Id,
+      m_Encoded.push_back({Owner.m_Instance.value(),
+                           Owner.m_Target.m_Id.value(),
                            Owner.m_Target.m_StartTimeMs});
     return Found->second;
   }
@@ -47,7 +48,7 @@
     Encoded.push_back(
         {Span.m_First, Span.m_Last, static_cast<int>(Span.m_State),
          Owners.indexOf(Span.m_Owner), Owners.indexOf(Span.m_NextOwner),
-         Span.m_Fence.value(), Span.m_HandoverToken});
+         Span.m_Fence.value(), Span.m_HandoverToken.value()});
   }
   json Result{{"last_fence", LastFence},
               {"owners", std::move(Owners.encoded())},
@@ -62,6 +63,13 @@
   std::uint64_t m_LastFence = 0;
 };
 
+/// Reads an identifier or token. One that this version doesn't allow counts as
+/// none: the keys of an owner without an id are revoked like those of a lost
+/// one, and the rest of the map stays in use.
+template <typename Text> Text decodeText(const json &Value) {
+  return Text::fromText(Value.get<std::string>()).value_or(Text());
+}
+
 KeySpan decodeSpan(const json &Row, const std::vector<KeyOwner> &Owners) {
   if (!Row.is_array() || Row.size() != 7 || !Row[6].is_string())
     throw JsonFieldError("a span of another form");
@@ -78,7 +86,7 @@
           .m_Owner = OwnerAt(Row[3]),
           .m_NextOwner = OwnerAt(Row[4]),
           .m_Fence = Epoch(integerFrom<std::uint64_t>(Row[5])),
-          .m_HandoverToken = Row[6].get<std::string>()};
+          .m_HandoverToken = decodeText<HandoverToken>(Row[6])};
 }
 
 /// Decodes what encode() returns; none if it isn't valid.
@@ -92,7 +100,7 @@
         return std::nullopt;
       Owners.push_back(
           {.m_Instance = InstanceName(Each[0].get<std::string>()),
-           .m_Target = {.m_Id = Each[1].get<std::string>(),
+           .m_Target = {.m_Id = decodeText<TargetId>(Each[1]),
                         .m_StartTimeMs = integerFrom<std::int64_t>(Each[2])}});
     }
     DecodedSpans Result{.m_LastFence = integerFrom<std::uint64_t>(
--- a/src/keyspace/key_planner.cpp
+++ b/src/keyspace/key_planner.cpp
@@ -398,7 +398,7 @@
         Part.m_Owner = Receiver;
         Part.m_NextOwner = {};
         Part.m_Fence = Builder.map().issueFence();
-        Part.m_HandoverToken.clear();
+        Part.m_HandoverToken = {};
       });
     else if (Span.m_State == SpanState::Owned &&
              Builder.condition(Span.m_Owner) == TargetCondition::Leaving)
@@ -432,7 +432,7 @@
     Span.m_State = SpanState::Owned;
     Span.m_Owner.m_Target = Found->second;
     Span.m_NextOwner = {};
-    Span.m_HandoverToken.clear();
+    Span.m_HandoverToken = {};
     Span.m_Fence = Result.issueFence();
     Result.assign(Span);
   }
@@ -441,7 +441,7 @@
 }
 
 KeyMap completeRelease(const KeyMap &Map, const KeyOwner &Owner, KeyIndex First,
-                       KeyIndex Last, const std::string &Token) {
+                       KeyIndex Last, const HandoverToken &Token) {
   KeyMap Result = Map;
   for (KeySpan Span : Map.spans()) {
     if (Span.m_Owner != Owner || Span.m_Last < First || Span.m_First > Last)
--- a/src/router/entrance.cpp
+++ b/src/router/entrance.cpp
@@ -61,9 +61,8 @@
   if (!Reply.m_Answer)
     return Result;
   const LinkFrame &Answer = *Reply.m_Answer;
-  if (!Answer.target_id.empty())
-    Result.m_LeavingTarget = {.m_Id = Answer.target_id,
-                              .m_StartTimeMs = Answer.target_born};
+  if (const auto Id = TargetId::fromText(Answer.target_id); Id && !Id->empty())
+    Result.m_LeavingTarget = {.m_Id = *Id, .m_StartTimeMs = Answer.target_born};
   if (!isValid(Answer)) {
     Result.m_Reason = Reason::TargetFailed;
     return Result;
--- a/src/router/exchange_format.h
+++ b/src/router/exchange_format.h
@@ -32,7 +32,7 @@
 struct TargetMetadata {
   Duration m_DeadlineLeft{0};
   /// Targets with another id refuse the request.
-  std::string m_TargetId;
+  TargetId m_TargetId;
 };
 
 /// What an answer of a target says about the request.
@@ -63,7 +63,7 @@
 struct HoldCallAnswer {
   HoldCallOutcome m_Outcome = HoldCallOutcome::Unknown;
   /// Of an applied release; empty when the target gave none.
-  std::string m_HandoverToken;
+  HandoverToken m_HandoverToken;
 };
 
 /// Why this router refuses a request that hasn't run.
--- a/src/router/peer_mesh.cpp
+++ b/src/router/peer_mesh.cpp
@@ -3,6 +3,8 @@
 #include "peer_mesh.h"
 #include "report_texts.h"
 
+#include "balsamwheel/detail/core/foreign_text.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -202,9 +204,11 @@
   const LinkFrame &Frame = *Received;
   switch (Frame.kind) {
   case LinkFrameKind::Hello: {
-    if (!Frame.wanted.empty() &&
-        Frame.wanted != m_Settings.m_Instance.value()) {
-      // The address formerly belonged to another instance.
+    const bool ValidNames =
+        isUtf8(Frame.instance) && isUtf8(Frame.domain) && isUtf8(Frame.service);
+    // The address may formerly have belonged to another instance.
+    if (!ValidNames || (!Frame.wanted.empty() &&
+                        Frame.wanted != m_Settings.m_Instance.value())) {
       m_Log.write(LogClass::StateChange, LogLine("peer_turned_away")
                                              .add("peer", Frame.instance)
                                              .add("wanted", Frame.wanted));
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -357,7 +357,7 @@
   return Reply;
 }
 
-void Router::onDeregister(const std::string &Id) {
+void Router::onDeregister(const TargetId &Id) {
   const auto Owner = m_Agent.owner();
   if (Owner && Owner->m_Target.m_Id == Id)
     m_Agent.leave("deregistered");
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -60,7 +60,7 @@
   /// Handles a heartbeat of the local target.
   HeartbeatReply onHeartbeat(const TargetHeartbeat &Heartbeat);
   /// Handles the deregistration of the local target.
-  void onDeregister(const std::string &Id);
+  void onDeregister(const TargetId &Id);
 
 private:
   void rowChanged(const MirroredRow &Row);
--- a/src/router/router_peers.cpp
+++ b/src/router/router_peers.cpp
@@ -275,7 +275,11 @@
 void Router::applyRows(const LinkFrame &Rows) {
   m_RowCatchUp.onRows(Rows.operator_rows_wanted);
   for (const auto &Each : Rows.rows)
-    applyPeerRow(rowFromWire(*Each));
+    if (isUtf8(Each->key))
+      applyPeerRow(rowFromWire(*Each));
+    else
+      m_Log.write(LogClass::StateChange,
+                  LogLine("peer_row_rejected").add("key", Each->key));
   const RowsSeen Seen = rowsSeenOf(Rows);
   if (Rows.operator_rows_wanted)
     m_Follower.markSeen(TableName::Operators, Seen.m_Operators);
@@ -336,7 +340,7 @@
   setHeaders(Frame, Result.m_Answer.m_Headers);
   Frame.gate = gateToWire(m_Agent.gateReport());
   if (Result.m_LeavingTarget) {
-    Frame.target_id = Result.m_LeavingTarget->m_Id;
+    Frame.target_id = Result.m_LeavingTarget->m_Id.value();
     Frame.target_born = Result.m_LeavingTarget->m_StartTimeMs;
   }
   if (Result.m_Answer.m_Body.size() >= LargeBodyBytes)
--- a/src/router/router_reports.cpp
+++ b/src/router/router_reports.cpp
@@ -29,7 +29,7 @@
   Report.kind = LinkFrameKind::Report;
   Report.gate = gateToWire(m_Agent.gateReport());
   if (const auto Owner = m_Agent.owner()) {
-    Report.target_id = Owner->m_Target.m_Id;
+    Report.target_id = Owner->m_Target.m_Id.value();
     Report.target_born = Owner->m_Target.m_StartTimeMs;
   }
   Report.condition = static_cast<std::uint8_t>(m_Agent.condition());
@@ -151,8 +151,14 @@
   if (Report.kind != LinkFrameKind::Report)
     return;
   PeerTarget &Known = m_PeerTargets[Peer];
+  const auto Id = TargetId::fromText(Report.target_id);
+  if (!Id && Report.target_born != Known.m_Owner.m_Target.m_StartTimeMs)
+    m_Log.write(LogClass::StateChange, LogLine("peer_target_rejected")
+                                           .add("peer", Peer.value())
+                                           .add("target", Report.target_id));
+  // Without an id the peer has no target to use.
   Known.m_Owner = {.m_Instance = Peer,
-                   .m_Target = {.m_Id = Report.target_id,
+                   .m_Target = {.m_Id = Id.value_or(TargetId()),
                                 .m_StartTimeMs = Report.target_born}};
   Known.m_Condition = static_cast<TargetCondition>(Report.condition);
   Known.m_Capacity = Report.capacity;
--- a/src/router/target_agent.cpp
+++ b/src/router/target_agent.cpp
@@ -97,7 +97,7 @@
 void TargetAgent::startTarget(const TargetHeartbeat &Heartbeat) {
   m_Log.write(LogClass::StateChange,
               LogLine("target_started")
-                  .add("target", Heartbeat.m_Target.m_Id)
+                  .add("target", Heartbeat.m_Target.m_Id.value())
                   .add("born_ms", Heartbeat.m_Target.m_StartTimeMs)
                   .add("slots", std::int64_t{Heartbeat.m_Slots})
                   .add("cold_left", Heartbeat.m_ColdLeft));
@@ -358,7 +358,7 @@
     m_Log.write(LogClass::Failure,
                 LogLine("target_call_failed")
                     .add("request", Entry.m_Job.m_Id)
-                    .add("target", m_Target ? m_Target->m_Id : "")
+                    .add("target", m_Target ? m_Target->m_Id.value() : "")
                     .add("error", Result.m_Error)
                     .add("status", std::int64_t{Result.m_Answer.m_Status})
                     .add("outcome", toString(JobResult.m_Outcome))
@@ -391,7 +391,7 @@
   m_Gate.setNamedLimit(m_NamedLimit, m_Loop.now());
   m_Log.write(LogClass::StateChange,
               LogLine("target_limit")
-                  .add("target", m_Target->m_Id)
+                  .add("target", m_Target->m_Id.value())
                   .add("limited", std::int64_t{m_NamedLimit.has_value()})
                   .add("per_1000_s", static_cast<std::int64_t>(
                                          1000 * m_NamedLimit.value_or(0))));
@@ -423,7 +423,7 @@
     return;
   m_Log.write(LogClass::StateChange,
               LogLine("target_unreachable")
-                  .add("target", m_Target->m_Id)
+                  .add("target", m_Target->m_Id.value())
                   .add("since_beat", m_Loop.now() - m_LastHeartbeat));
   reportCrash();
   closeGate(Reason::TargetFailed);
--- a/src/router/target_gate.cpp
+++ b/src/router/target_gate.cpp
@@ -56,7 +56,7 @@
   const Reason Why = m_Leaving ? Reason::Draining : Reason::DomainOut;
   m_Log.write(LogClass::StateChange,
               LogLine("gate_closed")
-                  .add("target", m_Target ? m_Target->m_Id : "")
+                  .add("target", m_Target ? m_Target->m_Id.value() : "")
                   .add("why", m_Leaving ? "leaving" : "domain_out")
                   .add("late", m_Loop.now() - *m_CloseAt)
                   .add("waiting", static_cast<std::int64_t>(m_Gate.waiting())));
@@ -75,7 +75,7 @@
   m_Leaving = true;
   m_Log.write(LogClass::StateChange,
               LogLine("target_leaving")
-                  .add("target", m_Target ? m_Target->m_Id : "")
+                  .add("target", m_Target ? m_Target->m_Id.value() : "")
                   .add("why", Why)
                   .add("waiting", static_cast<std::int64_t>(m_Gate.waiting())));
   m_LeaveLimit = Limit;
--- a/src/router/target_keys.cpp
+++ b/src/router/target_keys.cpp
@@ -49,17 +49,17 @@
       m_Grants(Loop, Target, clientOptions(Options)),
       m_Releases(Loop, Target, clientOptions(Options)) {
   m_Presence.setTcpUserTimeout(Options.m_TcpUserTimeout);
-  m_Presence.setEvents({.m_OnOpen = [this] { update(); },
-                        .m_OnEnd =
-                            [this](StreamEndReason) {
-                              m_Log.write(
-                                  LogClass::StateChange,
-                                  LogLine("target_connection_ended")
-                                      .add("target", m_Self.m_Target.m_Id));
-                              // Grants that have begun wait for a connection,
-                              // which the next incarnation could accept.
-                              m_Grants.reset();
-                            }});
+  m_Presence.setEvents(
+      {.m_OnOpen = [this] { update(); },
+       .m_OnEnd =
+           [this](StreamEndReason) {
+             m_Log.write(LogClass::StateChange,
+                         LogLine("target_connection_ended")
+                             .add("target", m_Self.m_Target.m_Id.value()));
+             // Grants that have begun wait for a connection,
+             // which the next incarnation could accept.
+             m_Grants.reset();
+           }});
 }
 
 TargetKeys::~TargetKeys() { m_Loop.cancel(m_Timer); }
@@ -72,7 +72,7 @@
   m_Log.write(
       LogClass::StateChange,
       LogLine("grant_mode")
-          .add("target", m_Self.m_Target.m_Id)
+          .add("target", m_Self.m_Target.m_Id.value())
           .add("mode", ByCalls ? "heartbeat" : "call")
           .add("earlier_grants_left",
                std::max(m_EarlierGrantsEnd - m_Loop.now(), Duration::zero())));
@@ -161,14 +161,14 @@
     m_Log.write(
         LogClass::StateChange,
         LogLine(Grant ? "grant_call" : "release_call")
-            .add("target", m_Self.m_Target.m_Id)
+            .add("target", m_Self.m_Target.m_Id.value())
             .add("first", std::int64_t{Span.m_First})
             .add("last", std::int64_t{Span.m_Last})
             .add("fence", static_cast<std::int64_t>(Span.m_Fence.value()))
             .add("outcome", toString(Answer.m_Outcome))
             .add("status", std::int64_t{Result.m_Answer.m_Status})
             .add("error", Result.m_Error)
-            .add("token", Answer.m_HandoverToken));
+            .add("token", Answer.m_HandoverToken.value()));
   Ledger->callEnded(Started.m_Id, Answer.m_Outcome, Answer.m_HandoverToken,
                     m_Loop.refreshNow());
   // A release may have become due while the grant was in progress.
--- a/src/router/target_measurement.cpp
+++ b/src/router/target_measurement.cpp
@@ -81,7 +81,7 @@
   m_Log.write(
       LogClass::StateChange,
       LogLine("target_capacity")
-          .add("target", m_Target->m_Id)
+          .add("target", m_Target->m_Id.value())
           .add("limit", std::int64_t{m_Capacity->limit()})
           .add("smoothed", static_cast<std::int64_t>(std::lround(Smoothed)))
           .add("slots", std::int64_t{namedSlots()})
--- a/tests/router_rig.h
+++ b/tests/router_rig.h
@@ -6,6 +6,7 @@
 #include "platform/http_exchange_format.h"
 #include "platform/operator_tables.h"
 #include "router/router.h"
+#include "support/foreign_texts.h"
 #include "support/raw_server.h"
 
 #include <doctest/doctest.h>
@@ -102,8 +103,9 @@
 
   HeartbeatReply sendHeartbeat(bool Draining = false, Duration ColdLeft = 0ms) {
     TargetHeartbeat Heartbeat;
-    Heartbeat.m_Target = {.m_Id = "target-" + m_Settings.m_Instance.value(),
-                          .m_StartTimeMs = m_TargetStartTimeMs};
+    Heartbeat.m_Target = {
+        .m_Id = targetId("target-" + m_Settings.m_Instance.value()),
+        .m_StartTimeMs = m_TargetStartTimeMs};
     Heartbeat.m_Service = m_Settings.m_Service;
     Heartbeat.m_Address = m_Settings.m_Target;
     Heartbeat.m_Slots = 4;
--- a/tests/support/peer_stand_in.h
+++ b/tests/support/peer_stand_in.h
@@ -42,14 +42,17 @@
   std::size_t accepted() const { return m_Links.size(); }
   int closed() const { return m_ClosedCount; }
 
+  /// In the reports.
+  std::string m_TargetId = "t";
+
 private:
   /// Of a target with free slots.
-  static LinkFrame report() {
+  LinkFrame report() const {
     LinkFrame Frame;
     Frame.kind = LinkFrameKind::Report;
     Frame.gate = std::make_unique<link_wire::GateStateT>();
     Frame.gate->slots = 4;
-    Frame.target_id = "t";
+    Frame.target_id = m_TargetId;
     return Frame;
   }
 
--- a/tests/unit-call-hold-ledger.cpp
+++ b/tests/unit-call-hold-ledger.cpp
@@ -2,6 +2,7 @@
 // delay and refuse calls.
 #include "balsamwheel/detail/keyspace/call_hold_ledger.h"
 #include "balsamwheel/detail/keyspace/key_planner.h"
+#include "support/foreign_texts.h"
 #include "support/pick.h"
 
 #include <doctest/doctest.h>
@@ -16,9 +17,9 @@
 
 const TimePoint Start{std::chrono::hours(1)};
 const KeyOwner Self{.m_Instance = InstanceName("i"),
-                    .m_Target = {.m_Id = "t", .m_StartTimeMs = 1}};
+                    .m_Target = {.m_Id = targetId("t"), .m_StartTimeMs = 1}};
 const KeyOwner Other{.m_Instance = InstanceName("j"),
-                     .m_Target = {.m_Id = "u", .m_StartTimeMs = 1}};
+                     .m_Target = {.m_Id = targetId("u"), .m_StartTimeMs = 1}};
 const CallHoldOptions Options{
     .m_Holds = {.m_Hold = 7s, .m_SlowClockFactor = 1.02, .m_Margin = 300ms}};
 
@@ -51,7 +52,8 @@
   const auto Call = start(Ledger, Map, HoldCallKind::Grant, Start);
   CHECK_FALSE(Ledger.holds(5, Start));
   CHECK_FALSE(Ledger.nextCall(Map, true, Start));
-  Ledger.callEnded(Call, HoldCallOutcome::Applied, "", Start + 10ms);
+  Ledger.callEnded(Call, HoldCallOutcome::Applied, HandoverToken(),
+                   Start + 10ms);
   CHECK(Ledger.holds(5, Start + 6s));
   CHECK_FALSE(Ledger.holds(5, Start + 6900ms));
   CHECK(Ledger.heldUntil() >= Start + 7140ms);
@@ -61,7 +63,7 @@
   CallHoldLedger Ledger(Options, Self, TimePoint());
   const KeyMap Map = ownedBy(Self);
   Ledger.callEnded(start(Ledger, Map, HoldCallKind::Grant, Start),
-                   HoldCallOutcome::Applied, "", Start);
+                   HoldCallOutcome::Applied, HandoverToken(), Start);
   CHECK_FALSE(Ledger.nextCall(Map, true, Start + 1s));
   CHECK_FALSE(Ledger.nextCall(Map, false, Start + 3s));
   start(Ledger, Map, HoldCallKind::Grant, Start + 3s);
@@ -70,25 +72,26 @@
 TEST_CASE("keys that the map takes away are released with their handover") {
   CallHoldLedger Ledger(Options, Self, TimePoint());
   Ledger.callEnded(start(Ledger, ownedBy(Self), HoldCallKind::Grant, Start),
-                   HoldCallOutcome::Applied, "", Start);
+                   HoldCallOutcome::Applied, HandoverToken(), Start);
   const KeyMap Moving = ownedBy(Self, SpanState::Releasing);
   const auto Call = start(Ledger, Moving, HoldCallKind::Release, Start + 1s);
   CHECK_FALSE(Ledger.holds(5, Start + 1s));
   CHECK(Ledger.completedReleases(Moving, Start + 1s).empty());
-  Ledger.callEnded(Call, HoldCallOutcome::Applied, "token", Start + 2s);
+  Ledger.callEnded(Call, HoldCallOutcome::Applied, handoverToken("token"),
+                   Start + 2s);
   const auto Done = Ledger.completedReleases(Moving, Start + 2s);
   REQUIRE(Done.size() == 1);
-  CHECK(Done[0].m_HandoverToken == "token");
+  CHECK(Done[0].m_HandoverToken == handoverToken("token"));
 }
 
 TEST_CASE("a release without an answer leaves the keys held until the hold has "
           "run out") {
   CallHoldLedger Ledger(Options, Self, TimePoint());
   Ledger.callEnded(start(Ledger, ownedBy(Self), HoldCallKind::Grant, Start),
-                   HoldCallOutcome::Applied, "", Start);
+                   HoldCallOutcome::Applied, HandoverToken(), Start);
   const KeyMap Moving = ownedBy(Self, SpanState::Releasing);
   const auto Call = start(Ledger, Moving, HoldCallKind::Release, Start + 1s);
-  Ledger.callEnded(Call, HoldCallOutcome::Unknown, "", Start + 2s);
+  Ledger.callEnded(Call, HoldCallOutcome::Unknown, HandoverToken(), Start + 2s);
   CHECK(Ledger.completedReleases(Moving, Start + 7s).empty());
   start(Ledger, Moving, HoldCallKind::Release, Start + 3s);
 }
@@ -97,13 +100,15 @@
   CallHoldLedger Ledger(Options, Self, TimePoint());
   const KeyMap Map = ownedBy(Self);
   Ledger.callEnded(start(Ledger, Map, HoldCallKind::Grant, Start),
-                   HoldCallOutcome::Applied, "", Start);
+                   HoldCallOutcome::Applied, HandoverToken(), Start);
   const auto Late = start(Ledger, Map, HoldCallKind::Grant, Start + 3s);
   const KeyMap Moving = ownedBy(Self, SpanState::Releasing);
   CHECK_FALSE(Ledger.nextCall(Moving, true, Start + 3100ms));
-  Ledger.callEnded(Late, HoldCallOutcome::Unknown, "", Start + 3500ms);
+  Ledger.callEnded(Late, HoldCallOutcome::Unknown, HandoverToken(),
+                   Start + 3500ms);
   const auto Call = start(Ledger, Moving, HoldCallKind::Release, Start + 4s);
-  Ledger.callEnded(Call, HoldCallOutcome::Applied, "token", Start + 4s);
+  Ledger.callEnded(Call, HoldCallOutcome::Applied, handoverToken("token"),
+                   Start + 4s);
   CHECK(Ledger.completedReleases(Moving, Start + 10s).empty());
   CHECK(Ledger.completedReleases(Moving, Start + 11s).size() == 1);
 }
@@ -112,7 +117,7 @@
   CallHoldLedger Ledger(Options, Self, TimePoint());
   const KeyMap Map = ownedBy(Self);
   Ledger.callEnded(start(Ledger, Map, HoldCallKind::Grant, Start),
-                   HoldCallOutcome::FenceTooLow, "", Start);
+                   HoldCallOutcome::FenceTooLow, HandoverToken(), Start);
   CHECK_FALSE(Ledger.nextCall(Map, true, Start + 5s));
   const KeyMap Next = reissueFences(Map, Self, Ledger.refusedGrants());
   CHECK(Next.find(0).m_Fence > Map.find(0).m_Fence);
@@ -124,7 +129,7 @@
   CallHoldLedger Ledger(Options, Self, TimePoint());
   const KeyMap Map = ownedBy(Self);
   Ledger.callEnded(start(Ledger, Map, HoldCallKind::Grant, Start),
-                   HoldCallOutcome::Applied, "", Start);
+                   HoldCallOutcome::Applied, HandoverToken(), Start);
   Ledger.refuted(7, Start + 1s);
   CHECK_FALSE(Ledger.holds(7, Start + 1s));
   CHECK_FALSE(Ledger.nextCall(Map, true, Start + 1s));
@@ -135,7 +140,8 @@
   CallHoldLedger Ledger(Options, Self, Start + 7s);
   const KeyMap Moving = ownedBy(Self, SpanState::Releasing);
   const auto Call = start(Ledger, Moving, HoldCallKind::Release, Start);
-  Ledger.callEnded(Call, HoldCallOutcome::Applied, "token", Start + 1s);
+  Ledger.callEnded(Call, HoldCallOutcome::Applied, handoverToken("token"),
+                   Start + 1s);
   CHECK(Ledger.completedReleases(Moving, Start + 6s).empty());
   CHECK(Ledger.completedReleases(Moving, Start + 7s).size() == 1);
 }
@@ -187,7 +193,7 @@
 struct ModelOwner {
   explicit ModelOwner(const std::string &Name, double ClockFactor)
       : m_Owner{.m_Instance = InstanceName(Name),
-                .m_Target = {.m_Id = Name, .m_StartTimeMs = 1}},
+                .m_Target = {.m_Id = targetId(Name), .m_StartTimeMs = 1}},
         m_Ledger(Options, m_Owner, TimePoint()) {
     m_Target.m_ClockFactor = ClockFactor;
   }
@@ -266,7 +272,8 @@
           Each.m_Target.m_Delayed.push_back(Arrived);
         else if (Fate == 4)
           Each.m_Target.apply(Arrived, Options.m_Holds.m_Hold);
-        Each.m_Ledger.callEnded(Call.m_Id, Outcome, "token", Now);
+        Each.m_Ledger.callEnded(Call.m_Id, Outcome, handoverToken("token"),
+                                Now);
         break;
       }
       case 7:
--- a/tests/unit-endless-answers.cpp
+++ b/tests/unit-endless-answers.cpp
@@ -1,6 +1,7 @@
 // Targets that send bytes without end: the call ends at a limit, long before
 // its deadline, and the daemon's memory stays bounded.
 #include "router_rig.h"
+#include "support/foreign_texts.h"
 #include "support/streaming_server.h"
 
 #include <doctest/doctest.h>
@@ -95,7 +96,7 @@
   });
   Rig.configure(1);
   TargetHeartbeat Heartbeat;
-  Heartbeat.m_Target = {.m_Id = "target-a", .m_StartTimeMs = 2};
+  Heartbeat.m_Target = {.m_Id = targetId("target-a"), .m_StartTimeMs = 2};
   Heartbeat.m_Service = A.m_Settings.m_Service;
   Heartbeat.m_Address = A.m_Settings.m_Target;
   Heartbeat.m_Slots = Slots;
--- a/tests/unit-hold-ledger.cpp
+++ b/tests/unit-hold-ledger.cpp
@@ -1,6 +1,7 @@
 // Tests of the grants to one target, and of when keys count as released.
 #include "balsamwheel/detail/keyspace/hold_ledger.h"
 #include "balsamwheel/detail/keyspace/key_planner.h"
+#include "support/foreign_texts.h"
 #include "support/pick.h"
 
 #include <doctest/doctest.h>
@@ -15,9 +16,9 @@
 
 const TimePoint Start{std::chrono::hours(1)};
 const KeyOwner Self{.m_Instance = InstanceName("i"),
-                    .m_Target = {.m_Id = "t", .m_StartTimeMs = 1}};
+                    .m_Target = {.m_Id = targetId("t"), .m_StartTimeMs = 1}};
 const KeyOwner Other{.m_Instance = InstanceName("j"),
-                     .m_Target = {.m_Id = "u", .m_StartTimeMs = 1}};
+                     .m_Target = {.m_Id = targetId("u"), .m_StartTimeMs = 1}};
 
 KeyMap ownedBy(const KeyOwner &Owner, SpanState State = SpanState::Owned) {
   KeyMap Map;
@@ -63,12 +64,12 @@
   Ledger.report({.m_Holds = {{.m_First = 0, .m_Last = 999}}});
   Ledger.grant(Moving, Start + 1s);
   CHECK(Ledger.completedReleases(Moving).empty());
-  Ledger.report(
-      {.m_Released = {
-           {.m_First = 0, .m_Last = 999, .m_HandoverToken = "token"}}});
+  Ledger.report({.m_Released = {{.m_First = 0,
+                                 .m_Last = 999,
+                                 .m_HandoverToken = handoverToken("token")}}});
   const auto Done = Ledger.completedReleases(Moving);
   REQUIRE(Done.size() == 1);
-  CHECK(Done[0].m_HandoverToken == "token");
+  CHECK(Done[0].m_HandoverToken == handoverToken("token"));
 }
 
 TEST_CASE("a span that the target still reports as held is not released") {
@@ -113,8 +114,9 @@
   const HoldReport Held{.m_Holds = {{.m_First = 0, .m_Last = 999}}};
   const HoldReport ReleasedLate{
       .m_Holds = {{.m_First = 0, .m_Last = 999}},
-      .m_Released = {
-          {.m_First = 0, .m_Last = 999, .m_HandoverToken = "first"}}};
+      .m_Released = {{.m_First = 0,
+                      .m_Last = 999,
+                      .m_HandoverToken = handoverToken("first")}}};
   const KeyMap Moving = ownedBy(Self, SpanState::Releasing);
   Ledger.report({});
   Ledger.grant(ownedBy(Self), Start);
@@ -137,25 +139,27 @@
     CHECK(Ledger.completedReleases(Moving).empty());
   }
   Ledger.grant(Moving, Start + 4s);
-  Ledger.report(
-      {.m_Released = {
-           {.m_First = 0, .m_Last = 999, .m_HandoverToken = "second"}}});
+  Ledger.report({.m_Released = {{.m_First = 0,
+                                 .m_Last = 999,
+                                 .m_HandoverToken = handoverToken("second")}}});
   const auto Done = Ledger.completedReleases(Moving);
   REQUIRE(Done.size() == 1);
-  CHECK(Done[0].m_HandoverToken == "second");
+  CHECK(Done[0].m_HandoverToken == handoverToken("second"));
 }
 
 TEST_CASE("a release stays valid for the keys that are not held again") {
   HoldLedger Ledger({}, Self);
   const KeyMap Moving = ownedBy(Self, SpanState::Releasing);
   Ledger.grant(Moving, Start);
-  Ledger.report(
-      {.m_Holds = {{.m_First = 100, .m_Last = 199}},
-       .m_Released = {
-           {.m_First = 0, .m_Last = 999, .m_HandoverToken = "token"}}});
+  Ledger.report({.m_Holds = {{.m_First = 100, .m_Last = 199}},
+                 .m_Released = {{.m_First = 0,
+                                 .m_Last = 999,
+                                 .m_HandoverToken = handoverToken("token")}}});
   const std::vector<ReleasedSpan> Expected{
-      {.m_First = 0, .m_Last = 99, .m_HandoverToken = "token"},
-      {.m_First = 200, .m_Last = 999, .m_HandoverToken = "token"}};
+      {.m_First = 0, .m_Last = 99, .m_HandoverToken = handoverToken("token")},
+      {.m_First = 200,
+       .m_Last = 999,
+       .m_HandoverToken = handoverToken("token")}};
   CHECK(Ledger.completedReleases(Moving) == Expected);
 }
 
@@ -232,8 +236,9 @@
   };
 
   void release(KeyIndex Index) {
-    m_Released.push_back(
-        {.m_First = Index, .m_Last = last(Index), .m_HandoverToken = "token"});
+    m_Released.push_back({.m_First = Index,
+                          .m_Last = last(Index),
+                          .m_HandoverToken = handoverToken("token")});
   }
 
   std::array<Key, ModelKeys> m_Keys;
@@ -244,7 +249,7 @@
 struct ModelOwner {
   explicit ModelOwner(const char *Name)
       : m_Owner{.m_Instance = InstanceName(Name),
-                .m_Target = {.m_Id = Name, .m_StartTimeMs = 1}},
+                .m_Target = {.m_Id = targetId(Name), .m_StartTimeMs = 1}},
         m_Ledger({}, m_Owner) {}
 
   KeyOwner m_Owner;
--- a/tests/unit-key-map.cpp
+++ b/tests/unit-key-map.cpp
@@ -1,6 +1,7 @@
 // Tests of the key map: after any assignments each key is in exactly one span,
 // and the row encoding is lossless.
 #include "balsamwheel/detail/keyspace/key_map.h"
+#include "support/foreign_texts.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -8,12 +9,13 @@
 #include <array>
 
 using namespace balsamwheel;
+using namespace balsamwheel::tests;
 
 namespace {
 
 KeyOwner owner(int Index) {
   return {.m_Instance = InstanceName("i" + std::to_string(Index)),
-          .m_Target = {.m_Id = "t" + std::to_string(Index),
+          .m_Target = {.m_Id = targetId("t" + std::to_string(Index)),
                        .m_StartTimeMs = Index}};
 }
 
@@ -87,6 +89,23 @@
   CHECK_MESSAGE(!IsValid(R"([[0,65535,1,-2,-1,1,""]])"), "a negative owner");
 }
 
+// An earlier version may have written them.
+TEST_CASE("a map with an id that isn't allowed was rejected as a whole") {
+  const std::string Long(300, 'i');
+  const auto Map =
+      KeyMap::fromText(R"({"last_fence":2,"owners":[["i",")" + Long +
+                       R"(",1],["j","t",2]],"spans":[[0,99,1,0,-1,1,")" + Long +
+                       R"("],[100,65535,1,1,-1,2,"token"]]})");
+  REQUIRE(Map);
+  const KeySpan &First = Map->find(0);
+  CHECK(First.m_Owner.m_Instance == InstanceName("i"));
+  CHECK(First.m_Owner.m_Target.m_Id.empty());
+  CHECK(First.m_Owner.m_Target.m_StartTimeMs == 1);
+  CHECK(First.m_HandoverToken.empty());
+  CHECK(Map->find(100).m_Owner.m_Target.m_Id == targetId("t"));
+  CHECK(KeyMap::fromText(Map->toText()) == Map);
+}
+
 TEST_CASE("the changes between two maps turn one into the other") {
   rc::check([] {
     const auto Change = [](KeyMap &Map) {
@@ -122,11 +141,12 @@
          .m_State = SpanState::Owned,
          .m_Owner = {.m_Instance = InstanceName("sidecar-pianura-nord-a-" +
                                                 std::to_string(Index % 300)),
-                     .m_Target = {.m_Id = "i-7f3a91c2" +
-                                          std::to_string(Index % 300),
+                     .m_Target = {.m_Id = targetId("i-7f3a91c2" +
+                                                   std::to_string(Index % 300)),
                                   .m_StartTimeMs = 1791502755030}},
          .m_Fence = Map.issueFence(),
-         .m_HandoverToken = Index % 2 == 0 ? "5c0e7a21d94b36f8" : ""});
+         .m_HandoverToken =
+             handoverToken(Index % 2 == 0 ? "5c0e7a21d94b36f8" : "")});
   constexpr std::size_t RowBytes = 65536;
   CHECK(Map.toText().size() < RowBytes);
   KeyMap Next = Map;
--- a/tests/unit-key-planner.cpp
+++ b/tests/unit-key-planner.cpp
@@ -1,6 +1,7 @@
 // Tests of the key planner: initial assignment, lost owners, planned moves, hot
 // keys.
 #include "balsamwheel/detail/keyspace/key_planner.h"
+#include "support/foreign_texts.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -8,6 +9,7 @@
 #include <algorithm>
 
 using namespace balsamwheel;
+using namespace balsamwheel::tests;
 using namespace std::chrono_literals;
 
 namespace {
@@ -17,8 +19,8 @@
 
 KeyOwner owner(int Index, std::int64_t StartTimeMs = 1) {
   return {.m_Instance = InstanceName("i" + std::to_string(Index)),
-          .m_Target = {.m_Id = "t" + std::to_string(Index) + "-" +
-                               std::to_string(StartTimeMs),
+          .m_Target = {.m_Id = targetId("t" + std::to_string(Index) + "-" +
+                                        std::to_string(StartTimeMs)),
                        .m_StartTimeMs = StartTimeMs}};
 }
 
@@ -69,7 +71,7 @@
     for (const KeySpan &Span : Spans)
       if (Span.m_State == SpanState::Releasing) {
         Next = completeRelease(Next, Span.m_Owner, Span.m_First, Span.m_Last,
-                               "token");
+                               handoverToken("token"));
         if (Moves)
           ++*Moves;
       }
@@ -229,11 +231,12 @@
   for (const KeySpan &Span : Planned.spans())
     if (Span.m_Owner == owner(0))
       CHECK(Span.m_State == SpanState::Releasing);
-  const KeyMap Done = completeRelease(Planned, owner(0), 0, 65535, "token");
+  const KeyMap Done =
+      completeRelease(Planned, owner(0), 0, 65535, handoverToken("token"));
   CHECK(keysOf(Done, owner(0)) == 0);
   for (const KeySpan &Span : Done.spans())
     if (Planned.find(Span.m_First).m_State == SpanState::Releasing) {
-      CHECK(Span.m_HandoverToken == "token");
+      CHECK(Span.m_HandoverToken == handoverToken("token"));
       CHECK(Span.m_Fence > Planned.find(Span.m_First).m_Fence);
     }
 }
@@ -368,7 +371,7 @@
       for (const KeySpan &Span : Spans)
         if (Span.m_State == SpanState::Releasing)
           Next = completeRelease(Next, Span.m_Owner, Span.m_First, Span.m_Last,
-                                 "");
+                                 HandoverToken());
       if (Next == Map)
         break;
       Map = Next;
--- a/tests/unit-key-restore.cpp
+++ b/tests/unit-key-restore.cpp
@@ -1,11 +1,13 @@
 // Restoration of the key map after the store has lost writes.
 #include "balsamwheel/detail/keyspace/key_planner.h"
 #include "router/key_coordinator.h"
+#include "support/foreign_texts.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 using namespace balsamwheel;
+using namespace balsamwheel::tests;
 using namespace std::chrono_literals;
 
 namespace {
@@ -16,7 +18,7 @@
 
 KeyOwner owner(const std::string &Name) {
   return {.m_Instance = InstanceName(Name),
-          .m_Target = {.m_Id = "target-" + Name, .m_StartTimeMs = 1}};
+          .m_Target = {.m_Id = targetId("target-" + Name), .m_StartTimeMs = 1}};
 }
 
 const KeyOwner A = owner("a");
@@ -54,7 +56,7 @@
   Span.m_State = SpanState::Releasing;
   Span.m_NextOwner = B;
   Map.assign(Span);
-  return completeRelease(Map, A, First, Last, "token");
+  return completeRelease(Map, A, First, Last, handoverToken("token"));
 }
 
 } // namespace
--- a/tests/unit-odd-entries.cpp
+++ b/tests/unit-odd-entries.cpp
@@ -96,6 +96,45 @@
                               Problem));
 }
 
+// Guards against the end of a daemon with all its requests (LOST): the owner of
+// keys could not be encoded.
+TEST_CASE("a heartbeat whose id can't be read ended the daemon") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "keyed");
+  Rig.configure(1);
+  REQUIRE(Rig.runUntil([&] { return A.m_Router->ready(); }));
+  TargetControl Control(*A.m_Router, A.m_Settings, Rig.m_Log);
+  json Body = heartbeatWithKeys();
+  Body["Service"] = "keyed";
+  Body["Address"] = A.m_Settings.m_Target.toText();
+  int Sequence = 0;
+  const auto Call = [&](const std::string &Kind, const std::string &Id) {
+    Body["Sequence"] = ++Sequence;
+    return Control.handle(
+        {.m_Method = "POST",
+         .m_Target = "/v1/rpc?call=instances." + Kind + "&of=" + Id,
+         .m_Body = Body.dump()});
+  };
+  const std::string OddIds[] = {"i-\xff",
+                                "\xc0\xaf",
+                                "i-\xed\xa0\x80",
+                                "",
+                                std::string(201, 'i'),
+                                std::string(100'000, 'i')};
+  REQUIRE(Rig.runUntil([&] {
+    for (const std::string &Each : OddIds)
+      CHECK(Call("heartbeat", Each).m_Status == 400);
+    A.sendHeartbeat();
+    return Rig.m_Rows.m_Rows.contains({TableName::Own, RowKey("keys/0/keyed")});
+  }));
+  for (const std::string &Each : OddIds)
+    CHECK(Call("deregister", Each).m_Status == 400);
+  // The real target is still the one to use.
+  Rig.waitUntilGranted(A);
+  Rig.runFor(50ms);
+  CHECK(Rig.call(A, "/key/1", "GET", 5).m_Status == 200);
+}
+
 TEST_CASE("an address with a name or an impossible port was used") {
   for (const char *Each :
        {"10.0.0.1:70000", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:", ":80",
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -5,6 +5,7 @@
 #include "platform/settings_file.h"
 #include "platform/target_control.h"
 
+#include "support/foreign_texts.h"
 #include "support/platform_texts.h"
 
 #include <doctest/doctest.h>
@@ -91,7 +92,8 @@
   CHECK(Read->m_ColdLeft == 1500ms);
   CHECK(Read->m_Target.m_StartTimeMs == 1700000000000);
   CHECK(Read->m_Keys.m_Holds.front().m_Last == 4095);
-  CHECK(Read->m_Keys.m_Released.front().m_HandoverToken == "token");
+  CHECK(Read->m_Keys.m_Released.front().m_HandoverToken ==
+        handoverToken("token"));
   for (const char *Field : {"Service", "Address", "Slots", "State",
                             "ColdRemainingS", "Sequence", "born"}) {
     nlohmann::json Missing = heartbeat();
@@ -140,8 +142,8 @@
   CHECK(Read.m_DeadlineLeft == 1500ms);
   CHECK_FALSE(Read.m_Key.has_value()); // Above the highest key.
   Format.prepare(Request, ServiceName("mine"), std::nullopt);
-  Format.addTargetMetadata(Request,
-                           {.m_DeadlineLeft = 900ms, .m_TargetId = "t"});
+  Format.addTargetMetadata(
+      Request, {.m_DeadlineLeft = 900ms, .m_TargetId = targetId("t")});
   CHECK(Request.m_Headers.get("X-Caller-Service") == "mine");
   CHECK(Request.m_Headers.get("X-Target-Instance") == "t");
   CHECK(Request.m_Headers.get("X-Deadline-Ms") == "900");
@@ -158,7 +160,7 @@
                 .m_Span = {.m_First = 4096,
                            .m_Last = 8191,
                            .m_Fence = Epoch(12),
-                           .m_HandoverToken = "token"}};
+                           .m_HandoverToken = handoverToken("token")}};
   const HttpRequest Grant = Format.holdRequest(Call, 4s);
   CHECK(Grant.m_Target == "/v1/grant");
   CHECK(nlohmann::json::parse(Grant.m_Body.toText()) ==
@@ -196,6 +198,27 @@
   CHECK(Answer.m_HandoverToken.empty());
 }
 
+// Guards against the end of a daemon with all its requests (LOST): the key map
+// with the token could not be encoded.
+TEST_CASE("a handover token that can't be read ended the daemon") {
+  const HttpExchangeFormat Format;
+  for (const char *Each : {"\xff", "t\xc3", "\xed\xa0\x80"}) {
+    HttpAnswer Answer{.m_Status = 200};
+    Answer.m_Headers.add("X-Lease-Handover", Each);
+    const auto Read = Format.holdAnswer(HoldCallKind::Release, Answer);
+    CHECK(Read.m_Outcome == HoldCallOutcome::Applied);
+    const KeyOwner Owner{.m_Instance = InstanceName("i")};
+    const KeySpan Releasing{.m_Last = 65535,
+                            .m_State = SpanState::Releasing,
+                            .m_Owner = Owner,
+                            .m_NextOwner = Owner};
+    KeyMap Map;
+    Map.assign(Releasing);
+    CHECK(KeyMap::fromText(
+        completeRelease(Map, Owner, 0, 65535, Read.m_HandoverToken).toText()));
+  }
+}
+
 TEST_CASE("an unknown way of granting keys rejects the configuration") {
   const OperatorTables Tables;
   std::string Problem;
--- a/tests/unit-router-peers.cpp
+++ b/tests/unit-router-peers.cpp
@@ -47,6 +47,30 @@
   CHECK(Rig.runUntil([&] { return Unresponsive.closed() > 0; }));
 }
 
+// Guards against the end of the planner (LOST): a daemon of an earlier version
+// may report an id that can't be read.
+TEST_CASE("a peer's target with an id that can't be read ended the daemon") {
+  Rig Rig;
+  Instance &Local = Rig.add("a", "keyed");
+  PeerStandIn Peer(Rig.m_Loop);
+  Peer.m_TargetId = "i-\xff";
+  Rig.m_Rows.put(TableName::Own, "member/b", Peer.memberRow("keyed"));
+  Rig.configure(1);
+  std::function<void()> Report = [&] {
+    Peer.sendReports();
+    Rig.m_Loop.after(100ms, Report);
+  };
+  Report();
+  Rig.waitUntilGranted(Local);
+  REQUIRE(Rig.runUntil([&] { return Peer.accepted() > 0; }));
+  const TimePoint End = bootNow() + 3s;
+  REQUIRE(Rig.runUntil([&] {
+    Local.sendHeartbeat();
+    return bootNow() > End;
+  }));
+  CHECK(Rig.call(Local, "/key/1", "GET", 5).m_Status == 200);
+}
+
 // Guards against a caller that gets a status of 000, or waits until its
 // deadline (MIXED): a daemon of an earlier version may pass such an answer on.
 TEST_CASE("an invalid status in a peer's answer reached the caller") {
--- a/tests/unit-router.cpp
+++ b/tests/unit-router.cpp
@@ -110,7 +110,7 @@
   Rig.add("b", "plain");
   Rig.startServing();
   SUBCASE("draining") { A.sendHeartbeat(true); }
-  SUBCASE("deregistered") { A.m_Router->onDeregister("target-a"); }
+  SUBCASE("deregistered") { A.m_Router->onDeregister(targetId("target-a")); }
   SUBCASE("domain out") {
     Rig.m_Rows.put(TableName::Operators, "evacuate/domain-a", "{}");
     Rig.runFor(50ms);
--- a/tests/unit-store-rollback.cpp
+++ b/tests/unit-store-rollback.cpp
@@ -2,6 +2,7 @@
 // acknowledged writes and gives out their versions again.
 #include "platform/store_client.h"
 #include "router_rig.h"
+#include "support/foreign_texts.h"
 #include "support/store_stand_in.h"
 
 #include <doctest/doctest.h>
@@ -36,8 +37,9 @@
 
   HeartbeatReply sendHeartbeat() {
     TargetHeartbeat Heartbeat;
-    Heartbeat.m_Target = {.m_Id = "target-" + m_Settings.m_Instance.value(),
-                          .m_StartTimeMs = 1};
+    Heartbeat.m_Target = {
+        .m_Id = targetId("target-" + m_Settings.m_Instance.value()),
+        .m_StartTimeMs = 1};
     Heartbeat.m_Service = m_Settings.m_Service;
     Heartbeat.m_Address = m_Settings.m_Target;
     Heartbeat.m_Slots = 4;
