--- a/src/router/router_keys.cpp
+++ b/src/router/router_keys.cpp
@@ -41,6 +41,7 @@
       [&](const KeyOwner &Owner) { return replacementOf(Owner).has_value(); });
   m_ReplacedOwners.observe(Replaced, m_Loop.now());
   std::vector<KeyCandidate> Others;
+  Others.reserve(Unreported.size());
   for (const KeyOwner &Owner : Unreported)
     Others.push_back(
         {.m_Owner = Owner, .m_Condition = conditionOfUnreported(Owner)});
