Let no route be refused for good by an expected service time

Cause: a gate refuses what has less than 0.6 of its expected service time left, before it looks for a free slot, and for a route without a sample it took the mean over all routes. The route was never sent, so that it never got a sample. Ruled out: a configuration that wasn't applied (503, not 404) and full targets.

A route without a sample now has no expected service time that refuses it or puts it behind others. While a route gets no samples, one request a second is sent in spite of the expected time, and a shorter result replaces it. That mends the same on other paths: deadlines below 120 ms before the first sample of any route, and a route that had been slow for a while, which stayed refused after its target had recovered. A route of the same name with another host, prefix or kind begins anew.

It works since an estimate that refuses everything loses its force within a second: the next request is sent, and its result counts.

--- a/include/balsamwheel/detail/load/request_gate.h
+++ b/include/balsamwheel/detail/load/request_gate.h
@@ -29,10 +29,12 @@
 #include "balsamwheel/detail/load/gate_ranks.h"
 #include "balsamwheel/detail/load/organisation_turns.h"
 #include "balsamwheel/detail/load/return_schedule.h"
+#include "balsamwheel/detail/load/service_times.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,16 +58,13 @@
   /// Minimum time until the deadline for a request to be sent, as a fraction of
   /// its expected service time.
   double m_MinServiceShare = 0.6;
-  /// Smoothing factor: weight of the newest service time in the mean.
-  double m_ServiceWeight = 0.1;
+  ServiceTimesOptions m_Service = {};
   /// Smoothing factor: weight of the newest interval between two starts from
   /// the queue.
   double m_StartGapWeight = 0.1;
   /// How long the mean interval between starts remains valid after the last
   /// start from the queue: the time that a burst takes to build up or to end.
   Duration m_StartGapLifetime = std::chrono::seconds(1);
-  /// Service time assumed before the first one is known.
-  Duration m_InitialService = std::chrono::milliseconds(200);
   /// Token bucket size of a limited target: requests that it may get at once.
   double m_MinBurst = 2;
   /// Token bucket size of a target that has named a limit, as a time at this
@@ -109,6 +108,9 @@
   TimePoint m_Objective;
   /// Time after which the answer is of no use.
   TimePoint m_Deadline;
+  /// Set by the gate: the expected service time of the route doesn't count, as
+  /// it may be out of date.
+  bool m_Trial = false;
 };
 
 enum class GateVerdict : std::uint8_t { Send, Wait, Refuse };
@@ -160,7 +162,7 @@
 public:
   explicit RequestGate(RequestGateOptions Options)
       : m_Options(Options), m_Ranks(Options.m_Ranks),
-        m_Tokens(Options.m_MinBurst) {}
+        m_Service(Options.m_Service), m_Tokens(Options.m_MinBurst) {}
 
   /// Opens the gate: the target accepts \p Slots concurrent requests.
   void open(std::uint32_t Slots);
@@ -179,7 +181,7 @@
   /// Admits, queues or refuses a request. GateVerdict::Send means that the
   /// request occupies a slot from now on.
   /// Complexity: linear in the queue length.
-  GateDecision offer(const GateRequest &Request, TimePoint Now);
+  GateDecision offer(GateRequest Request, TimePoint Now);
   /// Removes and returns the next waiting request that may be sent now.
   std::optional<RequestHandle> next(TimePoint Now);
   /// Removes and returns waiting requests that should not be sent any more:
@@ -202,10 +204,16 @@
   std::uint32_t slots() const { return m_Slots; }
   std::size_t waiting() const { return m_Waiting.size(); }
   /// Moving average of the service time over all routes.
-  Duration meanService() const;
+  Duration meanService() const { return m_Service.mean(); }
   /// Whether meanService() has been measured.
-  bool knowsService() const { return m_MeanService > 0; }
-  Duration expectedService(const std::string &Route) const;
+  bool knowsService() const { return m_Service.hasSamples(); }
+  Duration expectedService(const std::string &Route) const {
+    return m_Service.expected(Route);
+  }
+  /// Forgets the service times of all routes but these.
+  void keepRoutes(const std::set<std::string> &Names) {
+    m_Service.keepOnly(Names);
+  }
   /// Requests per second that the target gets at most; 0 without a limit.
   double rateLimit(TimePoint Now) const;
   /// Requests that the limit allows at once, beyond those waiting; negative
@@ -228,6 +236,11 @@
   TimePoint dueBy(const GateRequest &Request) const;
   /// Whether a fast answer would still be in time for dueBy().
   bool canBeOnTime(const GateRequest &Request, TimePoint Now) const;
+  /// Time that an answer takes as far as it is known; zero if it isn't.
+  Duration knownService(const GateRequest &Request) const;
+  /// Whether the request is refused or put behind others because of the
+  /// expected service time of its route alone.
+  bool isHeldBackByEstimate(const GateRequest &Request, TimePoint Now) const;
   /// Whether the deadline passes before any answer is possible.
   bool cannotMeetDeadline(const GateRequest &Request, TimePoint Now) const;
   /// Maximum time for which the request may be queued.
@@ -302,10 +315,7 @@
   GateRanks m_Ranks;
   /// Returns of refused callers by priority.
   std::map<std::uint32_t, ReturnSchedule> m_Returns;
-  /// Moving averages by route, in microseconds.
-  std::map<std::string, double> m_Service;
-  /// Over all routes, in microseconds; 0 before the first sample.
-  double m_MeanService = 0;
+  ServiceTimes m_Service;
   /// Mean interval between two starts of non-nested requests from the queue, in
   /// microseconds; 0 when unknown. It accounts for the slot time that nested,
   /// failed and slow requests take.
--- a/include/balsamwheel/detail/routing/route_table.h
+++ b/include/balsamwheel/detail/routing/route_table.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -118,6 +119,12 @@
   std::unordered_map<std::string, std::size_t> m_Index;
 };
 
+/// Names of the routes of \p Next that \p Previous has with the same host, path
+/// prefix and kind. What was learned about another route of a name doesn't
+/// apply to them.
+std::set<std::string> keptRoutes(const RouteTable &Previous,
+                                 const RouteTable &Next);
+
 /// Chooses one of the route's services by weight.
 ///
 /// \param Random uniform 64-bit number.
--- a/src/load/request_gate.cpp
+++ b/src/load/request_gate.cpp
@@ -29,25 +29,23 @@
   return Result;
 }
 
-Duration RequestGate::expectedService(const std::string &Route) const {
-  if (auto Found = m_Service.find(Route); Found != m_Service.end())
-    return fromMicros(Found->second);
-  return meanService();
-}
-
-Duration RequestGate::meanService() const {
-  return m_MeanService > 0 ? fromMicros(m_MeanService)
-                           : m_Options.m_InitialService;
+Duration RequestGate::knownService(const GateRequest &Request) const {
+  return Request.m_Trial ? Duration::zero() : m_Service.known(Request.m_Route);
 }
 
 bool RequestGate::canBeOnTime(const GateRequest &Request, TimePoint Now) const {
   return micros(dueBy(Request) - Now) >=
-         m_Options.m_FastServiceShare *
-             micros(expectedService(Request.m_Route));
+         m_Options.m_FastServiceShare * micros(knownService(Request));
+}
+
+bool RequestGate::isHeldBackByEstimate(const GateRequest &Request,
+                                       TimePoint Now) const {
+  return (Request.m_Deadline > Now && cannotMeetDeadline(Request, Now)) ||
+         (dueBy(Request) > Now && !canBeOnTime(Request, Now));
 }
 
 Duration RequestGate::maxWait(const GateRequest &Request, TimePoint Now) const {
-  const double Service = micros(expectedService(Request.m_Route));
+  const double Service = micros(knownService(Request));
   if (!canBeOnTime(Request, Now))
     return fromMicros(m_Options.m_LateWaitShare *
                       (micros(Request.m_Deadline - Now) - Service));
@@ -59,7 +57,7 @@
 bool RequestGate::cannotMeetDeadline(const GateRequest &Request,
                                      TimePoint Now) const {
   return micros(Request.m_Deadline - Now) <
-         m_Options.m_MinServiceShare * micros(expectedService(Request.m_Route));
+         m_Options.m_MinServiceShare * micros(knownService(Request));
 }
 
 GateDecision RequestGate::refusal(const GateRequest &Request, Duration Wait,
@@ -138,9 +136,11 @@
   m_Ranks.started(Started.m_Request.m_Priority, Now);
 }
 
-GateDecision RequestGate::offer(const GateRequest &Request, TimePoint Now) {
+GateDecision RequestGate::offer(GateRequest Request, TimePoint Now) {
   if (!isOpen())
     return refusal(Request, meanService(), GateRefusal::Closed, Now);
+  Request.m_Trial = isHeldBackByEstimate(Request, Now) &&
+                    m_Service.takeTrial(Request.m_Route, Now);
   if (cannotMeetDeadline(Request, Now))
     return refusal(Request, meanService(), GateRefusal::DeadlineTooNear, Now);
   m_Returns[Request.m_Priority].arrived(Now);
@@ -267,15 +267,8 @@
   m_Ranks.finished(Priority);
   if (m_Running > 0)
     --m_Running;
-  if (!Served)
-    return;
-  const double Sample = micros(Service);
-  const auto UpdateMean = [&](double &Mean) {
-    Mean =
-        Mean > 0 ? Mean + m_Options.m_ServiceWeight * (Sample - Mean) : Sample;
-  };
-  UpdateMean(m_Service[Route]);
-  UpdateMean(m_MeanService);
+  if (Served)
+    m_Service.add(Route, Service);
 }
 
 } // namespace balsamwheel
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -410,6 +410,8 @@
   m_Log.write(LogClass::StateChange, Line);
   if (!Table || Older)
     return;
+  m_Agent.keepRoutes(m_Routes ? keptRoutes(*m_Routes, *Table)
+                              : std::set<std::string>());
   m_Routes = std::move(Table);
   m_RoutesRow = Row;
   m_Metrics.configApplied(m_Routes->version().value(), Age);
--- a/src/router/target_agent.h
+++ b/src/router/target_agent.h
@@ -136,6 +136,10 @@
   /// while it isn't known. The gate isn't opened before it is known, since it
   /// contains the rate limit of a cold target.
   void setService(const ServiceSpec *Spec);
+  /// Forgets what was learned about the requests of all routes but these.
+  void keepRoutes(const std::set<std::string> &Names) {
+    m_Gate.keepRoutes(Names);
+  }
   /// The target leaves: it gets no keys from now on and soon no requests.
   void leave(const char *Why);
   /// Sets whether the target's domain is out of service.
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -2,6 +2,7 @@
 #include "balsamwheel/detail/routing/route_table.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace balsamwheel {
 
@@ -70,6 +71,21 @@
   return std::nullopt;
 }
 
+std::set<std::string> keptRoutes(const RouteTable &Previous,
+                                 const RouteTable &Next) {
+  const auto Identity = [](const Route &Each) {
+    return std::tie(Each.m_Name, Each.m_Host, Each.m_Prefix, Each.m_Kind);
+  };
+  std::set<std::string> Result;
+  for (const Route &Each : Next.routes())
+    if (std::any_of(Previous.routes().begin(), Previous.routes().end(),
+                    [&](const Route &Known) {
+                      return Identity(Known) == Identity(Each);
+                    }))
+      Result.insert(Each.m_Name);
+  return Result;
+}
+
 const ServiceName &chooseShare(const Route &Chosen, std::uint64_t Random) {
   std::uint64_t Total = 0;
   for (const RouteShare &Share : Chosen.m_Shares)
--- a/tests/unit-request-gate.cpp
+++ b/tests/unit-request-gate.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -38,6 +39,25 @@
   return Gate;
 }
 
+/// Offers a request of \p Route every 100 ms, alone; it takes \p Service, or
+/// until its deadline.
+/// \returns when the last one was refused; none if none was.
+std::optional<TimePoint> lastRefusal(RequestGate &Gate,
+                                     const std::string &Route, Duration Service,
+                                     Duration Objective, TimePoint From,
+                                     TimePoint Until) {
+  std::optional<TimePoint> Result;
+  for (TimePoint Now = From; Now < Until; Now += 100ms) {
+    GateRequest Offered = request(5000, Objective, 1, Now);
+    Offered.m_Route = Route;
+    if (Gate.offer(Offered, Now).m_Verdict == GateVerdict::Send)
+      Gate.finished(Route, 1, Service, Service < 3 * Objective);
+    else
+      Result = Now;
+  }
+  return Result;
+}
+
 struct SimulationResult {
   int m_OnTime = 0;
   int m_Late = 0;
@@ -145,6 +165,69 @@
 
 } // namespace
 
+// Guards against a route that is never served, as it is never sent and so never
+// measured (CONFIG).
+TEST_CASE("a route that was added was refused by the time that others take") {
+  RequestGate Gate = gateWithService(9, 1s);
+  CHECK_FALSE(lastRefusal(Gate, "added", 30ms, 160ms, Start, Start + 1s));
+  CHECK(Gate.expectedService("added") == 30ms);
+  // With all slots in use it waits as a quick request does.
+  for (std::uint64_t Handle = 1; Handle <= 9; ++Handle)
+    REQUIRE(Gate.offer(request(Handle, 10s), Start).m_Verdict ==
+            GateVerdict::Send);
+  GateRequest Second = request(10, 400ms);
+  Second.m_Route = "second";
+  CHECK(Gate.offer(Second, Start).m_Verdict == GateVerdict::Wait);
+}
+
+// Before the first sample of any route, too.
+TEST_CASE("the first requests of a short deadline were refused by the time "
+          "that is assumed") {
+  RequestGate Gate({});
+  Gate.open(9);
+  CHECK_FALSE(lastRefusal(Gate, "r", 5ms, 20ms, Start, Start + 1s));
+}
+
+// Guards against a route that stays refused after its target has recovered.
+TEST_CASE("a route that had been slow was refused for good") {
+  RequestGate Gate = gateWithService(9, 5s);
+  const auto Last = lastRefusal(Gate, "r", 30ms, 160ms, Start, Start + 10s);
+  REQUIRE(Last);
+  CHECK(*Last <= Start + 1s);
+  // One that takes too long is tried once a second.
+  int Tried = 0;
+  RequestGate Slow = gateWithService(9, 5s);
+  for (TimePoint Now = Start; Now < Start + 10s; Now += 100ms)
+    if (Slow.offer(request(1, 160ms, 1, Now), Now).m_Verdict ==
+        GateVerdict::Send) {
+      ++Tried;
+      Slow.finished("r", 1, 480ms, false);
+    }
+  CHECK(Tried >= 8);
+  CHECK(Tried <= 10);
+}
+
+TEST_CASE("a route is served within 3 s after any history of samples") {
+  CHECK(rc::check([] {
+    RequestGate Gate({});
+    Gate.open(9);
+    TimePoint Now = Start;
+    for (int Left = *rc::gen::inRange(0, 30); Left > 0; --Left) {
+      Now += *rc::gen::inRange(0, 2000) * 1ms;
+      GateRequest Offered =
+          request(1, *rc::gen::inRange(1, 20000) * 1ms, 1, Now);
+      Offered.m_Route = *rc::gen::element<std::string>("a", "b");
+      if (Gate.offer(Offered, Now).m_Verdict == GateVerdict::Send)
+        Gate.finished(Offered.m_Route, 1, *rc::gen::inRange(1, 60000) * 1ms,
+                      *rc::gen::arbitrary<bool>());
+    }
+    const Duration Objective = *rc::gen::inRange(20, 2000) * 1ms;
+    const auto Last =
+        lastRefusal(Gate, "a", Objective / 2, Objective, Now, Now + 10s);
+    RC_ASSERT(!Last || *Last <= Now + 3s);
+  }));
+}
+
 TEST_CASE("closing the gate returns the waiting requests and refuses others") {
   RequestGate Gate = gateWithService(1, 100ms);
   CHECK(Gate.offer(request(1, 1s), Start).m_Verdict == GateVerdict::Send);
--- a/tests/unit-route-table.cpp
+++ b/tests/unit-route-table.cpp
@@ -45,6 +45,22 @@
   CHECK(Table.match("h", "") == nullptr);
 }
 
+TEST_CASE(
+    "a route of the same name for other requests was taken for the same") {
+  const RouteTable Previous =
+      table({route("same", "h", "/a/"), route("moved", "h", "/b/"),
+             route("other host", "h", "/c/"), route("other kind", "h", "/d/"),
+             route("removed", "h", "/e/")});
+  Route Kept = route("same", "h", "/a/");
+  Kept.m_Timeout = 5s;
+  Route OtherKind = route("other kind", "h", "/d/");
+  OtherKind.m_Kind = RouteKind::Download;
+  const RouteTable Next =
+      table({Kept, route("moved", "h", "/f/"), route("other host", "g", "/c/"),
+             OtherKind, route("added", "h", "/e/")});
+  CHECK(keptRoutes(Previous, Next) == std::set<std::string>{"same"});
+}
+
 TEST_CASE("an invalid configuration is rejected with a reason") {
   CHECK_FALSE(table({route("r", "h", "/a/")}).problem().has_value());
   const auto Problem = [](auto Change) {
--- a/tests/unit-router.cpp
+++ b/tests/unit-router.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <thread>
 
 using namespace balsamwheel;
 using namespace balsamwheel::tests;
@@ -255,3 +256,28 @@
   CHECK(Rig.call(A, "/read/1").m_Status == 200);
   CHECK(A.m_Callers->connectionsOpened() == Before);
 }
+
+// Guards against a route that is never served, as its requests are refused by
+// the time that those of other routes take (CONFIG).
+TEST_CASE(
+    "a quick route that was added to a service of slow ones was refused") {
+  Rig Rig;
+  Instance &A = Rig.add("a", "plain");
+  A.m_Target.m_Behaviour =
+      [](const std::string &Request) -> std::optional<RawReply> {
+    if (Request.find("/read/") != std::string::npos)
+      std::this_thread::sleep_for(500ms);
+    return std::nullopt;
+  };
+  Rig.startServing();
+  REQUIRE(Rig.call(A, "/read/1").m_Status == 200);
+  Rig.configure(2, R"(,{"Name":"new","Prefix":"/new/","Kind":"safe",
+    "TimeoutS":2,"TargetLatencyS":1,"MaxAttempts":2,"Service":"plain"})");
+  Rig.m_Deadline = 250ms;
+  REQUIRE(Rig.runUntil([&] {
+    return A.m_Metrics.toText().find("balsamwheel_config_version 2") !=
+           std::string::npos;
+  }));
+  A.sendHeartbeat();
+  CHECK(Rig.call(A, "/new/1").m_Status == 200);
+}
